--- /dev/null
+++ b/src/sesamevale/callers/answers.py
@@ -0,0 +1,79 @@
+"""Answers that an entry gives by itself."""
+
+from __future__ import annotations
+
+import json
+
+from sesamevale import calls
+from sesamevale import http1
+from sesamevale import outcomes
+
+__all__ = ["for_outcome", "outcome_name"]
+
+Reason = outcomes.Reason
+
+STATUS_BY_REASON = {
+    Reason.BAD_REQUEST: 400,
+    Reason.NO_RULE: 404,
+    Reason.IDENTITY_REQUIRED: 428,
+    Reason.IDENTITY_MISMATCH: 422,
+    Reason.IDENTITY_EXPIRED: 409,
+    Reason.ISSUER_GONE: 409,
+    Reason.NOT_RETAINED: 409,
+    Reason.CUT: 502,
+    Reason.PEER_LOST: 502,
+}
+DEADLINE_STATUS = 504
+DEFAULT_STATUS = 503
+
+PROXY_ERROR_BY_REASON = {
+    Reason.BAD_REQUEST: "http_request_error",
+    Reason.CONNECT_FAILED: "connection_refused",
+    Reason.CUT: "connection_terminated",
+    Reason.DEADLINE: "http_response_timeout",
+    Reason.NO_RULE: "destination_not_found",
+    Reason.NO_UPSTREAM: "destination_unavailable",
+    Reason.PEER_LOST: "connection_terminated",
+    Reason.SHED: "destination_unavailable",
+}
+DEFAULT_PROXY_ERROR = "proxy_internal_response"
+
+
+def outcome_name(outcome: outcomes.NotRun | outcomes.Unknown) -> str:
+    """Returns the name of an outcome in header fields and metrics."""
+    return "not-run" if isinstance(outcome, outcomes.NotRun) else "unknown"
+
+
+def for_outcome(
+    outcome: outcomes.NotRun | outcomes.Unknown, entry_id: str
+) -> tuple[calls.AnswerHead, bytes]:
+    """Returns the answer that tells a caller about a call without one.
+
+    Args:
+        outcome: What is known about the call.
+        entry_id: Identifier of this entry.
+    """
+    name = outcome_name(outcome)
+    reason = outcome.reason
+    error = PROXY_ERROR_BY_REASON.get(reason, DEFAULT_PROXY_ERROR)
+    proxy_status = f'{entry_id}; error={error}; details="{name}: {reason}"'
+    body = json.dumps({"outcome": name, "reason": str(reason)}).encode()
+    headers = [
+        (http1.Field.PROXY_STATUS.value, proxy_status.encode()),
+        (http1.Field.OUTCOME.value, name.encode()),
+        (b"content-type", b"application/json"),
+        (http1.Field.CONTENT_LENGTH.value, b"%d" % len(body)),
+        (http1.Field.RETRIES_LEFT.value, b"0"),
+    ]
+    if isinstance(outcome, outcomes.NotRun) and outcome.retry_after_ms > 0:
+        seconds = -(-outcome.retry_after_ms // 1000)
+        headers.append((http1.Field.RETRY_AFTER.value, b"%d" % seconds))
+    return calls.AnswerHead(_status(outcome), tuple(headers)), body
+
+
+def _status(outcome: outcomes.NotRun | outcomes.Unknown) -> int:
+    if isinstance(outcome, outcomes.Unknown):
+        if outcome.reason is Reason.DEADLINE:
+            return DEADLINE_STATUS
+        return STATUS_BY_REASON.get(outcome.reason, 502)
+    return STATUS_BY_REASON.get(outcome.reason, DEFAULT_STATUS)
--- /dev/null
+++ b/src/sesamevale/callers/connection.py
@@ -0,0 +1,425 @@
+"""Connection of one caller: a task that owns one socket."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import math
+import time
+from typing import TYPE_CHECKING
+
+import h11
+
+from sesamevale import calls
+from sesamevale import http1
+from sesamevale import outcomes
+from sesamevale import tracing
+from sesamevale.callers import answers
+from sesamevale.callers import entry_directory
+from sesamevale.callers import framing
+from sesamevale.policy import matching
+
+if TYPE_CHECKING:
+    from sesamevale import documents
+    from sesamevale import metrics
+    from sesamevale import sockets
+    from sesamevale.dispatching import at_most_once
+    from sesamevale.dispatching import front as fronts
+
+__all__ = ["CallerConnection"]
+
+BUFFERED_BODY_BYTES = 64 * 1024
+CALLER_HOPS = 2
+LINGER_S = 0.5
+
+
+class CallerConnection:
+    """Serves the requests of one caller, one after the other.
+
+    Args:
+        stream: The accepted connection.
+        front: Where calls are handed to.
+        register: Issues tickets for the directory.
+        book: Measurements.
+        limits: Limits towards callers.
+    """
+
+    def __init__(
+        self,
+        stream: sockets.ByteStream,
+        front: fronts.Front,
+        register: at_most_once.RegisterTask,
+        book: metrics.Book,
+        limits: documents.Limits,
+    ) -> None:
+        self._stream = stream
+        self._front = front
+        self._register = register
+        self._book = book
+        self._limits = limits
+        self._http = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=limits.header_bytes
+        )
+        self._caller = stream.peer_host
+        self._head = framing.HeadScanner()
+        self._busy = False
+        self._expires = time.monotonic() + limits.idle_ms / 1000
+        self._body_task: asyncio.Task[None] | None = None
+
+    @property
+    def busy(self) -> bool:
+        """Whether a request has begun and its answer has not ended."""
+        return self._busy
+
+    @property
+    def expires(self) -> float:
+        """Monotonic time in seconds at which a silent caller is cut off."""
+        return self._expires
+
+    async def run(self) -> None:
+        """Serves requests until one side closes the connection."""
+        try:
+            while await self._serve_one():
+                pass
+        finally:
+            if self._body_task is not None:
+                self._body_task.cancel()
+            await self._linger()
+            self._stream.close()
+
+    async def _linger(self) -> None:
+        """Reads what the caller still sends, so that it sees the answer."""
+        if self._stream.closed or self._http.their_state is h11.IDLE:
+            return
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(LINGER_S):
+                while await self._stream.read():
+                    pass
+
+    def expire(self) -> None:
+        """Ends a connection whose caller was silent for too long."""
+        if self._head.partial and not self._busy:
+            self._stream.write(framing.REQUEST_TIMEOUT)
+        self._stream.close()
+
+    def close_if_idle(self) -> None:
+        """Closes the connection unless a request is being served."""
+        if not self._busy and not self._head.partial:
+            self._stream.close()
+
+    async def _serve_one(self) -> bool:
+        """Serves one request; False if the connection must end."""
+        self._expires = time.monotonic() + self._limits.idle_ms / 1000
+        try:
+            request = await self._next_request()
+            if request is None:
+                return False
+            self._expires = math.inf
+            self._busy = True
+            await self._serve(request)
+        except h11.RemoteProtocolError as error:
+            self._refuse_malformed(error)
+            return False
+        except h11.LocalProtocolError:
+            self._stream.abort()
+            return False
+        finally:
+            self._busy = False
+        return await self._start_next()
+
+    def _skip_received_body(self) -> None:
+        """Takes what has arrived of a body that nobody wants."""
+        while self._http.their_state is h11.SEND_BODY:
+            if not isinstance(self._http.next_event(), h11.Data):
+                return
+
+    async def _start_next(self) -> bool:
+        self._skip_received_body()
+        if self._http.states != {
+            h11.CLIENT: h11.DONE,
+            h11.SERVER: h11.DONE,
+        }:
+            return False
+        await self._stream.drained()
+        self._http.start_next_cycle()
+        self._head.reset(self._http.trailing_data[0])
+        return not self._stream.closed
+
+    async def _next_request(self) -> h11.Request | None:
+        while True:
+            event = self._http.next_event()
+            if isinstance(event, h11.Request):
+                framing.check(event, self._head)
+                return event
+            if event is not h11.NEED_DATA:
+                return None
+            data = await self._stream.read()
+            if data and not self._head.partial:
+                window = self._limits.header_read_ms / 1000
+                self._expires = time.monotonic() + window
+            self._head.feed(data)
+            self._http.receive_data(data)
+
+    async def _serve(self, request: h11.Request) -> None:
+        target = request.target.decode("ascii", "replace")
+        if target.partition("?")[0] == entry_directory.PATH:
+            await self._serve_directory(target)
+            return
+        self._front.call_entered()
+        try:
+            await self._serve_call(request, target)
+        finally:
+            self._front.call_left()
+
+    async def _serve_directory(self, target: str) -> None:
+        if await self._read_small_body() is None:
+            self._send_failure(outcomes.NotRun(outcomes.Reason.BAD_REQUEST))
+            return
+        view = self._front.view
+        own = view.own
+        ticket = self._register.new_ticket(own.entry_id, own.incarnation)
+        revision = self._directory_revision()
+        body = entry_directory.answer(view, target, revision, ticket)
+        headers = (
+            (b"content-type", b"application/json"),
+            (b"cache-control", b"no-store"),
+            (http1.Field.CONTENT_LENGTH.value, b"%d" % len(body)),
+        )
+        self._send_whole(calls.AnswerHead(200, headers), body)
+
+    async def _serve_call(self, request: h11.Request, target: str) -> None:
+        arrived = time.monotonic()
+        headers = tuple(request.headers)
+        method = request.method.decode("ascii", "replace")
+        environment = self._front.view.environment
+        if environment is None:
+            self._refuse(outcomes.Reason.NO_DOCUMENT)
+            return
+        match = matching.match_request(environment, method, target)
+        if match is None:
+            self._refuse(outcomes.Reason.NO_RULE)
+            return
+        span = tracing.start_call(
+            "call", http1.find(headers, http1.Field.TRACEPARENT.value)
+        )
+        call = self._new_call(request, headers, match, arrived, environment)
+        call.traceparent = span.traceparent
+        outcome, reason = "aborted", ""
+        try:
+            outcome, reason = await self._run_call(call)
+        finally:
+            span.end(outcome)
+            total = time.monotonic() - arrived
+            added = total - call.upstream_seconds
+            self._book.call_ended(call.service, outcome, reason, total, added)
+
+    def _new_call(
+        self,
+        request: h11.Request,
+        headers: calls.Headers,
+        match: matching.Match,
+        arrived: float,
+        environment: documents.Environment,
+    ) -> calls.Call:
+        rule = match.rule
+        deadline_ms = rule.deadline_ms
+        asked_ms = http1.integer(headers, http1.Field.DEADLINE.value)
+        if asked_ms is not None:
+            deadline_ms = min(deadline_ms, asked_ms)
+        retries = environment.retry_budget
+        asked_retries = http1.integer(headers, http1.Field.RETRIES.value)
+        if asked_retries is not None:
+            retries = min(retries, asked_retries)
+        key = http1.find(headers, http1.Field.IDEMPOTENCY_KEY.value)
+        identity = None
+        if key is not None and not rule.repeatable:
+            identity = key.decode("ascii", "replace")
+        dropped = http1.OWN_FIELDS | {http1.Field.CONTENT_LENGTH.value}
+        return calls.Call(
+            call_id=self._front.next_call_id(),
+            service=match.service.name,
+            rule=rule,
+            method=bytes(request.method),
+            target=bytes(request.target),
+            headers=http1.forwarded(headers, dropped),
+            body=b"",
+            stream=None,
+            caller=self._caller,
+            deadline=arrived + deadline_ms / 1000,
+            retries=retries,
+            hops=CALLER_HOPS,
+            answer=calls.AnswerChannel(),
+            arrived=arrived,
+            identity=identity,
+        )
+
+    async def _run_call(self, call: calls.Call) -> tuple[str, str]:
+        """Runs a call and passes its answer on; returns how it ended."""
+        if not await self._read_body(call):
+            self._refuse(outcomes.Reason.BAD_REQUEST, status=413)
+            return "not-run", str(outcomes.Reason.BAD_REQUEST)
+        if self._stream.closed:
+            return "not-run", str(outcomes.Reason.CALLER_GONE)
+        self._stream.on_lost(lambda: self._caller_lost(call))
+        try:
+            self._front.submit(call)
+            return await self._pass_answer(call)
+        finally:
+            self._stream.on_lost(None)
+
+    def _caller_lost(self, call: calls.Call) -> None:
+        self._front.caller_gone(call)
+        gone = outcomes.Unknown(outcomes.Reason.CALLER_GONE)
+        call.answer.put(calls.Failed(gone))
+
+    async def _pass_answer(self, call: calls.Call) -> tuple[str, str]:
+        first = await call.answer.get()
+        if isinstance(first, calls.Failed):
+            self._send_failure(first.outcome)
+            name = answers.outcome_name(first.outcome)
+            return name, str(first.outcome.reason)
+        assert isinstance(first, calls.AnswerHead)
+        data = self._encode_head(first)
+        is_head = call.method == b"HEAD"
+        while True:
+            if data and not call.answer.pending():
+                self._stream.write(data)
+                data = b""
+                await self._stream.drained()
+            message = await call.answer.get()
+            if isinstance(message, calls.AnswerData):
+                if not is_head:
+                    event = h11.Data(data=message.data)
+                    data += self._http.send(event) or b""
+                if len(data) >= calls.HIGH_WATER_BYTES:
+                    self._stream.write(data)
+                    data = b""
+                    await self._stream.drained()
+            elif isinstance(message, calls.AnswerEnd):
+                data += self._http.send(h11.EndOfMessage()) or b""
+                self._stream.write(data)
+                return "answered", f"{first.status // 100}xx"
+            else:
+                assert isinstance(message, calls.Failed)
+                self._stream.abort()
+                return "unknown", str(message.outcome.reason)
+
+    async def _read_body(self, call: calls.Call) -> bool:
+        """Reads the body or starts to stream it; False if it is too long."""
+        body = bytearray()
+        declared = self._declared_length
+        if declared is not None and declared > self._limits.body_bytes:
+            return False
+        while len(body) <= BUFFERED_BODY_BYTES:
+            event = await self._next_body_event()
+            if isinstance(event, h11.Data):
+                body += event.data
+            elif isinstance(event, h11.EndOfMessage):
+                call.body = bytes(body)
+                return len(body) <= self._limits.body_bytes
+            else:
+                return not self._stream.closed
+        if len(body) > self._limits.body_bytes:
+            return False
+        call.body = bytes(body)
+        call.stream = calls.BodyChannel()
+        self._body_task = asyncio.create_task(
+            self._stream_body(call.stream, len(body))
+        )
+        return True
+
+    async def _stream_body(self, channel: calls.BodyChannel, size: int) -> None:
+        """Passes the rest of a long body on as it arrives."""
+        try:
+            while True:
+                event = await self._next_body_event()
+                if isinstance(event, h11.EndOfMessage):
+                    channel.finish()
+                    return
+                if not isinstance(event, h11.Data):
+                    break
+                size += len(event.data)
+                if size > self._limits.body_bytes:
+                    break
+                await channel.put(bytes(event.data))
+        except h11.RemoteProtocolError:
+            pass
+        channel.abort()
+
+    async def _read_small_body(self) -> bytes | None:
+        body = bytearray()
+        while len(body) <= BUFFERED_BODY_BYTES:
+            event = await self._next_body_event()
+            if isinstance(event, h11.EndOfMessage):
+                return bytes(body)
+            if not isinstance(event, h11.Data):
+                return None
+            body += event.data
+        return None
+
+    async def _next_body_event(self) -> object:
+        while True:
+            event = self._http.next_event()
+            if event is not h11.NEED_DATA:
+                return event
+            if self._http.they_are_waiting_for_100_continue:
+                proceed = h11.InformationalResponse(
+                    status_code=100, headers=[], reason=b"Continue"
+                )
+                self._stream.write(self._http.send(proceed) or b"")
+            self._http.receive_data(await self._stream.read())
+
+    @property
+    def _declared_length(self) -> int | None:
+        return self._head.content_length
+
+    def _directory_revision(self) -> int:
+        return self._front.view.revision
+
+    def _encode_head(self, head: calls.AnswerHead) -> bytes:
+        headers = list(head.headers)
+        headers.append(
+            (
+                http1.Field.DIRECTORY_REVISION.value,
+                b"%d" % self._directory_revision(),
+            )
+        )
+        if self._front.view.draining:
+            headers.append((http1.Field.CONNECTION.value, b"close"))
+        response = h11.Response(status_code=head.status, headers=headers)
+        return self._http.send(response) or b""
+
+    def _send_whole(self, head: calls.AnswerHead, body: bytes) -> None:
+        data = self._encode_head(head)
+        data += self._http.send(h11.Data(data=body)) or b""
+        data += self._http.send(h11.EndOfMessage()) or b""
+        self._stream.write(data)
+
+    def _send_failure(
+        self,
+        outcome: outcomes.NotRun | outcomes.Unknown,
+        status: int | None = None,
+    ) -> None:
+        if self._http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            self._stream.abort()
+            return
+        entry_id = self._front.view.own.entry_id
+        head, body = answers.for_outcome(outcome, entry_id)
+        if status is not None:
+            head = calls.AnswerHead(status, head.headers)
+        self._send_whole(head, body)
+
+    def _refuse(
+        self, reason: outcomes.Reason, status: int | None = None
+    ) -> None:
+        self._book.count(f"refused_{reason}")
+        self._send_failure(outcomes.NotRun(reason), status)
+
+    def _refuse_malformed(self, error: h11.RemoteProtocolError) -> None:
+        """Answers a request that cannot be read and gives up."""
+        self._book.count("malformed_requests")
+        with contextlib.suppress(h11.LocalProtocolError):
+            self._send_failure(
+                outcomes.NotRun(outcomes.Reason.BAD_REQUEST),
+                error.error_status_hint,
+            )
--- /dev/null
+++ b/src/sesamevale/calls.py
@@ -0,0 +1,222 @@
+"""Calls and the messages that carry their answers between tasks."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import dataclasses
+from typing import TYPE_CHECKING
+
+from sesamevale import outcomes
+
+if TYPE_CHECKING:
+    from sesamevale import documents
+
+__all__ = [
+    "AnswerChannel",
+    "AnswerData",
+    "AnswerEnd",
+    "AnswerHead",
+    "AnswerMessage",
+    "BodyChannel",
+    "Call",
+    "Failed",
+    "Headers",
+]
+
+HIGH_WATER_BYTES = 256 * 1024
+
+Headers = tuple[tuple[bytes, bytes], ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AnswerHead:
+    """Status and header fields of an answer."""
+
+    status: int
+    headers: Headers
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AnswerData:
+    """Part of an answer's body."""
+
+    data: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AnswerEnd:
+    """The answer is whole."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Failed:
+    """No whole answer follows.
+
+    Attributes:
+        outcome: What is known about the call.
+    """
+
+    outcome: outcomes.NotRun | outcomes.Unknown
+
+
+AnswerMessage = AnswerHead | AnswerData | AnswerEnd | Failed
+
+
+class BodyChannel:
+    """Parts of a request body on their way from one task to another."""
+
+    def __init__(self) -> None:
+        self._parts: collections.deque[bytes | None] = collections.deque()
+        self._bytes = 0
+        self._readable = asyncio.Event()
+        self._writable = asyncio.Event()
+        self._writable.set()
+        self._broken = False
+
+    @property
+    def broken(self) -> bool:
+        """Whether the sender gave up before the end of the body."""
+        return self._broken
+
+    async def put(self, data: bytes) -> None:
+        """Adds a part; waits while the receiver is behind."""
+        await self._writable.wait()
+        self._parts.append(data)
+        self._bytes += len(data)
+        if self._bytes > HIGH_WATER_BYTES:
+            self._writable.clear()
+        self._readable.set()
+
+    def finish(self) -> None:
+        """Marks the end of the body."""
+        self._parts.append(None)
+        self._readable.set()
+
+    def abort(self) -> None:
+        """Marks that the rest of the body will never come."""
+        self._broken = True
+        self.finish()
+
+    def release(self) -> None:
+        """Lets the sender proceed although nobody reads any more."""
+        self._bytes = -(1 << 62)
+        self._writable.set()
+
+    async def get(self) -> bytes | None:
+        """Returns the next part, or None at the end."""
+        while not self._parts:
+            self._readable.clear()
+            await self._readable.wait()
+        part = self._parts.popleft()
+        if part is not None:
+            self._bytes -= len(part)
+            if self._bytes <= HIGH_WATER_BYTES:
+                self._writable.set()
+        return part
+
+
+class AnswerChannel:
+    """Messages of one answer, from the winning attempt to one receiver.
+
+    Several attempts may race. The first that claims the channel is the only
+    one whose messages are taken.
+    """
+
+    __slots__ = ("_bytes", "_drained", "_messages", "_owner", "_waiter")
+
+    def __init__(self) -> None:
+        self._messages: collections.deque[AnswerMessage] = collections.deque()
+        self._waiter: asyncio.Future[None] | None = None
+        self._drained: asyncio.Future[None] | None = None
+        self._bytes = 0
+        self._owner: int | None = None
+
+    @property
+    def claimed(self) -> bool:
+        """Whether an attempt has begun to answer."""
+        return self._owner is not None
+
+    def claim(self, attempt_id: int) -> bool:
+        """Reserves the channel for one attempt; False if another has it."""
+        if self._owner is None:
+            self._owner = attempt_id
+        return self._owner == attempt_id
+
+    def put(self, message: AnswerMessage) -> None:
+        """Adds a message without waiting."""
+        self._messages.append(message)
+        if isinstance(message, AnswerData):
+            self._bytes += len(message.data)
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
+
+    async def drained(self) -> None:
+        """Waits until the receiver has caught up."""
+        while self._bytes > HIGH_WATER_BYTES:
+            self._drained = asyncio.get_running_loop().create_future()
+            await self._drained
+
+    async def get(self) -> AnswerMessage:
+        """Returns the next message."""
+        while not self._messages:
+            self._waiter = asyncio.get_running_loop().create_future()
+            await self._waiter
+        message = self._messages.popleft()
+        if isinstance(message, AnswerData):
+            self._bytes -= len(message.data)
+            if self._drained is not None and not self._drained.done():
+                self._drained.set_result(None)
+        return message
+
+    def pending(self) -> bool:
+        """Whether a message can be taken without waiting."""
+        return bool(self._messages)
+
+
+@dataclasses.dataclass(slots=True)
+class Call:
+    """One call on its way through an entry.
+
+    Attributes:
+        call_id: Number, unique within this process.
+        service: Name of the service.
+        rule: Rule that matched the request.
+        method: HTTP method.
+        target: Request target as received.
+        headers: Header fields with hop-by-hop fields removed.
+        body: Body, or its first part if ``stream`` is set.
+        stream: Rest of a body too large to hold.
+        caller: Address that shares of the queue are counted by.
+        deadline: Monotonic time in seconds at which the answer is late.
+        retries: Retries that this call and all it causes may still use.
+        hops: Entries that the call may still be relayed to.
+        answer: Where the answer goes.
+        arrived: Monotonic time of arrival in seconds.
+        identity: Identity for at most one run, if the call has one.
+        traceparent: W3C trace context for the next hop, if any.
+    """
+
+    call_id: int
+    service: str
+    rule: documents.Rule
+    method: bytes
+    target: bytes
+    headers: Headers
+    body: bytes
+    stream: BodyChannel | None
+    caller: str
+    deadline: float
+    retries: int
+    hops: int
+    answer: AnswerChannel
+    arrived: float
+    identity: str | None = None
+    traceparent: bytes | None = None
+    upstream_seconds: float = 0.0
+    via: str = ""
+
+    @property
+    def replayable(self) -> bool:
+        """Whether the whole body is at hand for another attempt."""
+        return self.stream is None
--- /dev/null
+++ b/src/sesamevale/dispatching/at_most_once.py
@@ -0,0 +1,207 @@
+"""Task that owns the register of actions that run at most once."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import functools
+import hashlib
+import secrets
+import time
+from typing import TYPE_CHECKING
+
+from sesamevale import calls
+from sesamevale import messaging
+from sesamevale import outcomes
+from sesamevale.policy import identity
+from sesamevale.policy import register
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+__all__ = [
+    "Bar",
+    "Message",
+    "RegisterTask",
+    "SubmitAction",
+    "collect_answer",
+    "put_outcome",
+]
+
+EXPIRE_INTERVAL_S = 1.0
+NONCE_BYTES = 8
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SubmitAction:
+    """A call with an identity that this entry issued."""
+
+    call: calls.Call
+    identity: identity.Identity
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Bar:
+    """Make sure that an action will not run, if it has not begun."""
+
+    identity: identity.Identity
+    reply: asyncio.Future[register.Barred | register.Running | register.Replay]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Settled:
+    key: str
+    outcome: outcomes.Outcome
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Expire:
+    """Time to forget actions whose tickets have expired."""
+
+
+Message = SubmitAction | Bar | _Settled | _Expire
+
+
+class RegisterTask(messaging.Actor[Message]):
+    """Runs each action once and gives its outcome to every repeat.
+
+    Args:
+        decisions: The register.
+        run: Sends a call to its dispatcher.
+    """
+
+    def __init__(
+        self,
+        decisions: register.Register,
+        run: Callable[[calls.Call], None],
+    ) -> None:
+        super().__init__("register")
+        self._decisions = decisions
+        self._run_call = run
+        self._waiting: dict[str, list[calls.Call]] = {}
+        self._collectors: set[asyncio.Task[None]] = set()
+        self._clock_offset = time.time() - time.monotonic()
+        self._loop = asyncio.get_running_loop()
+        self._timer = self._loop.call_later(EXPIRE_INTERVAL_S, self._tick)
+
+    @property
+    def decisions(self) -> register.Register:
+        """State for reports; only this task changes it."""
+        return self._decisions
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        self._timer.cancel()
+        for collector in self._collectors:
+            collector.cancel()
+        await super().__aexit__(*exc_info)
+
+    def clock(self) -> float:
+        """Seconds since the epoch on a clock that never runs backwards."""
+        return self._clock_offset + time.monotonic()
+
+    def new_ticket(self, entry_id: str, incarnation: int) -> identity.Ticket:
+        """Issues a ticket of this entry."""
+        expires_s = int(self.clock()) + self._decisions.window_s
+        nonce = secrets.token_hex(NONCE_BYTES)
+        return identity.Ticket(entry_id, incarnation, expires_s, nonce)
+
+    def receive(self, message: Message) -> None:
+        """Implements ``messaging.Actor``."""
+        _receive(message, self)
+
+    def _start(self, call: calls.Call, key: str) -> None:
+        """Runs an action with an answer channel of its own."""
+        own = dataclasses.replace(call, answer=calls.AnswerChannel())
+        self._waiting[key] = [call]
+        collector = asyncio.create_task(self._collect(own, key))
+        self._collectors.add(collector)
+        collector.add_done_callback(self._collectors.discard)
+        self._run_call(own)
+
+    async def _collect(self, call: calls.Call, key: str) -> None:
+        outcome = await collect_answer(call.answer)
+        for waiting in self._waiting.get(key, ()):
+            waiting.upstream_seconds = call.upstream_seconds
+        self.send(_Settled(key, outcome))
+
+    def _tick(self) -> None:
+        self.send(_Expire())
+        self._timer = self._loop.call_later(EXPIRE_INTERVAL_S, self._tick)
+
+
+async def collect_answer(channel: calls.AnswerChannel) -> outcomes.Outcome:
+    """Reads a whole answer into memory."""
+    head: calls.AnswerHead | None = None
+    body = bytearray()
+    while True:
+        message = await channel.get()
+        if isinstance(message, calls.AnswerHead):
+            head = message
+        elif isinstance(message, calls.AnswerData):
+            body += message.data
+        elif isinstance(message, calls.Failed):
+            return message.outcome
+        elif head is not None:
+            answer = outcomes.Answer(head.status, head.headers, bytes(body))
+            return outcomes.Answered(answer)
+
+
+def put_outcome(
+    channel: calls.AnswerChannel, outcome: outcomes.Outcome
+) -> None:
+    """Gives a whole outcome to a receiver."""
+    if not isinstance(outcome, outcomes.Answered):
+        channel.put(calls.Failed(outcome))
+        return
+    answer = outcome.answer
+    channel.put(calls.AnswerHead(answer.status, answer.headers))
+    if answer.body:
+        channel.put(calls.AnswerData(answer.body))
+    channel.put(calls.AnswerEnd())
+
+
+def _fingerprint(call: calls.Call) -> str:
+    digest = hashlib.blake2b(digest_size=16)
+    for part in (call.method, call.target, call.body):
+        digest.update(len(part).to_bytes(8, "big"))
+        digest.update(part)
+    return digest.hexdigest()
+
+
+@functools.singledispatch
+def _receive(message: Message, task: RegisterTask) -> None:
+    raise TypeError(f"no rule for {type(message).__name__}")
+
+
+@_receive.register
+def _(message: SubmitAction, task: RegisterTask) -> None:
+    call = message.call
+    decision = task._decisions.submit(
+        message.identity, _fingerprint(call), task.clock()
+    )
+    key = str(message.identity)
+    if isinstance(decision, register.Run):
+        task._start(call, key)
+    elif isinstance(decision, register.Join):
+        task._waiting[key].append(call)
+    else:
+        put_outcome(call.answer, decision.outcome)
+
+
+@_receive.register
+def _(message: Bar, task: RegisterTask) -> None:
+    result = task._decisions.bar(message.identity, task.clock())
+    if not message.reply.done():
+        message.reply.set_result(result)
+
+
+@_receive.register
+def _(message: _Settled, task: RegisterTask) -> None:
+    task._decisions.settle(message.key, message.outcome)
+    for call in task._waiting.pop(message.key, []):
+        put_outcome(call.answer, message.outcome)
+
+
+@_receive.register
+def _(message: _Expire, task: RegisterTask) -> None:
+    task._decisions.expire(task.clock())
--- /dev/null
+++ b/src/sesamevale/dispatching/coordinator.py
@@ -0,0 +1,227 @@
+"""Task that turns news of members and documents into one view.
+
+It starts and stops the dispatchers and tells each of them its homes.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import functools
+from typing import TYPE_CHECKING
+
+from sesamevale import messaging
+from sesamevale.dispatching import dispatcher
+from sesamevale.dispatching import front as fronts
+from sesamevale.policy import dispatch
+from sesamevale.policy import homes
+from sesamevale.policy import membership
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from sesamevale import documents
+    from sesamevale.dispatching import exchanges
+
+__all__ = [
+    "Coordinator",
+    "DocumentInForce",
+    "MembersChanged",
+    "Message",
+    "PeersReported",
+    "VmsLeaving",
+]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class MembersChanged:
+    """The membership view has changed.
+
+    Attributes:
+        own: This entry.
+        members: All known members by identifier.
+    """
+
+    own: membership.Member
+    members: dict[str, membership.Member]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DocumentInForce:
+    """A document has come in force."""
+
+    environment: documents.Environment
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class VmsLeaving:
+    """Addresses that the platform's list shows as leaving."""
+
+    addresses: frozenset[str]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeersReported:
+    """Loads that other entries announced, by entry."""
+
+    loads: dict[str, tuple[membership.ServiceLoad, ...]]
+
+
+Message = MembersChanged | DocumentInForce | VmsLeaving | PeersReported
+
+
+class Coordinator(messaging.Actor[Message]):
+    """Keeps the front's view and the dispatchers up to date.
+
+    Args:
+        front: Gets each new view.
+        open_relay: Returns a connection to another entry.
+        on_environment: Called with each document after it is in force.
+    """
+
+    def __init__(
+        self,
+        front: fronts.Front,
+        open_relay: Callable[[str], exchanges.Link | None],
+        on_environment: Callable[[documents.Environment], None],
+    ) -> None:
+        super().__init__("coordinator")
+        self._front = front
+        self._open_relay = open_relay
+        self._on_environment = on_environment
+        self._leaving: frozenset[str] = frozenset()
+        self._stopping: set[asyncio.Task[None]] = set()
+        self._started = False
+        own = front.view.own
+        self._members: dict[str, membership.Member] = {own.entry_id: own}
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        await super().__aexit__(*exc_info)
+        for task in list(self._front.dispatchers.values()):
+            await task.__aexit__(None, None, None)
+
+    def receive(self, message: Message) -> None:
+        """Implements ``messaging.Actor``."""
+        _receive(message, self)
+
+    def _refresh(
+        self,
+        own: membership.Member,
+        members: dict[str, membership.Member],
+        environment: documents.Environment | None,
+    ) -> None:
+        """Computes the view and the homes anew."""
+        usable = tuple(
+            member
+            for _, member in sorted(members.items())
+            if member.status is membership.Status.ALIVE
+        )
+        live = {
+            name: member.incarnation
+            for name, member in members.items()
+            if member.status is not membership.Status.DEAD
+        }
+        home_maps: dict[str, homes.HomeMap] = {}
+        if environment is not None:
+            candidates = [
+                homes.Candidate(member.entry_id, member.data_center)
+                for member in usable
+            ]
+            home_maps = homes.assign(environment.services.values(), candidates)
+        old = self._front.view
+        view = fronts.View(
+            own=own,
+            environment=environment,
+            home_maps=home_maps,
+            usable=usable,
+            live=live,
+            draining=own.status is membership.Status.LEAVING,
+            revision=old.revision + 1,
+        )
+        self._front.set_view(view)
+        for name, task in self._front.dispatchers.items():
+            new_map = home_maps.get(name)
+            if new_map != old.home_maps.get(name) or not self._started:
+                task.send(dispatcher.SetHomes(new_map))
+
+    def _update_services(self, environment: documents.Environment) -> None:
+        """Starts, changes and stops dispatchers for a document."""
+        running = self._front.dispatchers
+        for name, service in environment.services.items():
+            task = running.get(name)
+            if task is None:
+                running[name] = self._start(service)
+            elif task.service != service:
+                task.send(dispatcher.SetService(service))
+        for name in running.keys() - environment.services.keys():
+            self._stop_when_idle(running.pop(name))
+
+    def _start(self, service: documents.Service) -> dispatcher.Dispatcher:
+        now = asyncio.get_running_loop().time()
+        own = self._front.view.own.entry_id
+        decisions = dispatch.Dispatch(service, own, now)
+        task = dispatcher.Dispatcher(service, decisions, self._open_relay)
+        task.start()
+        return task
+
+    def _stop_when_idle(self, task: dispatcher.Dispatcher) -> None:
+        """Stops the dispatcher of a removed service after its last call."""
+
+        async def wait_and_stop() -> None:
+            while task.decisions.active:
+                await asyncio.sleep(0.1)
+            await task.__aexit__(None, None, None)
+
+        stopping = asyncio.create_task(wait_and_stop())
+        self._stopping.add(stopping)
+        stopping.add_done_callback(self._stopping.discard)
+
+    def _tell_leaving(self) -> None:
+        for task in self._front.dispatchers.values():
+            names = frozenset(
+                upstream.name
+                for upstream in task.service.upstreams
+                if upstream.host in self._leaving
+                or f"{upstream.host}:{upstream.port}" in self._leaving
+            )
+            task.send(dispatcher.SetLeaving(names))
+
+
+@functools.singledispatch
+def _receive(message: Message, task: Coordinator) -> None:
+    raise TypeError(f"no rule for {type(message).__name__}")
+
+
+@_receive.register
+def _(message: MembersChanged, task: Coordinator) -> None:
+    environment = task._front.view.environment
+    task._members = message.members
+    task._refresh(message.own, message.members, environment)
+
+
+@_receive.register
+def _(message: DocumentInForce, task: Coordinator) -> None:
+    view = task._front.view
+    task._update_services(message.environment)
+    task._started = False
+    task._refresh(view.own, task._members, message.environment)
+    task._started = True
+    task._tell_leaving()
+    task._on_environment(message.environment)
+
+
+@_receive.register
+def _(message: VmsLeaving, task: Coordinator) -> None:
+    if message.addresses != task._leaving:
+        task._leaving = message.addresses
+        task._tell_leaving()
+
+
+@_receive.register
+def _(message: PeersReported, task: Coordinator) -> None:
+    for entry_id, loads in message.loads.items():
+        for each in loads:
+            running = task._front.dispatchers.get(each.service)
+            if running is not None:
+                report = dispatcher.PeerReported(entry_id, each.load)
+                running.send(report)
--- /dev/null
+++ b/src/sesamevale/dispatching/dispatcher.py
@@ -0,0 +1,432 @@
+"""Task that owns one service's queue, slots and connections at one entry."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import functools
+from typing import TYPE_CHECKING
+
+from sesamevale import calls
+from sesamevale import messaging
+from sesamevale import outcomes
+from sesamevale.dispatching import exchanges
+from sesamevale.policy import attempts
+from sesamevale.policy import dispatch
+from sesamevale.policy import effects
+from sesamevale.upstreams import connection
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from sesamevale import documents
+    from sesamevale.policy import homes
+
+__all__ = [
+    "CallerGone",
+    "Dispatcher",
+    "Message",
+    "PeerReported",
+    "ProbeEnded",
+    "SetHomes",
+    "SetLeaving",
+    "SetService",
+    "Submit",
+    "Wake",
+]
+
+IDLE_MAX_S = 30.0
+FRESH_IDLE_S = 0.5
+REAP_INTERVAL_S = 5.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Submit:
+    """A new call."""
+
+    call: calls.Call
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallerGone:
+    """Nobody waits for the answer of a call any more."""
+
+    call_id: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SetHomes:
+    """New owners of the service's upstreams."""
+
+    home_map: homes.HomeMap | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SetService:
+    """A new version of the service."""
+
+    service: documents.Service
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SetLeaving:
+    """Upstreams that the list of VMs shows as leaving."""
+
+    names: frozenset[str]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerReported:
+    """Load of the service at another entry."""
+
+    entry_id: str
+    load: attempts.PeerLoad
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ProbeEnded:
+    """Answer to a probe of an upstream."""
+
+    upstream: str
+    healthy: bool
+    leaving: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Wake:
+    """A moment that the decisions asked for."""
+
+    kind: effects.WakeKind
+    call_id: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Reap:
+    """Time to close connections that have been idle for long."""
+
+
+Message = (
+    Submit
+    | exchanges.AttemptEnded
+    | CallerGone
+    | SetHomes
+    | SetService
+    | SetLeaving
+    | PeerReported
+    | ProbeEnded
+    | Wake
+    | _Reap
+)
+
+
+class Dispatcher(messaging.Actor[Message]):
+    """Applies the decisions of one service.
+
+    Args:
+        service: The service.
+        decisions: State that decides.
+        open_relay: Returns a connection to another entry, or None if the
+            entry is not known.
+    """
+
+    def __init__(
+        self,
+        service: documents.Service,
+        decisions: dispatch.Dispatch,
+        open_relay: Callable[[str], exchanges.Link | None],
+    ) -> None:
+        super().__init__(f"dispatcher-{service.name}")
+        self._service = service
+        self._decisions = decisions
+        self._open_relay = open_relay
+        self._calls: dict[int, calls.Call] = {}
+        self._links: dict[int, exchanges.Link] = {}
+        self._idle: dict[str, list[exchanges.Link]] = {}
+        self._targets: dict[int, str] = {}
+        self._deadlines: dict[int, asyncio.TimerHandle] = {}
+        self._loop = asyncio.get_running_loop()
+        self._reaper = self._loop.call_later(REAP_INTERVAL_S, self._ask_reap)
+
+    @property
+    def service(self) -> documents.Service:
+        """The service as the decisions know it."""
+        return self._service
+
+    @property
+    def decisions(self) -> dispatch.Dispatch:
+        """State for reports; only this task changes it."""
+        return self._decisions
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        self._reaper.cancel()
+        for timer in self._deadlines.values():
+            timer.cancel()
+        await super().__aexit__(*exc_info)
+        for links in self._idle.values():
+            for link in links:
+                link.abort()
+        for link in self._links.values():
+            link.abort()
+
+    def receive(self, message: Message) -> None:
+        """Implements ``messaging.Actor``."""
+        _receive(message, self)
+
+    def _apply_all(self, wanted: list[effects.Effect]) -> None:
+        for effect in wanted:
+            _apply(effect, self)
+
+    def _start(
+        self,
+        attempt_id: int,
+        call_id: int,
+        target: str,
+        link: exchanges.Link | None,
+        retries: int,
+        hold_failures: bool,
+    ) -> None:
+        """Sends a call over a connection."""
+        call = self._calls[call_id]
+        if link is None:
+            link = _ClosedLink()
+        self._links[attempt_id] = link
+        self._targets[attempt_id] = target
+        link.send(
+            exchanges.Exchange(
+                attempt_id, call, self._service, retries, hold_failures, self
+            )
+        )
+
+    def _take_link(
+        self, upstream: documents.Upstream, *, repeatable: bool
+    ) -> exchanges.Link:
+        """Returns an idle connection to an upstream or a new one.
+
+        A call that must not be repeated gets a connection that was used a
+        moment ago or a new one, since an old idle connection may be closing.
+        """
+        idle = self._idle.get(upstream.name, [])
+        oldest_use = self._loop.time() - FRESH_IDLE_S
+        while idle:
+            link = idle.pop()
+            if not link.open:
+                link.abort()
+            elif repeatable or link.idle_since >= oldest_use:
+                return link
+            else:
+                idle.append(link)
+                break
+        return connection.UpstreamConnection(upstream)
+
+    def _return_link(self, target: str, link: exchanges.Link) -> None:
+        if not link.open:
+            link.abort()
+            return
+        self._idle.setdefault(target, []).append(link)
+
+    def _finish(self, call_id: int) -> None:
+        self._calls.pop(call_id, None)
+        timer = self._deadlines.pop(call_id, None)
+        if timer is not None:
+            timer.cancel()
+
+    def _ask_reap(self) -> None:
+        self.send(_Reap())
+        self._reaper = self._loop.call_later(REAP_INTERVAL_S, self._ask_reap)
+
+    def _reap(self) -> None:
+        oldest_use = self._loop.time() - IDLE_MAX_S
+        for target, links in self._idle.items():
+            kept = []
+            for link in links:
+                if link.open and link.idle_since >= oldest_use:
+                    kept.append(link)
+                else:
+                    link.abort()
+            self._idle[target] = kept
+
+
+class _ClosedLink:
+    """Stands for a connection to an entry that is not known any more."""
+
+    open = False
+    idle_since = 0.0
+
+    def send(self, message: exchanges.Exchange) -> None:
+        """Reports that nothing was sent."""
+        result = attempts.NotSent(outcomes.Reason.PEER_LOST)
+        message.reporter.send(
+            exchanges.AttemptEnded(message.attempt_id, result, self)
+        )
+
+    def abort(self) -> None:
+        """Does nothing."""
+
+
+@functools.singledispatch
+def _receive(message: Message, task: Dispatcher) -> None:
+    raise TypeError(f"no rule for {type(message).__name__}")
+
+
+@_receive.register
+def _(message: Submit, task: Dispatcher) -> None:
+    call = message.call
+    rule = call.rule
+    task._calls[call.call_id] = call
+    facts = dispatch.CallFacts(
+        call.call_id,
+        call.caller,
+        rule.priority,
+        call.deadline,
+        rule.repeatable,
+        call.replayable,
+        rule.hedge and rule.repeatable and call.replayable,
+        call.retries,
+        call.hops,
+    )
+    task._apply_all(task._decisions.submit(facts, task._loop.time()))
+
+
+@_receive.register
+def _(message: exchanges.AttemptEnded, task: Dispatcher) -> None:
+    task._links.pop(message.attempt_id, None)
+    target = task._targets.pop(message.attempt_id)
+    task._return_link(target, message.link)
+    call_id = task._decisions.call_of(message.attempt_id)
+    now = task._loop.time()
+    wanted = task._decisions.attempt_ended(
+        message.attempt_id, message.result, now
+    )
+    task._apply_all(wanted)
+    if not task._decisions.knows(call_id):
+        task._finish(call_id)
+
+
+@_receive.register
+def _(message: CallerGone, task: Dispatcher) -> None:
+    now = task._loop.time()
+    task._apply_all(task._decisions.cancel(message.call_id, now))
+    if not task._decisions.knows(message.call_id):
+        task._finish(message.call_id)
+
+
+@_receive.register
+def _(message: SetHomes, task: Dispatcher) -> None:
+    now = task._loop.time()
+    task._apply_all(task._decisions.set_homes(message.home_map, now))
+
+
+@_receive.register
+def _(message: SetService, task: Dispatcher) -> None:
+    task._service = message.service
+    now = task._loop.time()
+    task._apply_all(task._decisions.set_service(message.service, now))
+
+
+@_receive.register
+def _(message: SetLeaving, task: Dispatcher) -> None:
+    now = task._loop.time()
+    task._apply_all(task._decisions.set_leaving(message.names, now))
+
+
+@_receive.register
+def _(message: PeerReported, task: Dispatcher) -> None:
+    now = task._loop.time()
+    wanted = task._decisions.peer_reported(message.entry_id, message.load, now)
+    task._apply_all(wanted)
+
+
+@_receive.register
+def _(message: ProbeEnded, task: Dispatcher) -> None:
+    now = task._loop.time()
+    wanted = task._decisions.probed(
+        message.upstream, now, healthy=message.healthy, leaving=message.leaving
+    )
+    task._apply_all(wanted)
+
+
+@_receive.register
+def _(message: Wake, task: Dispatcher) -> None:
+    now = task._loop.time()
+    wanted = task._decisions.wake(message.kind, message.call_id, now)
+    task._apply_all(wanted)
+
+
+@_receive.register
+def _(message: _Reap, task: Dispatcher) -> None:
+    task._reap()
+
+
+@functools.singledispatch
+def _apply(effect: effects.Effect, task: Dispatcher) -> None:
+    raise TypeError(f"no rule for {type(effect).__name__}")
+
+
+@_apply.register
+def _(effect: effects.Bind, task: Dispatcher) -> None:
+    upstream = task._decisions.pool.states[effect.upstream].upstream
+    call = task._calls[effect.call_id]
+    link = task._take_link(upstream, repeatable=call.rule.repeatable)
+    task._start(
+        effect.attempt_id,
+        effect.call_id,
+        effect.upstream,
+        link,
+        effect.retries,
+        effect.hold_failures,
+    )
+
+
+@_apply.register
+def _(effect: effects.Relay, task: Dispatcher) -> None:
+    idle = task._idle.get(effect.entry_id, [])
+    link: exchanges.Link | None = None
+    call = task._calls[effect.call_id]
+    while idle and link is None and call.rule.repeatable:
+        candidate = idle.pop()
+        link = candidate if candidate.open else None
+    if link is None:
+        link = task._open_relay(effect.entry_id)
+    call.via = effect.entry_id
+    task._start(
+        effect.attempt_id,
+        effect.call_id,
+        effect.entry_id,
+        link,
+        effect.retries,
+        False,
+    )
+
+
+@_apply.register
+def _(effect: effects.Abort, task: Dispatcher) -> None:
+    link = task._links.get(effect.attempt_id)
+    if link is not None:
+        link.abort()
+
+
+@_apply.register
+def _(effect: effects.Conclude, task: Dispatcher) -> None:
+    call = task._calls.get(effect.call_id)
+    if call is not None:
+        call.answer.put(calls.Failed(effect.outcome))
+    task._finish(effect.call_id)
+
+
+@_apply.register
+def _(effect: effects.Deliver, task: Dispatcher) -> None:
+    call = task._calls.get(effect.call_id)
+    if call is not None:
+        answer = effect.answer
+        call.answer.put(calls.AnswerHead(answer.status, answer.headers))
+        call.answer.put(calls.AnswerData(answer.body))
+        call.answer.put(calls.AnswerEnd())
+    task._finish(effect.call_id)
+
+
+@_apply.register
+def _(effect: effects.WakeAt, task: Dispatcher) -> None:
+    wake = Wake(effect.kind, effect.call_id)
+    timer = task._loop.call_at(effect.at, task.send, wake)
+    if effect.kind is effects.WakeKind.DEADLINE:
+        task._deadlines[effect.call_id] = timer
--- /dev/null
+++ b/src/sesamevale/dispatching/front.py
@@ -0,0 +1,148 @@
+"""Where calls enter the dispatching of one entry, from callers or entries."""
+
+from __future__ import annotations
+
+import dataclasses
+import itertools
+from typing import TYPE_CHECKING
+
+from sesamevale import calls
+from sesamevale import outcomes
+from sesamevale.dispatching import at_most_once
+from sesamevale.dispatching import dispatcher
+from sesamevale.policy import identity
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from sesamevale import documents
+    from sesamevale.policy import homes
+    from sesamevale.policy import membership
+
+__all__ = ["Front", "View"]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class View:
+    """What one entry currently knows; replaced as a whole on each change.
+
+    Attributes:
+        own: This entry.
+        environment: Document in force, if there is one.
+        home_maps: Homes by service.
+        usable: Entries that callers may be sent to.
+        live: Incarnations of reachable entries by identifier.
+        draining: Whether this entry is leaving.
+        revision: Number of the directory; grows with each change.
+    """
+
+    own: membership.Member
+    environment: documents.Environment | None
+    home_maps: dict[str, homes.HomeMap]
+    usable: tuple[membership.Member, ...]
+    live: dict[str, int]
+    draining: bool = False
+    revision: int = 0
+
+
+class Front:
+    """Hands each call to the task that is responsible for it.
+
+    Args:
+        view: What this entry knows at first.
+        register: Task that owns the register of actions.
+        relay_to_issuer: Starts the relay of a call to the entry that issued
+            its identity.
+    """
+
+    def __init__(
+        self,
+        view: View,
+        register: at_most_once.RegisterTask,
+        relay_to_issuer: Callable[[calls.Call, str], None],
+    ) -> None:
+        self._view = view
+        self._register = register
+        self._relay_to_issuer = relay_to_issuer
+        self._dispatchers: dict[str, dispatcher.Dispatcher] = {}
+        self._call_ids = itertools.count(1)
+        self._active = 0
+
+    @property
+    def view(self) -> View:
+        """What this entry currently knows."""
+        return self._view
+
+    @property
+    def dispatchers(self) -> dict[str, dispatcher.Dispatcher]:
+        """Dispatchers by service."""
+        return self._dispatchers
+
+    @property
+    def active(self) -> int:
+        """Calls that have entered here and not ended."""
+        return self._active
+
+    def set_view(self, view: View) -> None:
+        """Replaces what this entry knows."""
+        self._view = view
+
+    def next_call_id(self) -> int:
+        """Returns a number that no other call of this process has."""
+        return next(self._call_ids)
+
+    def call_entered(self) -> None:
+        """Counts a call as active."""
+        self._active += 1
+
+    def call_left(self) -> None:
+        """Counts a call as ended."""
+        self._active -= 1
+
+    def submit(self, call: calls.Call) -> None:
+        """Takes a call; its outcome arrives on its answer channel."""
+        if call.rule.repeatable:
+            self.dispatch(call)
+            return
+        if call.identity is None:
+            self._submit_plain(call)
+            return
+        parsed = identity.parse(call.identity)
+        if parsed is None:
+            self._submit_plain(call)
+            return
+        own = self._view.own
+        verdict = identity.locate(
+            parsed, own.entry_id, own.incarnation, self._view.live
+        )
+        if verdict.here:
+            self._register.send(at_most_once.SubmitAction(call, parsed))
+        elif verdict.peer is not None and call.hops > 0:
+            self._relay_to_issuer(call, verdict.peer)
+        else:
+            gone = outcomes.Unknown(outcomes.Reason.ISSUER_GONE)
+            call.answer.put(calls.Failed(gone))
+
+    def dispatch(self, call: calls.Call) -> None:
+        """Hands a call to the dispatcher of its service."""
+        task = self._dispatchers.get(call.service)
+        if task is None:
+            refusal = outcomes.NotRun(outcomes.Reason.NO_RULE)
+            call.answer.put(calls.Failed(refusal))
+            return
+        task.send(dispatcher.Submit(call))
+
+    def caller_gone(self, call: calls.Call) -> None:
+        """Takes notice that nobody waits for a call any more."""
+        task = self._dispatchers.get(call.service)
+        if task is not None and call.identity is None:
+            task.send(dispatcher.CallerGone(call.call_id))
+
+    def _submit_plain(self, call: calls.Call) -> None:
+        """Runs a call that names no identity of ours, if its rule allows."""
+        call.identity = None
+        if not call.rule.identity_required:
+            self.dispatch(call)
+            return
+        refusal = outcomes.NotRun(outcomes.Reason.IDENTITY_REQUIRED)
+        call.answer.put(calls.Failed(refusal))
--- /dev/null
+++ b/src/sesamevale/documents.py
@@ -0,0 +1,148 @@
+"""Configuration of one environment as plain data classes.
+
+The validated form that operators write is in ``operators.document_models``.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import re
+
+__all__ = [
+    "Environment",
+    "Limits",
+    "Rule",
+    "Service",
+    "ShedForm",
+    "Upstream",
+]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Upstream:
+    """One server that a service lists.
+
+    Attributes:
+        name: Name, unique within the service.
+        host: IP address.
+        port: TCP port.
+        data_center: Data centre that the server is in.
+        slots: Calls that the server runs at once.
+        connections: Connections that the server accepts from all entries.
+    """
+
+    name: str
+    host: str
+    port: int
+    data_center: str
+    slots: int
+    connections: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ShedForm:
+    """What an upstream's answer looks like when it did not run a call."""
+
+    status: int
+    header: bytes
+    value: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Rule:
+    """Treatment of one kind of request.
+
+    Attributes:
+        name: Name, unique within the service.
+        methods: HTTP methods that the rule matches.
+        path: Compiled pattern for the whole path.
+        repeatable: Whether a call may run more than once.
+        identity_required: Whether a call without an identity is refused.
+        deadline_ms: Longest time from arrival to answer.
+        priority: Rank in the queue; 0 is served first.
+        hedge: Whether a second attempt may race a slow first one.
+    """
+
+    name: str
+    methods: frozenset[str]
+    path: re.Pattern[str]
+    repeatable: bool
+    identity_required: bool
+    deadline_ms: int
+    priority: int
+    hedge: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Service:
+    """One service: its upstreams and the rules for its requests.
+
+    Attributes:
+        name: Name, unique within the environment.
+        upstreams: Servers in document order.
+        rules: Rules in the order in which they are tried.
+        homes: Entries that share the ownership of the upstreams.
+        shed: Form of an answer that means "shed, not run".
+        drain_header: Header by which an upstream says that it is leaving.
+        probe_path: Path of the health endpoint.
+        probes_per_second: Probe budget of all entries together.
+        queue_limit: Calls that may wait for a slot at one entry.
+        hedge_share: Hedges allowed, as a share of all calls.
+        nested: Whether the upstreams call other services through entries.
+        prefix: First segment of the paths that belong to the service.
+    """
+
+    name: str
+    upstreams: tuple[Upstream, ...]
+    rules: tuple[Rule, ...]
+    homes: int
+    shed: ShedForm
+    drain_header: bytes
+    probe_path: str
+    probes_per_second: float
+    queue_limit: int
+    hedge_share: float
+    nested: bool
+    prefix: str
+
+    @property
+    def slots(self) -> int:
+        """Slots of all upstreams together."""
+        return sum(upstream.slots for upstream in self.upstreams)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Limits:
+    """Limits that protect an entry from its callers."""
+
+    header_bytes: int
+    body_bytes: int
+    connections: int
+    connections_per_address: int
+    idle_ms: int
+    header_read_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Environment:
+    """Everything that one accepted document says.
+
+    Attributes:
+        name: Name of the environment, such as ``production``.
+        revision: Number of the accepted change; grows with each change.
+        services: Services by name.
+        directory_lifetime_ms: How long a caller may keep a directory answer.
+        identity_window_ms: How long an identity may be repeated.
+        entries_max: Largest number of entries; divides the probe budget.
+        retry_budget: Retries that one call may cause over all its layers.
+        limits: Limits towards callers.
+    """
+
+    name: str
+    revision: int
+    services: dict[str, Service]
+    directory_lifetime_ms: int
+    identity_window_ms: int
+    entries_max: int
+    retry_budget: int
+    limits: Limits
--- /dev/null
+++ b/src/sesamevale/entries/codec.py
@@ -0,0 +1,192 @@
+"""Encoding of messages between entries with Thrift's compact protocol."""
+
+from __future__ import annotations
+
+import struct
+from typing import TYPE_CHECKING
+
+from thrift import Thrift
+from thrift import TSerialization
+from thrift.protocol import TCompactProtocol
+from thrift.protocol import TProtocol
+
+from sesamevale.entries.wire import ttypes as wire
+from sesamevale.policy import attempts
+from sesamevale.policy import membership
+
+if TYPE_CHECKING:
+    from sesamevale import sockets
+
+__all__ = [
+    "FRAME_BYTES_MAX",
+    "FrameStream",
+    "decode_datagram",
+    "decode_frame",
+    "encode_datagram",
+    "encode_frame",
+]
+
+FRAME_BYTES_MAX = 16 * 1024 * 1024
+LENGTH = struct.Struct("!I")
+
+_FACTORY = TCompactProtocol.TCompactProtocolAcceleratedFactory(fallback=True)
+_DECODE_ERRORS = (
+    EOFError,
+    OverflowError,
+    Thrift.TException,
+    TProtocol.TProtocolException,
+    TypeError,
+    UnicodeDecodeError,
+    ValueError,
+)
+
+
+def encode_frame(frame: wire.Frame) -> bytes:
+    """Returns a frame with its length in front."""
+    content = TSerialization.serialize(frame, _FACTORY)
+    return LENGTH.pack(len(content)) + content
+
+
+def decode_frame(content: bytes) -> wire.Frame | None:
+    """Reads a frame without its length; None if it is malformed."""
+    try:
+        return TSerialization.deserialize(wire.Frame(), content, _FACTORY)
+    except _DECODE_ERRORS:
+        return None
+
+
+class FrameStream:
+    """Frames over one byte stream.
+
+    Args:
+        stream: The connection; the caller keeps owning it.
+    """
+
+    def __init__(self, stream: sockets.ByteStream) -> None:
+        self._stream = stream
+        self._buffer = bytearray()
+
+    def write(self, frame: wire.Frame) -> None:
+        """Sends a frame."""
+        self._stream.write(encode_frame(frame))
+
+    async def read(self) -> wire.Frame | None:
+        """Returns the next frame; None at the end or if it is malformed."""
+        header = await self._take(LENGTH.size)
+        if header is None:
+            return None
+        (length,) = LENGTH.unpack(header)
+        if length > FRAME_BYTES_MAX:
+            return None
+        content = await self._take(length)
+        return None if content is None else decode_frame(content)
+
+    async def _take(self, count: int) -> bytes | None:
+        while len(self._buffer) < count:
+            data = await self._stream.read()
+            if not data:
+                return None
+            self._buffer += data
+        taken = bytes(self._buffer[:count])
+        del self._buffer[:count]
+        return taken
+
+
+def encode_datagram(message: membership.Message) -> bytes:
+    """Returns a gossip message as one datagram."""
+    return TSerialization.serialize(_to_wire(message), _FACTORY)
+
+
+def decode_datagram(content: bytes) -> membership.Message | None:
+    """Reads a gossip message; None if it is malformed."""
+    try:
+        datagram = TSerialization.deserialize(
+            wire.Datagram(), content, _FACTORY
+        )
+        return _from_wire(datagram)
+    except _DECODE_ERRORS:
+        return None
+
+
+def _to_wire(message: membership.Message) -> wire.Datagram:
+    if isinstance(message, membership.PingRequest):
+        request = wire.PingRequest(
+            message.sequence,
+            message.sender,
+            message.subject,
+            message.environment,
+        )
+        return wire.Datagram(ping_request=request)
+    fields = {
+        "sequence": message.sequence,
+        "sender": message.sender,
+        "revision": message.revision,
+        "updates": [_member_to_wire(each) for each in message.updates],
+        "environment": message.environment,
+        "loads": [_load_to_wire(each) for each in message.loads],
+    }
+    if isinstance(message, membership.Ping):
+        return wire.Datagram(ping=wire.Ping(**fields))
+    return wire.Datagram(ack=wire.Ack(**fields))
+
+
+def _from_wire(datagram: wire.Datagram) -> membership.Message | None:
+    request = datagram.ping_request
+    if request is not None:
+        return membership.PingRequest(
+            int(request.sequence),
+            str(request.sender),
+            str(request.subject),
+            str(request.environment),
+        )
+    received = datagram.ping or datagram.ack
+    if received is None:
+        return None
+    kind = membership.Ping if datagram.ping else membership.Ack
+    return kind(
+        int(received.sequence),
+        str(received.sender),
+        str(received.environment),
+        int(received.revision),
+        tuple(_member_from_wire(each) for each in received.updates),
+        tuple(_load_from_wire(each) for each in received.loads or ()),
+    )
+
+
+def _member_to_wire(member: membership.Member) -> wire.MemberState:
+    return wire.MemberState(
+        member.entry_id,
+        member.incarnation,
+        member.refutation,
+        int(member.status),
+        member.data_center,
+        member.host,
+        member.caller_port,
+        member.peer_port,
+    )
+
+
+def _member_from_wire(state: wire.MemberState) -> membership.Member:
+    return membership.Member(
+        str(state.entry_id),
+        int(state.incarnation),
+        int(state.refutation),
+        membership.Status(state.status),
+        str(state.data_center),
+        str(state.host),
+        int(state.caller_port),
+        int(state.peer_port),
+    )
+
+
+def _load_to_wire(load: membership.ServiceLoad) -> wire.ServiceLoad:
+    return wire.ServiceLoad(
+        load.service, load.load.free_slots, load.load.queued
+    )
+
+
+def _load_from_wire(load: wire.ServiceLoad) -> membership.ServiceLoad:
+    return membership.ServiceLoad(
+        str(load.service_name),
+        attempts.PeerLoad(int(load.free_slots), int(load.queued)),
+    )
--- /dev/null
+++ b/src/sesamevale/entries/gossip.py
@@ -0,0 +1,221 @@
+"""Task that owns the gossip socket and the membership view."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import functools
+from typing import Self
+from typing import TYPE_CHECKING
+
+from absl import logging
+
+from sesamevale import messaging
+from sesamevale.entries import codec
+from sesamevale.policy import membership
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from sesamevale import metrics
+
+__all__ = [
+    "Announce",
+    "Gossip",
+    "Join",
+    "Leave",
+    "Message",
+    "Seed",
+    "Unreachable",
+]
+
+TICK_S = 0.1
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Announce:
+    """What this entry tells the others about itself."""
+
+    revision: int
+    loads: tuple[membership.ServiceLoad, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Join:
+    """This entry can serve calls."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Leave:
+    """This entry is draining."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Seed:
+    """An address where another entry may be."""
+
+    host: str
+    port: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unreachable:
+    """An entry did not accept a connection."""
+
+    entry_id: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Received:
+    data: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Tick:
+    """Time to advance the protocol."""
+
+
+Message = Announce | Join | Leave | Seed | Unreachable | _Received | _Tick
+
+
+class _Socket(asyncio.DatagramProtocol):
+    def __init__(self, deliver: Callable[[bytes], None]) -> None:
+        self._deliver = deliver
+
+    def datagram_received(self, data: bytes, addr: object) -> None:
+        self._deliver(data)
+
+    def error_received(self, exc: Exception) -> None:
+        """Ignores errors of earlier datagrams; pings time out anyway."""
+
+
+class Gossip(messaging.Actor[Message]):
+    """Exchanges news of members with the other entries.
+
+    Args:
+        view: The membership view; only this task changes it.
+        host: IP address to send from.
+        port: UDP port; the same as the TCP port for other entries.
+        on_change: Called after each change of a member's state.
+        on_news: Called after each message, for revisions and loads.
+        book: Measurements.
+    """
+
+    def __init__(
+        self,
+        view: membership.Membership,
+        host: str,
+        port: int,
+        on_change: Callable[[], None],
+        on_news: Callable[[], None],
+        book: metrics.Book,
+    ) -> None:
+        super().__init__("gossip")
+        self._view = view
+        self._host = host
+        self._port = port
+        self._on_change = on_change
+        self._on_news = on_news
+        self._book = book
+        self._loop = asyncio.get_running_loop()
+        self._transport: asyncio.DatagramTransport | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._version = -1
+        self._statuses: dict[str, membership.Status] = {}
+
+    @property
+    def view(self) -> membership.Membership:
+        """The membership view, for reading."""
+        return self._view
+
+    async def __aenter__(self) -> Self:
+        self._transport, _ = await self._loop.create_datagram_endpoint(
+            lambda: _Socket(lambda data: self.send(_Received(data))),
+            local_addr=(self._host, self._port),
+        )
+        self._tick()
+        return await super().__aenter__()
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        await super().__aexit__(*exc_info)
+        if self._transport is not None:
+            self._transport.close()
+
+    def receive(self, message: Message) -> None:
+        """Implements ``messaging.Actor``."""
+        self._transmit(_receive(message, self))
+        if self._view.version != self._version:
+            self._version = self._view.version
+            self._log_changes()
+            self._on_change()
+
+    def _tick(self) -> None:
+        self.send(_Tick())
+        self._timer = self._loop.call_later(TICK_S, self._tick)
+
+    def _transmit(self, sends: list[membership.Send]) -> None:
+        for send in sends:
+            data = codec.encode_datagram(send.message)
+            self._book.count("gossip_datagrams_sent")
+            self._book.count("gossip_bytes_sent", len(data))
+            if self._transport is not None:
+                self._transport.sendto(data, (send.host, send.port))
+
+    def _log_changes(self) -> None:
+        for entry_id, member in self._view.members.items():
+            if self._statuses.get(entry_id) is not member.status:
+                self._statuses[entry_id] = member.status
+                logging.info("entry %s is %s", entry_id, member.status.name)
+
+
+@functools.singledispatch
+def _receive(message: Message, task: Gossip) -> list[membership.Send]:
+    raise TypeError(f"no rule for {type(message).__name__}")
+
+
+@_receive.register
+def _(message: Announce, task: Gossip) -> list[membership.Send]:
+    task._view.set_revision(message.revision)
+    task._view.set_loads(message.loads)
+    return []
+
+
+@_receive.register
+def _(message: Join, task: Gossip) -> list[membership.Send]:
+    return task._view.join()
+
+
+@_receive.register
+def _(message: Leave, task: Gossip) -> list[membership.Send]:
+    return task._view.leave()
+
+
+@_receive.register
+def _(message: Seed, task: Gossip) -> list[membership.Send]:
+    task._view.seed(message.host, message.port)
+    return []
+
+
+@_receive.register
+def _(message: Unreachable, task: Gossip) -> list[membership.Send]:
+    return task._view.unreachable(message.entry_id, task._loop.time())
+
+
+@_receive.register
+def _(message: _Received, task: Gossip) -> list[membership.Send]:
+    task._book.count("gossip_datagrams_received")
+    task._book.count("gossip_bytes_received", len(message.data))
+    decoded = codec.decode_datagram(message.data)
+    if decoded is None:
+        task._book.count("gossip_datagrams_malformed")
+        return []
+    sends = task._view.receive(decoded, task._loop.time())
+    task._on_news()
+    return sends
+
+
+@_receive.register
+def _(message: _Tick, task: Gossip) -> list[membership.Send]:
+    return task._view.tick(task._loop.time())
--- /dev/null
+++ b/src/sesamevale/entries/issuer_relay.py
@@ -0,0 +1,144 @@
+"""Relay of a call to the entry that issued its identity.
+
+That entry alone decides whether the call runs. If its answer does not come in
+time it is asked to bar the action; only its word that the action is barred
+makes the outcome "not run".
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING
+
+from sesamevale import calls
+from sesamevale import messaging
+from sesamevale import outcomes
+from sesamevale import sockets
+from sesamevale.dispatching import at_most_once
+from sesamevale.dispatching import exchanges
+from sesamevale.entries import codec
+from sesamevale.entries import relay_client
+from sesamevale.entries.wire import ttypes as wire
+from sesamevale.policy import attempts
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from sesamevale import documents
+    from sesamevale.policy import membership
+
+__all__ = ["relay"]
+
+BAR_TIMEOUT_S = 0.1
+BAR_SHARE = 0.2
+ATTEMPT_ID = 1
+
+
+class _Report:
+    """Receives the end of the one attempt."""
+
+    def __init__(self) -> None:
+        self._inbox: messaging.Inbox[exchanges.AttemptEnded] = messaging.Inbox()
+
+    def send(self, message: exchanges.AttemptEnded) -> None:
+        self._inbox.put(message)
+
+    async def get(self) -> exchanges.AttemptEnded:
+        return await self._inbox.get()
+
+
+async def relay(
+    call: calls.Call,
+    service: documents.Service,
+    issuer: membership.Member,
+    on_unreachable: Callable[[str], None],
+) -> None:
+    """Relays a call; its outcome arrives on its answer channel.
+
+    Args:
+        call: The call; has an identity.
+        service: Service that the call belongs to.
+        issuer: Entry that decides about the identity.
+        on_unreachable: Called if the entry does not accept connections.
+    """
+    link = relay_client.RelayConnection(issuer, on_unreachable, issuer=True)
+    report = _Report()
+    link.send(
+        exchanges.Exchange(
+            ATTEMPT_ID, call, service, call.retries, False, report
+        )
+    )
+    remaining = call.deadline - time.monotonic()
+    bar_time = min(BAR_TIMEOUT_S, BAR_SHARE * remaining)
+    try:
+        async with asyncio.timeout(remaining - bar_time):
+            ended = await report.get()
+        result = ended.result
+    except TimeoutError:
+        result = attempts.Lost(passed=call.answer.claimed)
+    finally:
+        link.abort()
+    await _conclude(call, issuer, result, bar_time)
+
+
+async def _conclude(
+    call: calls.Call,
+    issuer: membership.Member,
+    result: attempts.Result,
+    bar_time: float,
+) -> None:
+    if isinstance(result, attempts.Completed):
+        return
+    if isinstance(result, attempts.PeerRefused):
+        refused = outcomes.NotRun(result.reason, result.retry_after_ms)
+        call.answer.put(calls.Failed(refused))
+        return
+    if isinstance(result, attempts.PeerUnknown):
+        unknown = outcomes.Unknown(result.reason)
+        call.answer.put(calls.Failed(unknown))
+        return
+    if call.answer.claimed:
+        lost = outcomes.Unknown(outcomes.Reason.PEER_LOST)
+        call.answer.put(calls.Failed(lost))
+        return
+    outcome = await _bar(call, issuer, bar_time)
+    at_most_once.put_outcome(call.answer, outcome)
+
+
+async def _bar(
+    call: calls.Call, issuer: membership.Member, timeout_s: float
+) -> outcomes.Outcome:
+    """Asks the issuer to bar the call's action."""
+    unknown = outcomes.Unknown(outcomes.Reason.PEER_LOST)
+    try:
+        async with asyncio.timeout(timeout_s):
+            stream = await sockets.connect(
+                issuer.host, issuer.peer_port, timeout_s
+            )
+            if stream is None:
+                return unknown
+            try:
+                return await _ask(call, stream)
+            finally:
+                stream.abort()
+    except TimeoutError:
+        return unknown
+
+
+async def _ask(
+    call: calls.Call, stream: sockets.ByteStream
+) -> outcomes.Outcome:
+    frames = codec.FrameStream(stream)
+    frames.write(wire.Frame(bar=wire.Bar(identity=call.identity)))
+    frame = await frames.read()
+    barred = None if frame is None else frame.barred
+    if barred is None:
+        return outcomes.Unknown(outcomes.Reason.PEER_LOST)
+    if barred.barred:
+        return outcomes.NotRun(outcomes.Reason.BARRED)
+    if barred.answer is None:
+        return outcomes.Unknown(outcomes.Reason.DEADLINE)
+    head = barred.answer
+    headers = tuple((each.name, each.value) for each in head.headers)
+    return outcomes.Answered(outcomes.Answer(head.status, headers, head.body))
--- /dev/null
+++ b/src/sesamevale/entries/peer_documents.py
@@ -0,0 +1,77 @@
+"""Documents on their way from one entry to another; changed parts only."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+from typing import TypeAlias
+
+from sesamevale import sockets
+from sesamevale.entries import codec
+from sesamevale.entries.wire import ttypes as wire
+from sesamevale.platform import document_task
+from sesamevale.platform import manifests
+
+if TYPE_CHECKING:
+    from sesamevale.policy import following
+    from sesamevale.policy import membership
+
+__all__ = ["Answer", "answer", "ask"]
+
+TIMEOUT_S = 2.0
+
+Answer: TypeAlias = wire.DocumentAnswer
+
+
+def answer(
+    follower: following.DocumentFollower,
+    above_revision: int,
+    known: frozenset[str],
+) -> Answer:
+    """Returns the document in force, without the parts the asker has.
+
+    Args:
+        follower: Holds the document.
+        above_revision: Revision that the asker has.
+        known: Digests of the parts that the asker has.
+    """
+    manifest = follower.manifest
+    if manifest is None or manifest.revision <= above_revision:
+        return Answer(revision=0, manifest=b"", parts=[])
+    parts = [
+        wire.DocumentPart(digest, follower.content(digest))
+        for digest in sorted(manifest.digests - known)
+    ]
+    content = manifests.dump_manifest(manifest)
+    return Answer(manifest.revision, content, parts)
+
+
+async def ask(
+    member: membership.Member, above_revision: int, known: frozenset[str]
+) -> document_task.PeerDocument | None:
+    """Asks an entry for its document; None if it has no newer one."""
+    stream = await sockets.connect(member.host, member.peer_port, TIMEOUT_S)
+    if stream is None:
+        return None
+    try:
+        async with asyncio.timeout(TIMEOUT_S):
+            frames = codec.FrameStream(stream)
+            request = wire.DocumentRequest(above_revision, sorted(known))
+            frames.write(wire.Frame(document_request=request))
+            frame = await frames.read()
+    except TimeoutError:
+        return None
+    finally:
+        stream.abort()
+    received = None if frame is None else frame.document_answer
+    if received is None or not received.revision:
+        return None
+    manifest = manifests.load_manifest(received.manifest)
+    if manifest is None:
+        return None
+    parts = {
+        part.digest: part.content
+        for part in received.parts
+        if manifests.digest_of(part.content) == part.digest
+    }
+    return document_task.PeerDocument(manifest, parts)
--- /dev/null
+++ b/src/sesamevale/entries/relay_client.py
@@ -0,0 +1,218 @@
+"""Connection that carries calls to another entry, one after the other."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING
+
+from sesamevale import calls
+from sesamevale import messaging
+from sesamevale import outcomes
+from sesamevale import sockets
+from sesamevale import tracing
+from sesamevale.dispatching import exchanges
+from sesamevale.entries import codec
+from sesamevale.entries.wire import ttypes as wire
+from sesamevale.policy import attempts
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from sesamevale.policy import membership
+
+__all__ = ["RelayConnection"]
+
+CONNECT_TIMEOUT_S = 0.3
+
+
+class RelayConnection:
+    """Sends calls to another entry and passes the answers on.
+
+    Args:
+        member: The other entry.
+        on_unreachable: Called if it does not accept the connection.
+        issuer: Whether the other entry decides about the call's identity.
+    """
+
+    def __init__(
+        self,
+        member: membership.Member,
+        on_unreachable: Callable[[str], None],
+        *,
+        issuer: bool = False,
+    ) -> None:
+        self._member = member
+        self._on_unreachable = on_unreachable
+        self._issuer = issuer
+        self._inbox: messaging.Inbox[exchanges.Exchange | None] = (
+            messaging.Inbox()
+        )
+        self._stream: sockets.ByteStream | None = None
+        self._frames: codec.FrameStream | None = None
+        self._aborted = False
+        self._idle_since = time.monotonic()
+        self._task = asyncio.create_task(self._run())
+
+    @property
+    def open(self) -> bool:
+        """Whether the connection can carry another exchange."""
+        if self._aborted or self._task.done():
+            return False
+        return self._stream is None or not self._stream.closed
+
+    @property
+    def idle_since(self) -> float:
+        """Monotonic time in seconds at which the last exchange ended."""
+        return self._idle_since
+
+    def send(self, message: exchanges.Exchange) -> None:
+        """Starts an exchange; one at a time."""
+        self._inbox.put(message)
+
+    def abort(self) -> None:
+        """Closes the connection; a running exchange ends as aborted."""
+        self._aborted = True
+        self._inbox.put(None)
+        if self._stream is not None:
+            self._stream.abort()
+
+    async def _run(self) -> None:
+        while True:
+            exchange = await self._inbox.get()
+            if exchange is None:
+                break
+            started = time.monotonic()
+            with tracing.attempt_span(exchange.call, self._member.entry_id):
+                result = await self._perform(exchange, started)
+            self._idle_since = time.monotonic()
+            exchange.call.upstream_seconds += self._idle_since - started
+            reusable = (attempts.Completed, attempts.PeerRefused)
+            if not isinstance(result, reusable):
+                self.abort()
+            exchange.reporter.send(
+                exchanges.AttemptEnded(exchange.attempt_id, result, self)
+            )
+        if self._stream is not None:
+            self._stream.abort()
+
+    async def _perform(
+        self, exchange: exchanges.Exchange, started: float
+    ) -> attempts.Result:
+        if self._aborted:
+            return attempts.NotSent(outcomes.Reason.CALLER_GONE)
+        if self._stream is None:
+            self._stream = await sockets.connect(
+                self._member.host, self._member.peer_port, CONNECT_TIMEOUT_S
+            )
+        if self._stream is None:
+            self._on_unreachable(self._member.entry_id)
+            return attempts.NotSent(outcomes.Reason.PEER_LOST)
+        if self._aborted or self._stream.closed:
+            return attempts.NotSent(outcomes.Reason.PEER_LOST)
+        if self._frames is None:
+            self._frames = codec.FrameStream(self._stream)
+        self._frames.write(self._head(exchange))
+        if exchange.call.stream is not None:
+            await self._send_stream(exchange.call.stream)
+        return await self._read_answer(exchange, started)
+
+    def _head(self, exchange: exchanges.Exchange) -> wire.Frame:
+        call = exchange.call
+        remaining_ms = max(1, int((call.deadline - time.monotonic()) * 1000))
+        head = wire.CallHead(
+            service_name=call.service,
+            rule=call.rule.name,
+            method=call.method,
+            target=call.target,
+            headers=_headers_to_wire(call.headers),
+            deadline_ms=remaining_ms,
+            retries=exchange.retries,
+            hops=call.hops - 1,
+            caller=call.caller,
+            identity=call.identity if self._issuer else None,
+            traceparent=call.traceparent,
+            body=call.body,
+            streamed=call.stream is not None,
+            issuer_incarnation=self._member.incarnation if self._issuer else 0,
+        )
+        return wire.Frame(call_head=head)
+
+    async def _send_stream(self, body: calls.BodyChannel) -> None:
+        """Passes a long body on, at the pace that the entry takes it."""
+        assert self._frames is not None and self._stream is not None
+        while not self._stream.closed:
+            part = await body.get()
+            last = part is None
+            message = wire.BodyPart(data=part or b"", last=last)
+            if body.broken:
+                self._stream.abort()
+                break
+            self._frames.write(wire.Frame(body_part=message))
+            await self._stream.drained()
+            if last:
+                break
+        body.release()
+
+    async def _read_answer(
+        self, exchange: exchanges.Exchange, started: float
+    ) -> attempts.Result:
+        assert self._frames is not None
+        frame = await self._frames.read()
+        if frame is None:
+            return self._lost(exchange)
+        failed = frame.answer_failed
+        if failed is not None:
+            return _failure(failed)
+        head = frame.answer_head
+        if head is None:
+            return self._lost(exchange)
+        answer = exchange.call.answer
+        if not answer.claim(exchange.attempt_id):
+            self.abort()
+            return attempts.Aborted()
+        headers = tuple((each.name, each.value) for each in head.headers)
+        answer.put(calls.AnswerHead(head.status, headers))
+        answer.put(calls.AnswerData(head.body))
+        last = head.last
+        while not last:
+            part = await self._next_part()
+            if part is None:
+                return self._lost(exchange)
+            answer.put(calls.AnswerData(part.data))
+            await answer.drained()
+            last = part.last
+        answer.put(calls.AnswerEnd())
+        load = attempts.PeerLoad(head.free_slots, head.queued)
+        seconds = time.monotonic() - started
+        return attempts.Completed(seconds, load=load)
+
+    async def _next_part(self) -> wire.BodyPart | None:
+        assert self._frames is not None
+        frame = await self._frames.read()
+        return None if frame is None else frame.body_part
+
+    def _lost(self, exchange: exchanges.Exchange) -> attempts.Result:
+        if self._aborted:
+            return attempts.Aborted()
+        answer = exchange.call.answer
+        passed = answer.claimed and answer.claim(exchange.attempt_id)
+        if passed:
+            failed = outcomes.Unknown(outcomes.Reason.PEER_LOST)
+            answer.put(calls.Failed(failed))
+        return attempts.Lost(passed)
+
+
+def _headers_to_wire(headers: calls.Headers) -> list[wire.Header]:
+    return [wire.Header(name, value) for name, value in headers]
+
+
+def _failure(failed: wire.AnswerFailed) -> attempts.Result:
+    try:
+        reason = outcomes.Reason(failed.reason)
+    except ValueError:
+        reason = outcomes.Reason.PEER_LOST
+    load = attempts.PeerLoad(failed.free_slots, failed.queued)
+    if failed.not_run:
+        return attempts.PeerRefused(reason, failed.retry_after_ms, load)
+    return attempts.PeerUnknown(reason)
--- /dev/null
+++ b/src/sesamevale/entries/relay_server.py
@@ -0,0 +1,319 @@
+"""Server for other entries: relayed calls, bars and documents."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import time
+from typing import Self
+from typing import TYPE_CHECKING
+
+from sesamevale import calls
+from sesamevale import outcomes
+from sesamevale import sockets
+from sesamevale.dispatching import at_most_once
+from sesamevale.entries import codec
+from sesamevale.entries.wire import ttypes as wire
+from sesamevale.policy import attempts
+from sesamevale.policy import identity
+from sesamevale.policy import register
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from sesamevale import documents
+    from sesamevale import metrics
+    from sesamevale.dispatching import front as fronts
+
+__all__ = ["RelayServer"]
+
+DocumentSource = "Callable[[int, frozenset[str]], wire.DocumentAnswer]"
+
+
+class RelayServer:
+    """Listens for other entries while its context is open.
+
+    Args:
+        host: IP address to listen on.
+        port: TCP port to listen on.
+        front: Where relayed calls are handed to.
+        actions: Task that owns the register of actions.
+        documents: Returns the document above a revision.
+        book: Measurements.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        front: fronts.Front,
+        actions: at_most_once.RegisterTask,
+        documents: Callable[[int, frozenset[str]], wire.DocumentAnswer],
+        book: metrics.Book,
+    ) -> None:
+        self._host = host
+        self._port = port
+        self._front = front
+        self._actions = actions
+        self._documents = documents
+        self._book = book
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._stack = contextlib.AsyncExitStack()
+
+    async def __aenter__(self) -> Self:
+        context = sockets.listen(self._host, self._port, self._accepted)
+        await self._stack.enter_async_context(context)
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        await self._stack.aclose()
+        for task in list(self._tasks):
+            task.cancel()
+
+    def _accepted(self, stream: sockets.ByteStream) -> None:
+        serving = _PeerConnection(
+            stream, self._front, self._actions, self._documents, self._book
+        )
+        task = asyncio.create_task(serving.run())
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+class _PeerConnection:
+    """Serves one connection of another entry."""
+
+    def __init__(
+        self,
+        stream: sockets.ByteStream,
+        front: fronts.Front,
+        actions: at_most_once.RegisterTask,
+        documents: Callable[[int, frozenset[str]], wire.DocumentAnswer],
+        book: metrics.Book,
+    ) -> None:
+        self._stream = stream
+        self._frames = codec.FrameStream(stream)
+        self._front = front
+        self._actions = actions
+        self._documents = documents
+        self._book = book
+
+    async def run(self) -> None:
+        """Serves requests until one side closes the connection."""
+        try:
+            while (frame := await self._frames.read()) is not None:
+                if not await self._serve(frame):
+                    break
+        finally:
+            self._stream.close()
+
+    async def _serve(self, frame: wire.Frame) -> bool:
+        if frame.call_head is not None:
+            self._front.call_entered()
+            try:
+                await self._serve_call(frame.call_head)
+            finally:
+                self._front.call_left()
+            return not self._stream.closed
+        if frame.bar is not None:
+            await self._serve_bar(frame.bar)
+            return True
+        if frame.document_request is not None:
+            request = frame.document_request
+            known = frozenset(request.known_parts)
+            answer = self._documents(request.above_revision, known)
+            self._frames.write(wire.Frame(document_answer=answer))
+            return True
+        return False
+
+    async def _serve_call(self, head: wire.CallHead) -> None:
+        self._book.count("relayed_calls_received")
+        rule = self._find_rule(head)
+        if rule is None:
+            self._send_failed(outcomes.NotRun(outcomes.Reason.NO_RULE), "")
+            return
+        call = self._new_call(head, rule)
+        body_task = None
+        if call.stream is not None:
+            body_task = asyncio.create_task(self._read_stream(call.stream))
+        self._stream.on_lost(lambda: self._sender_lost(call))
+        try:
+            if not self._submit(call, head):
+                return
+            await self._pass_answer(call)
+        finally:
+            self._stream.on_lost(None)
+            if body_task is not None:
+                body_task.cancel()
+
+    def _find_rule(self, head: wire.CallHead) -> documents.Rule | None:
+        environment = self._front.view.environment
+        if environment is None:
+            return None
+        service = environment.services.get(head.service_name)
+        if service is None:
+            return None
+        for rule in service.rules:
+            if rule.name == head.rule:
+                return rule
+        return None
+
+    def _new_call(
+        self, head: wire.CallHead, rule: documents.Rule
+    ) -> calls.Call:
+        now = time.monotonic()
+        headers = tuple((each.name, each.value) for each in head.headers)
+        return calls.Call(
+            call_id=self._front.next_call_id(),
+            service=head.service_name,
+            rule=rule,
+            method=head.method,
+            target=head.target,
+            headers=headers,
+            body=head.body,
+            stream=calls.BodyChannel() if head.streamed else None,
+            caller=head.caller,
+            deadline=now + head.deadline_ms / 1000,
+            retries=head.retries,
+            hops=max(0, head.hops),
+            answer=calls.AnswerChannel(),
+            arrived=now,
+            identity=head.identity,
+            traceparent=head.traceparent,
+        )
+
+    def _submit(self, call: calls.Call, head: wire.CallHead) -> bool:
+        """Hands the call on; False if it was refused here."""
+        if head.identity is None:
+            self._front.dispatch(call)
+            return True
+        own = self._front.view.own
+        if head.issuer_incarnation != own.incarnation:
+            gone = outcomes.Unknown(outcomes.Reason.ISSUER_GONE)
+            self._send_failed(gone, call.service)
+            return False
+        self._front.submit(call)
+        return True
+
+    def _sender_lost(self, call: calls.Call) -> None:
+        self._front.caller_gone(call)
+        gone = outcomes.Unknown(outcomes.Reason.CALLER_GONE)
+        call.answer.put(calls.Failed(gone))
+
+    async def _read_stream(self, channel: calls.BodyChannel) -> None:
+        while (frame := await self._frames.read()) is not None:
+            part = frame.body_part
+            if part is None:
+                break
+            if part.data:
+                await channel.put(part.data)
+            if part.last:
+                channel.finish()
+                return
+        channel.abort()
+
+    async def _pass_answer(self, call: calls.Call) -> None:
+        first = await call.answer.get()
+        if isinstance(first, calls.Failed):
+            self._send_failed(first.outcome, call.service)
+            return
+        assert isinstance(first, calls.AnswerHead)
+        body = bytearray()
+        last = False
+        while call.answer.pending() and not last:
+            message = await call.answer.get()
+            if isinstance(message, calls.AnswerData):
+                body += message.data
+            elif isinstance(message, calls.AnswerEnd):
+                last = True
+            else:
+                self._stream.abort()
+                return
+        load = self._load(call.service)
+        head = wire.AnswerHead(
+            status=first.status,
+            headers=[wire.Header(name, value) for name, value in first.headers],
+            body=bytes(body),
+            last=last,
+            free_slots=load.free_slots,
+            queued=load.queued,
+        )
+        self._frames.write(wire.Frame(answer_head=head))
+        if not last:
+            await self._pass_rest(call)
+
+    async def _pass_rest(self, call: calls.Call) -> None:
+        """Passes the rest of a long answer on as it arrives."""
+        while True:
+            await self._stream.drained()
+            message = await call.answer.get()
+            if isinstance(message, calls.AnswerData):
+                part = wire.BodyPart(data=message.data, last=False)
+                self._frames.write(wire.Frame(body_part=part))
+            elif isinstance(message, calls.AnswerEnd):
+                part = wire.BodyPart(data=b"", last=True)
+                self._frames.write(wire.Frame(body_part=part))
+                return
+            else:
+                self._stream.abort()
+                return
+
+    def _send_failed(
+        self, outcome: outcomes.NotRun | outcomes.Unknown, service: str
+    ) -> None:
+        load = self._load(service)
+        not_run = isinstance(outcome, outcomes.NotRun)
+        retry_after_ms = 0
+        if isinstance(outcome, outcomes.NotRun):
+            retry_after_ms = outcome.retry_after_ms
+        failed = wire.AnswerFailed(
+            not_run=not_run,
+            reason=str(outcome.reason),
+            retry_after_ms=retry_after_ms,
+            free_slots=load.free_slots,
+            queued=load.queued,
+        )
+        self._frames.write(wire.Frame(answer_failed=failed))
+
+    def _load(self, service: str) -> attempts.PeerLoad:
+        task = self._front.dispatchers.get(service)
+        if task is None:
+            return attempts.PeerLoad(0, 0)
+        return task.decisions.load(time.monotonic())
+
+    async def _serve_bar(self, bar: wire.Bar) -> None:
+        """Answers whether an action is certain not to run."""
+        parsed = identity.parse(bar.identity)
+        own = self._front.view.own
+        barred = wire.Barred(barred=False)
+        if parsed is not None and (
+            parsed.ticket.entry_id,
+            parsed.ticket.incarnation,
+        ) == (own.entry_id, own.incarnation):
+            loop = asyncio.get_running_loop()
+            reply: asyncio.Future[
+                register.Barred | register.Running | register.Replay
+            ] = loop.create_future()
+            self._actions.send(at_most_once.Bar(parsed, reply))
+            barred = _barred_to_wire(await reply)
+        self._frames.write(wire.Frame(barred=barred))
+
+
+def _barred_to_wire(
+    result: register.Barred | register.Running | register.Replay,
+) -> wire.Barred:
+    if isinstance(result, register.Barred):
+        return wire.Barred(barred=True)
+    if not isinstance(result, register.Replay):
+        return wire.Barred(barred=False)
+    if not isinstance(result.outcome, outcomes.Answered):
+        return wire.Barred(barred=False)
+    answer = result.outcome.answer
+    head = wire.AnswerHead(
+        status=answer.status,
+        headers=[wire.Header(name, value) for name, value in answer.headers],
+        body=answer.body,
+        last=True,
+        free_slots=0,
+        queued=0,
+    )
+    return wire.Barred(barred=False, answer=head)
--- /dev/null
+++ b/src/sesamevale/entries/wire/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants']
--- /dev/null
+++ b/src/sesamevale/entry.py
@@ -0,0 +1,424 @@
+"""One entry: all its tasks, wired together."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+import time
+from typing import Self
+from typing import TYPE_CHECKING
+
+from absl import logging
+
+from sesamevale import document_models
+from sesamevale import metrics
+from sesamevale import tracing
+from sesamevale.callers import server as caller_server
+from sesamevale.dispatching import at_most_once
+from sesamevale.dispatching import coordinator
+from sesamevale.dispatching import front as fronts
+from sesamevale.entries import gossip
+from sesamevale.entries import issuer_relay
+from sesamevale.entries import peer_documents
+from sesamevale.entries import relay_client
+from sesamevale.entries import relay_server
+from sesamevale.operators import admin_server
+from sesamevale.operators import document_files
+from sesamevale.operators import status
+from sesamevale.platform import client
+from sesamevale.platform import document_task
+from sesamevale.platform import keys
+from sesamevale.platform import manifests
+from sesamevale.platform import registration
+from sesamevale.platform import store
+from sesamevale.platform import vm_list
+from sesamevale.platform import watching
+from sesamevale.policy import following
+from sesamevale.policy import membership
+from sesamevale.policy import register
+from sesamevale.upstreams import prober
+
+if TYPE_CHECKING:
+    from sesamevale import calls
+    from sesamevale import documents
+    from sesamevale import settings as checked_settings
+    from sesamevale.dispatching import exchanges
+
+__all__ = ["Entry"]
+
+ANNOUNCE_INTERVAL_S = 0.2
+DRAIN_STEP_S = 0.05
+INCARNATION_RANDOM_BITS = 10
+MEBIBYTE = 1024 * 1024
+
+
+class Entry:
+    """Serves calls while its context is open.
+
+    Args:
+        settings: Settings of this entry.
+    """
+
+    def __init__(self, settings: checked_settings.Settings) -> None:
+        self._settings = settings
+        self._stack = contextlib.AsyncExitStack()
+        self._rng = random.Random()
+        self._book = metrics.Book()
+        self._jobs: set[asyncio.Task[None]] = set()
+        own = membership.Member(
+            settings.entry_id,
+            _new_incarnation(self._rng),
+            0,
+            membership.Status.JOINING,
+            settings.data_center,
+            settings.callers.host,
+            settings.callers.port,
+            settings.peers_listen.port,
+        )
+        self._front: fronts.Front
+        self._register: at_most_once.RegisterTask
+        self._gossip: gossip.Gossip
+        self._documents: document_task.DocumentTask
+        self._coordinator: coordinator.Coordinator
+        self._callers: caller_server.CallerServer
+        self._own = own
+
+    @property
+    def book(self) -> metrics.Book:
+        """Measurements of this entry."""
+        return self._book
+
+    @property
+    def front(self) -> fronts.Front:
+        """Where calls enter."""
+        return self._front
+
+    async def __aenter__(self) -> Self:
+        try:
+            await self._open()
+        except BaseException:
+            await self._stack.aclose()
+            raise
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        for job in list(self._jobs):
+            job.cancel()
+        await self._stack.aclose()
+
+    async def drain(self) -> None:
+        """Leaves the directory, finishes what is in flight, then returns.
+
+        New calls are still served until the directory answers that callers
+        have kept run out; each answer asks the caller to close.
+        """
+        self._gossip.send(gossip.Leave())
+        environment = self._front.view.environment
+        lifetime_s = 0.0
+        if environment is not None:
+            lifetime_s = environment.directory_lifetime_ms / 1000
+        start = time.monotonic()
+        limit = start + self._settings.drain_seconds
+        quiet_from = min(limit, start + lifetime_s)
+        while time.monotonic() < quiet_from:
+            await asyncio.sleep(DRAIN_STEP_S)
+        self._callers.stop_accepting()
+        while time.monotonic() < limit:
+            self._callers.close_idle()
+            if not self._front.active and not self._callers.open_connections:
+                return
+            await asyncio.sleep(DRAIN_STEP_S)
+
+    async def _open(self) -> None:
+        await self._open_register()
+        await self._open_coordinator()
+        await self._open_gossip()
+        await self._open_documents()
+        await self._open_servers()
+        self._start(self._announce_forever())
+
+    async def _open_register(self) -> None:
+        settings = self._settings
+        decisions = register.Register(
+            window_s=600,
+            actions_max=settings.register_actions,
+            bytes_max=settings.register_mebibytes * MEBIBYTE,
+        )
+        task = at_most_once.RegisterTask(
+            decisions, lambda call: self._front.dispatch(call)
+        )
+        self._register = await self._stack.enter_async_context(task)
+        view = fronts.View(self._own, None, {}, (), {})
+        self._front = fronts.Front(view, self._register, self._relay_to_issuer)
+        self._book.add_source(
+            lambda: status.gauges(self._front, self._register)
+        )
+
+    async def _open_coordinator(self) -> None:
+        task = coordinator.Coordinator(
+            self._front, self._open_relay, self._document_in_force
+        )
+        self._coordinator = await self._stack.enter_async_context(task)
+
+    async def _open_gossip(self) -> None:
+        settings = self._settings
+        view = membership.Membership(
+            self._own, settings.environment, membership.Timing(), self._rng
+        )
+        for seed in settings.seeds:
+            view.seed(seed.host, seed.port)
+        task = gossip.Gossip(
+            view,
+            settings.peers_listen.host,
+            settings.peers_listen.port,
+            self._members_changed,
+            self._news_heard,
+            self._book,
+        )
+        self._gossip = await self._stack.enter_async_context(task)
+
+    async def _open_documents(self) -> None:
+        settings = self._settings
+        follower = following.DocumentFollower(settings.environment)
+        platform = None
+        documents_store = None
+        if settings.platform:
+            endpoint = settings.platform[0]
+            address = client.Address(endpoint.host, endpoint.port)
+            platform = await self._stack.enter_async_context(
+                client.PlatformClient(address, self._count_platform_call)
+            )
+            documents_store = store.DocumentStore(
+                platform, settings.environment
+            )
+        self._documents = await self._stack.enter_async_context(
+            document_task.DocumentTask(
+                follower,
+                documents_store,
+                self._ask_peer,
+                self._apply_document,
+                self._book,
+                self._rng,
+            )
+        )
+        if platform is None:
+            self._load_file()
+            return
+        await self._open_platform(platform, address)
+
+    async def _open_platform(
+        self, platform: client.PlatformClient, address: client.Address
+    ) -> None:
+        settings = self._settings
+        machines = vm_list.VmList(
+            lambda addresses: self._coordinator.send(
+                coordinator.VmsLeaving(addresses)
+            )
+        )
+        reports = {
+            keys.manifest(settings.environment): self._documents.watch_report,
+            settings.vm_prefix: machines.watch_report,
+        }
+        for prefix, report in reports.items():
+            await self._stack.enter_async_context(
+                watching.Watch(
+                    platform,
+                    address,
+                    prefix,
+                    report,
+                    self._count_platform_call,
+                    self._rng,
+                )
+            )
+        own = manifests.Registration(
+            entry_id=settings.entry_id,
+            host=settings.peers_listen.host,
+            peer_port=settings.peers_listen.port,
+            admin_host=settings.admin.host,
+            admin_port=settings.admin.port,
+        )
+        await self._stack.enter_async_context(
+            registration.RegistrationTask(
+                platform,
+                settings.environment,
+                own,
+                self._registered,
+                self._rng,
+            )
+        )
+
+    def _load_file(self) -> None:
+        """Puts a document from a file in force; for a first try."""
+        path = self._settings.document
+        logging.warning("no platform: the document comes from %s", path)
+        loaded = document_files.load(path)
+        if isinstance(loaded, list):
+            raise document_files.DocumentError(loaded)
+        manifest, contents = document_files.as_manifest(
+            loaded, self._settings.environment
+        )
+        source = following.Source.FILE
+        self._documents.send(document_task.ManifestSeen(manifest, source))
+        self._documents.send(document_task.PartsReceived(contents, source))
+
+    async def _open_servers(self) -> None:
+        settings = self._settings
+        limits = document_models.default_limits()
+        await self._stack.enter_async_context(
+            relay_server.RelayServer(
+                settings.peers_listen.host,
+                settings.peers_listen.port,
+                self._front,
+                self._register,
+                self._document_above,
+                self._book,
+            )
+        )
+        self._callers = await self._stack.enter_async_context(
+            caller_server.CallerServer(
+                settings.callers.host,
+                settings.callers.port,
+                self._front,
+                self._register,
+                self._book,
+                limits,
+            )
+        )
+        await self._stack.enter_async_context(
+            prober.Prober(self._front, self._book)
+        )
+        await self._stack.enter_async_context(
+            admin_server.AdminServer(
+                settings.admin.host,
+                settings.admin.port,
+                {
+                    "/healthz": self._health_page,
+                    "/metrics": self._metrics_page,
+                    "/status": self._status_page,
+                },
+            )
+        )
+
+    def _health_page(self) -> admin_server.Page:
+        ready = self._front.view.environment is not None
+        if ready and not self._front.view.draining:
+            return admin_server.Page(200, "text/plain", b"ok\n")
+        return admin_server.Page(503, "text/plain", b"not ready\n")
+
+    def _metrics_page(self) -> admin_server.Page:
+        content_type = "text/plain; version=0.0.4; charset=utf-8"
+        body = metrics.render(self._book)
+        return admin_server.Page(200, content_type, body)
+
+    def _status_page(self) -> admin_server.Page:
+        body = status.render(
+            self._front,
+            self._gossip,
+            self._register,
+            self._documents.follower.revision,
+            self._book,
+        )
+        return admin_server.Page(200, "application/json", body)
+
+    def _members_changed(self) -> None:
+        view = self._gossip.view
+        self._coordinator.send(
+            coordinator.MembersChanged(view.own, view.members)
+        )
+
+    def _news_heard(self) -> None:
+        own_revision = self._documents.follower.revision
+        for entry_id, revision in self._gossip.view.revisions.items():
+            if revision > own_revision:
+                ahead = document_task.PeerAhead(entry_id, revision)
+                self._documents.send(ahead)
+        loads = self._gossip.view.take_reports()
+        if loads:
+            self._coordinator.send(coordinator.PeersReported(loads))
+
+    def _registered(self, entry: manifests.Registration) -> None:
+        member = self._gossip.view.members.get(entry.entry_id)
+        if member is None:
+            self._gossip.send(gossip.Seed(entry.host, entry.peer_port))
+
+    def _apply_document(self, environment: documents.Environment) -> None:
+        self._coordinator.send(coordinator.DocumentInForce(environment))
+
+    def _document_in_force(self, environment: documents.Environment) -> None:
+        self._callers.set_limits(environment.limits)
+        window_s = max(1, environment.identity_window_ms // 1000)
+        self._register.decisions.set_window(window_s)
+        self._gossip.send(gossip.Join())
+
+    async def _ask_peer(
+        self, entry_id: str, revision: int, known: frozenset[str]
+    ) -> document_task.PeerDocument | None:
+        member = self._gossip.view.members.get(entry_id)
+        if member is None:
+            return None
+        return await peer_documents.ask(member, revision, known)
+
+    def _document_above(
+        self, revision: int, known: frozenset[str]
+    ) -> peer_documents.Answer:
+        return peer_documents.answer(self._documents.follower, revision, known)
+
+    def _open_relay(self, entry_id: str) -> exchanges.Link | None:
+        member = self._gossip.view.members.get(entry_id)
+        if member is None:
+            return None
+        return relay_client.RelayConnection(member, self._unreachable)
+
+    def _relay_to_issuer(self, call: calls.Call, entry_id: str) -> None:
+        member = self._gossip.view.members[entry_id]
+        environment = self._front.view.environment
+        assert environment is not None
+        service = environment.services[call.service]
+        self._start(
+            issuer_relay.relay(call, service, member, self._unreachable)
+        )
+
+    def _unreachable(self, entry_id: str) -> None:
+        self._gossip.send(gossip.Unreachable(entry_id))
+
+    def _count_platform_call(self, path: str) -> None:
+        self._book.count("platform_calls")
+        self._book.count("platform_calls" + path.replace("/", "_"))
+
+    async def _announce_forever(self) -> None:
+        """Tells the gossip task what to announce about this entry."""
+        while True:
+            revision = self._documents.follower.revision
+            loads = self._shared_loads()
+            self._gossip.send(gossip.Announce(revision, loads))
+            await asyncio.sleep(ANNOUNCE_INTERVAL_S)
+
+    def _shared_loads(self) -> tuple[membership.ServiceLoad, ...]:
+        """Loads of the services whose upstreams several entries own."""
+        now = time.monotonic()
+        return tuple(
+            membership.ServiceLoad(name, task.decisions.load(now))
+            for name, task in self._front.dispatchers.items()
+            if task.service.homes > 1 and task.decisions.owned
+        )
+
+    def _start(self, work: object) -> None:
+        job = asyncio.ensure_future(work)  # type: ignore[call-overload]
+        self._jobs.add(job)
+        job.add_done_callback(self._jobs.discard)
+
+
+def _new_incarnation(rng: random.Random) -> int:
+    """Returns a number that grows with each start and is never used twice."""
+    milliseconds = time.time_ns() // 1_000_000
+    suffix = rng.getrandbits(INCARNATION_RANDOM_BITS)
+    return (milliseconds << INCARNATION_RANDOM_BITS) + suffix
+
+
+def configure_tracing(settings: checked_settings.Settings) -> None:
+    """Sets up tracing as the settings say."""
+    if settings.trace_export == "none":
+        return
+    exporter = tracing.console_exporter()
+    tracing.configure(settings.entry_id, settings.trace_sample, exporter)
--- /dev/null
+++ b/src/sesamevale/http1.py
@@ -0,0 +1,99 @@
+"""What every HTTP/1.1 side of the system shares: header fields and helpers."""
+
+from __future__ import annotations
+
+import enum
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from sesamevale import calls
+
+__all__ = [
+    "Field",
+    "find",
+    "forwarded",
+    "integer",
+]
+
+HOP_BY_HOP = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"expect",
+    )
+)
+
+
+class Field(bytes, enum.Enum):
+    """Names of the header fields that the system reads or writes."""
+
+    CONNECTION = b"connection"
+    CONTENT_LENGTH = b"content-length"
+    DEADLINE = b"sesamevale-deadline-ms"
+    DIRECTORY_REVISION = b"sesamevale-directory-revision"
+    EXPECT = b"expect"
+    IDEMPOTENCY_KEY = b"idempotency-key"
+    OUTCOME = b"sesamevale-outcome"
+    PROXY_STATUS = b"proxy-status"
+    RETRIES = b"sesamevale-retries"
+    RETRIES_LEFT = b"sesamevale-retries-left"
+    RETRY_AFTER = b"retry-after"
+    TRACEPARENT = b"traceparent"
+    TRANSFER_ENCODING = b"transfer-encoding"
+
+
+OWN_FIELDS = frozenset(
+    (
+        Field.DEADLINE.value,
+        Field.RETRIES.value,
+        Field.TRACEPARENT.value,
+    )
+)
+
+
+def find(headers: Iterable[tuple[bytes, bytes]], name: bytes) -> bytes | None:
+    """Returns the first value of a field; names are in lower case."""
+    for key, value in headers:
+        if key == name:
+            return value
+    return None
+
+
+def integer(headers: Iterable[tuple[bytes, bytes]], name: bytes) -> int | None:
+    """Returns a field's value as a non-negative integer, if it is one."""
+    value = find(headers, name)
+    if value is None or not value.isdigit() or len(value) > 18:
+        return None
+    return int(value)
+
+
+def forwarded(
+    headers: Iterable[tuple[bytes, bytes]], dropped: frozenset[bytes]
+) -> calls.Headers:
+    """Returns the fields that may be passed on.
+
+    Args:
+        headers: Received fields, names in lower case.
+        dropped: Further names to leave out.
+    """
+    kept = []
+    named = frozenset[bytes]()
+    for key, value in headers:
+        if key == Field.CONNECTION.value:
+            named |= frozenset(
+                token.strip().lower() for token in value.split(b",")
+            )
+    for key, value in headers:
+        if key in HOP_BY_HOP or key in dropped or key in named:
+            continue
+        kept.append((key, value))
+    return tuple(kept)
--- /dev/null
+++ b/src/sesamevale/messaging.py
@@ -0,0 +1,100 @@
+"""Tasks that own their state and receive messages through an inbox."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import contextlib
+from typing import Generic
+from typing import Self
+from typing import TypeVar
+
+from absl import logging
+
+__all__ = ["Actor", "Inbox"]
+
+Message = TypeVar("Message")
+
+
+class Inbox(Generic[Message]):
+    """Unbounded queue of messages for one task."""
+
+    __slots__ = ("_messages", "_waiter")
+
+    def __init__(self) -> None:
+        self._messages: collections.deque[Message] = collections.deque()
+        self._waiter: asyncio.Future[None] | None = None
+
+    def __len__(self) -> int:
+        return len(self._messages)
+
+    def put(self, message: Message) -> None:
+        """Adds a message and wakes the receiver."""
+        self._messages.append(message)
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
+
+    async def get(self) -> Message:
+        """Returns the oldest message; waits if there is none."""
+        while not self._messages:
+            self._waiter = asyncio.get_running_loop().create_future()
+            await self._waiter
+        return self._messages.popleft()
+
+
+class Actor(Generic[Message]):
+    """One task with an inbox. Subclasses override ``receive``.
+
+    The task runs while the context is open. An exception in ``receive`` is a
+    broken invariant: it is logged and raised again, which stops the process.
+    """
+
+    def __init__(self, name: str) -> None:
+        self._name = name
+        self._inbox: Inbox[Message] = Inbox()
+        self._task: asyncio.Task[None] | None = None
+
+    @property
+    def name(self) -> str:
+        """Name for logs and for the task."""
+        return self._name
+
+    def start(self) -> None:
+        """Starts the task; entering the context does the same."""
+        self._task = asyncio.create_task(self._run(), name=self._name)
+
+    async def __aenter__(self) -> Self:
+        self.start()
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        if self._task is None:
+            return
+        self._task.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await self._task
+
+    def send(self, message: Message) -> None:
+        """Delivers a message to the task's inbox."""
+        self._inbox.put(message)
+
+    def receive(self, message: Message) -> None:
+        """Handles one message.
+
+        Args:
+            message: The message taken from the inbox.
+        """
+        raise NotImplementedError
+
+    async def _run(self) -> None:
+        while True:
+            message = await self._inbox.get()
+            try:
+                self.receive(message)
+            except Exception as error:
+                logging.exception("task %s broke an invariant", self._name)
+                loop = asyncio.get_running_loop()
+                loop.call_exception_handler(
+                    {"message": "broken invariant", "exception": error}
+                )
+                raise
--- /dev/null
+++ b/src/sesamevale/metrics.py
@@ -0,0 +1,177 @@
+"""Counters and latency histograms of one entry."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import time
+from typing import TYPE_CHECKING
+
+import prometheus_client
+from hdrh import histogram
+from prometheus_client import core as prometheus_core
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
+
+__all__ = ["Book", "Gauge", "Latency", "render"]
+
+LOWEST_US = 1
+HIGHEST_US = 120_000_000
+SIGNIFICANT_DIGITS = 2
+QUANTILES = (50.0, 90.0, 99.0, 99.9)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Gauge:
+    """One value read when the metrics are asked for."""
+
+    name: str
+    help: str
+    labels: dict[str, str]
+    value: float
+    is_counter: bool = False
+
+
+class Latency:
+    """Durations of one kind."""
+
+    __slots__ = ("_histogram", "_sum_us")
+
+    def __init__(self) -> None:
+        self._histogram = histogram.HdrHistogram(
+            LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS
+        )
+        self._sum_us = 0
+
+    @property
+    def count(self) -> int:
+        """Number of durations recorded."""
+        return self._histogram.get_total_count()
+
+    @property
+    def sum_seconds(self) -> float:
+        """Sum of all durations in seconds."""
+        return self._sum_us / 1e6
+
+    def record(self, seconds: float) -> None:
+        """Adds a duration."""
+        microseconds = max(LOWEST_US, int(seconds * 1e6))
+        self._sum_us += microseconds
+        self._histogram.record_value(microseconds)
+
+    def quantile_seconds(self, percentile: float) -> float:
+        """Returns a percentile in seconds."""
+        return self._histogram.get_value_at_percentile(percentile) / 1e6
+
+
+class Book:
+    """All measurements of one entry.
+
+    Args:
+        clock: Source of monotonic time in seconds.
+    """
+
+    def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
+        self._clock = clock
+        self._total: dict[str, Latency] = collections.defaultdict(Latency)
+        self._added: dict[str, Latency] = collections.defaultdict(Latency)
+        self._outcomes: collections.Counter[tuple[str, str, str]] = (
+            collections.Counter()
+        )
+        self._counters: collections.Counter[str] = collections.Counter()
+        self._sources: list[Callable[[], Iterable[Gauge]]] = []
+
+    @property
+    def counters(self) -> collections.Counter[str]:
+        """Plain counters by name."""
+        return self._counters
+
+    @property
+    def outcomes(self) -> collections.Counter[tuple[str, str, str]]:
+        """Calls by service, outcome and reason."""
+        return self._outcomes
+
+    def count(self, name: str, amount: int = 1) -> None:
+        """Adds to a plain counter."""
+        self._counters[name] += amount
+
+    def call_ended(
+        self,
+        service: str,
+        outcome: str,
+        reason: str,
+        total_seconds: float,
+        added_seconds: float,
+    ) -> None:
+        """Records the end of a call."""
+        self._outcomes[service, outcome, reason] += 1
+        self._total[service].record(total_seconds)
+        self._added[service].record(max(0.0, added_seconds))
+
+    def add_source(self, source: Callable[[], Iterable[Gauge]]) -> None:
+        """Adds a function that is asked for gauges at each scrape."""
+        self._sources.append(source)
+
+    def collect(self) -> Iterable[prometheus_core.Metric]:
+        """Implements the collector interface of the Prometheus client."""
+        yield from self._collect_latencies()
+        yield self._collect_outcomes()
+        for name, value in sorted(self._counters.items()):
+            metric = prometheus_core.CounterMetricFamily(
+                f"sesamevale_{name}", name.replace("_", " ")
+            )
+            metric.add_metric([], value)
+            yield metric
+        yield from self._collect_gauges()
+
+    def _collect_latencies(self) -> Iterable[prometheus_core.Metric]:
+        for name, book in (("call", self._total), ("added", self._added)):
+            metric = prometheus_core.Metric(
+                f"sesamevale_{name}_seconds", f"{name} time", "summary"
+            )
+            full_name = f"sesamevale_{name}_seconds"
+            for service, latency in book.items():
+                labels = {"service": service}
+                for percentile in QUANTILES:
+                    quantile = {"quantile": f"{percentile / 100:g}"}
+                    value = latency.quantile_seconds(percentile)
+                    metric.add_sample(full_name, labels | quantile, value)
+                count_name = f"{full_name}_count"
+                metric.add_sample(count_name, labels, latency.count)
+                sum_name = f"{full_name}_sum"
+                metric.add_sample(sum_name, labels, latency.sum_seconds)
+            yield metric
+
+    def _collect_outcomes(self) -> prometheus_core.Metric:
+        metric = prometheus_core.CounterMetricFamily(
+            "sesamevale_calls",
+            "Calls by service, outcome and reason",
+            labels=["service", "outcome", "reason"],
+        )
+        for labels, value in sorted(self._outcomes.items()):
+            metric.add_metric(list(labels), value)
+        return metric
+
+    def _collect_gauges(self) -> Iterable[prometheus_core.Metric]:
+        families: dict[str, prometheus_core.Metric] = {}
+        for source in self._sources:
+            for gauge in source():
+                kind = "counter" if gauge.is_counter else "gauge"
+                family = families.setdefault(
+                    gauge.name,
+                    prometheus_core.Metric(gauge.name, gauge.help, kind),
+                )
+                suffix = "_total" if gauge.is_counter else ""
+                family.add_sample(
+                    gauge.name + suffix, gauge.labels, gauge.value
+                )
+        yield from families.values()
+
+
+def render(book: Book) -> bytes:
+    """Returns all measurements in the Prometheus text format."""
+    registry = prometheus_client.CollectorRegistry(auto_describe=False)
+    registry.register(book)
+    return prometheus_client.generate_latest(registry)
--- /dev/null
+++ b/src/sesamevale/operators/admin_server.py
@@ -0,0 +1,120 @@
+"""HTTP server for operators, on an address of its own."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import dataclasses
+from typing import Self
+from typing import TYPE_CHECKING
+
+import h11
+
+from sesamevale import sockets
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+__all__ = ["AdminServer", "Page"]
+
+REQUEST_TIMEOUT_S = 10.0
+HEADER_BYTES = 16 * 1024
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Page:
+    """One answer."""
+
+    status: int
+    content_type: str
+    body: bytes
+
+
+class AdminServer:
+    """Serves pages to operators while its context is open.
+
+    Args:
+        host: IP address to listen on.
+        port: TCP port to listen on.
+        pages: Function that makes each page, by path.
+    """
+
+    def __init__(
+        self, host: str, port: int, pages: dict[str, Callable[[], Page]]
+    ) -> None:
+        self._host = host
+        self._port = port
+        self._pages = pages
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._stack = contextlib.AsyncExitStack()
+
+    async def __aenter__(self) -> Self:
+        context = sockets.listen(self._host, self._port, self._accepted)
+        await self._stack.enter_async_context(context)
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        await self._stack.aclose()
+        for task in list(self._tasks):
+            task.cancel()
+
+    def _accepted(self, stream: sockets.ByteStream) -> None:
+        task = asyncio.create_task(self._serve(stream))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _serve(self, stream: sockets.ByteStream) -> None:
+        """Serves one request and closes the connection."""
+        http = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=HEADER_BYTES
+        )
+        try:
+            async with asyncio.timeout(REQUEST_TIMEOUT_S):
+                request = await _read_request(stream, http)
+                if request is not None:
+                    _send(stream, http, self._page(request))
+        except (TimeoutError, h11.ProtocolError):
+            pass
+        finally:
+            stream.close()
+
+    def _page(self, request: h11.Request) -> Page:
+        path = request.target.decode("ascii", "replace").partition("?")[0]
+        if request.method not in (b"GET", b"HEAD"):
+            return Page(405, "text/plain", b"only GET\n")
+        make = self._pages.get(path)
+        if make is None:
+            known = ", ".join(sorted(self._pages))
+            return Page(404, "text/plain", f"pages: {known}\n".encode())
+        return make()
+
+
+async def _read_request(
+    stream: sockets.ByteStream, http: h11.Connection
+) -> h11.Request | None:
+    request = None
+    while True:
+        event = http.next_event()
+        if event is h11.NEED_DATA:
+            http.receive_data(await stream.read())
+        elif isinstance(event, h11.Request):
+            request = event
+        elif isinstance(event, h11.EndOfMessage):
+            return request
+        elif not isinstance(event, h11.Data):
+            return None
+
+
+def _send(stream: sockets.ByteStream, http: h11.Connection, page: Page) -> None:
+    response = h11.Response(
+        status_code=page.status,
+        headers=[
+            ("Content-Type", page.content_type),
+            ("Content-Length", str(len(page.body))),
+            ("Connection", "close"),
+        ],
+    )
+    data = http.send(response) or b""
+    if http.their_state is not h11.ERROR:
+        data += http.send(h11.Data(data=page.body)) or b""
+    stream.write(data)
--- /dev/null
+++ b/src/sesamevale/operators/status.py
@@ -0,0 +1,136 @@
+"""Status of one entry for operators, as JSON."""
+
+from __future__ import annotations
+
+import json
+import time
+from typing import Any
+from typing import TYPE_CHECKING
+
+from sesamevale import metrics
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from sesamevale.dispatching import at_most_once
+    from sesamevale.dispatching import dispatcher
+    from sesamevale.dispatching import front as fronts
+    from sesamevale.entries import gossip
+
+__all__ = ["gauges", "render"]
+
+
+def render(
+    front: fronts.Front,
+    members: gossip.Gossip,
+    register: at_most_once.RegisterTask,
+    revision: int,
+    book: metrics.Book,
+) -> bytes:
+    """Returns the status of this entry.
+
+    Args:
+        front: Calls, homes and dispatchers.
+        members: Membership.
+        register: Register of actions.
+        revision: Document revision in force.
+        book: Measurements.
+    """
+    view = front.view
+    revisions = members.view.revisions | {view.own.entry_id: revision}
+    content = {
+        "entry": view.own.entry_id,
+        "incarnation": view.own.incarnation,
+        "data_center": view.own.data_center,
+        "environment": view.environment.name if view.environment else None,
+        "revision": revision,
+        "draining": view.draining,
+        "active_calls": front.active,
+        "register": {
+            "actions": len(register.decisions),
+            "kept_bytes": register.decisions.kept_bytes,
+        },
+        "members": [
+            {
+                "entry": member.entry_id,
+                "incarnation": member.incarnation,
+                "status": member.status.name.lower(),
+                "data_center": member.data_center,
+                "host": member.host,
+                "caller_port": member.caller_port,
+                "revision": revisions.get(member.entry_id, 0),
+            }
+            for _, member in sorted(members.view.members.items())
+        ],
+        "services": {
+            name: _service(task, front)
+            for name, task in sorted(front.dispatchers.items())
+        },
+        "counters": dict(sorted(book.counters.items())),
+    }
+    return json.dumps(content).encode()
+
+
+def gauges(
+    front: fronts.Front, register: at_most_once.RegisterTask
+) -> Iterable[metrics.Gauge]:
+    """Returns the gauges of all dispatchers and of the register."""
+    yield metrics.Gauge(
+        "sesamevale_register_actions",
+        "Actions that the register keeps",
+        {},
+        len(register.decisions),
+    )
+    for name, task in front.dispatchers.items():
+        labels = {"service": name}
+        decisions = task.decisions
+        yield metrics.Gauge(
+            "sesamevale_queued_calls",
+            "Calls in queue",
+            labels,
+            decisions.queued,
+        )
+        yield metrics.Gauge(
+            "sesamevale_active_calls", "Calls active", labels, decisions.active
+        )
+        counts = decisions.counts
+        for field in counts.__dataclass_fields__:
+            yield metrics.Gauge(
+                f"sesamevale_dispatch_{field}",
+                f"Dispatch counter {field}",
+                labels,
+                getattr(counts, field),
+                is_counter=True,
+            )
+
+
+def _service(
+    task: dispatcher.Dispatcher, front: fronts.Front
+) -> dict[str, Any]:
+    now = time.monotonic()
+    decisions = task.decisions
+    home_map = front.view.home_maps.get(task.service.name)
+    counts = decisions.counts
+    return {
+        "homes": list(home_map.entries) if home_map is not None else [],
+        "queued": decisions.queued,
+        "active": decisions.active,
+        "counts": {
+            field: getattr(counts, field)
+            for field in counts.__dataclass_fields__
+        },
+        "upstreams": [
+            {
+                "name": name,
+                "host": state.upstream.host,
+                "port": state.upstream.port,
+                "owned": name in decisions.owned,
+                "in_flight": state.in_flight,
+                "slots": state.upstream.slots,
+                "allowed": state.allowed(now),
+                "leaving": state.listed_leaving or now < state.leaving_until,
+                "ejected": now < state.ejected_until,
+            }
+            for name, state in sorted(decisions.pool.states.items())
+        ],
+    }
--- /dev/null
+++ b/src/sesamevale/outcomes.py
@@ -0,0 +1,89 @@
+"""Outcomes of calls: what the system may truthfully say about each one."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+
+__all__ = [
+    "Answer",
+    "Answered",
+    "NotRun",
+    "Outcome",
+    "Reason",
+    "Unknown",
+]
+
+
+class Reason(enum.StrEnum):
+    """Why a call has no answer from an upstream."""
+
+    BAD_REQUEST = "bad_request"
+    BARRED = "barred"
+    CALLER_GONE = "caller_gone"
+    CONNECT_FAILED = "connect_failed"
+    CUT = "cut"
+    DEADLINE = "deadline"
+    DRAINING = "draining"
+    HOP_LIMIT = "hop_limit"
+    IDENTITY_EXPIRED = "identity_expired"
+    IDENTITY_MISMATCH = "identity_mismatch"
+    IDENTITY_REQUIRED = "identity_required"
+    ISSUER_GONE = "issuer_gone"
+    NO_DOCUMENT = "no_document"
+    NO_RULE = "no_rule"
+    NO_UPSTREAM = "no_upstream"
+    NOT_RETAINED = "not_retained"
+    OVERLOADED = "overloaded"
+    PEER_LOST = "peer_lost"
+    REGISTER_FULL = "register_full"
+    SHED = "shed"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answer:
+    """A whole answer held in memory.
+
+    Attributes:
+        status: HTTP status code.
+        headers: Header fields with hop-by-hop fields removed.
+        body: The whole body.
+    """
+
+    status: int
+    headers: tuple[tuple[bytes, bytes], ...]
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answered:
+    """An upstream answered and the answer is whole."""
+
+    answer: Answer
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NotRun:
+    """No upstream ran the call, and none will.
+
+    Attributes:
+        reason: Why the call was refused.
+        retry_after_ms: When a new attempt makes sense, in milliseconds.
+    """
+
+    reason: Reason
+    retry_after_ms: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unknown:
+    """The call may have run.
+
+    Attributes:
+        reason: What prevented an answer.
+    """
+
+    reason: Reason
+
+
+Outcome = Answered | NotRun | Unknown
--- /dev/null
+++ b/src/sesamevale/platform/document_task.py
@@ -0,0 +1,313 @@
+"""Task that keeps the accepted document in force at one entry."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import dataclasses
+import functools
+import random
+from typing import Self
+from typing import TYPE_CHECKING
+
+import pydantic
+from absl import logging
+
+from sesamevale import document_models
+from sesamevale import messaging
+from sesamevale.platform import client
+from sesamevale.platform import keys
+from sesamevale.platform import manifests
+from sesamevale.platform import watching
+from sesamevale.policy import following
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+    from sesamevale import documents
+    from sesamevale import metrics
+    from sesamevale.platform import store as stores
+
+__all__ = [
+    "DocumentTask",
+    "ManifestSeen",
+    "Message",
+    "PartsReceived",
+    "PeerAhead",
+    "PeerDocument",
+]
+
+POLL_INTERVAL_S = 3.0
+PEER_RETRY_S = 0.5
+FETCH_RETRY_S = 0.5
+FETCH_TRIES = 20
+RESTORE_PAUSE_S = 1.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerDocument:
+    """A document as another entry gave it."""
+
+    manifest: following.Manifest
+    parts: dict[str, bytes]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ManifestSeen:
+    """A manifest was read from the platform or a file."""
+
+    manifest: following.Manifest
+    source: following.Source
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PartsReceived:
+    """Parts whose digests have been checked."""
+
+    contents: dict[str, bytes]
+    source: following.Source
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerAhead:
+    """Another entry announced a document revision."""
+
+    entry_id: str
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _PeerAnswered:
+    entry_id: str
+    document: PeerDocument | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Poll:
+    """Time to read the manifest again."""
+
+
+Message = ManifestSeen | PartsReceived | PeerAhead | _PeerAnswered | _Poll
+
+
+class DocumentTask(messaging.Actor[Message]):
+    """Follows the document through the platform and the other entries.
+
+    Args:
+        follower: State that decides.
+        store: Documents in the platform; None if a file is used.
+        ask_peer: Asks an entry for its document above a revision.
+        on_document: Receives each document that comes in force.
+        book: Measurements.
+        rng: Source of randomness for pauses.
+    """
+
+    def __init__(
+        self,
+        follower: following.DocumentFollower,
+        store: stores.DocumentStore | None,
+        ask_peer: Callable[
+            [str, int, frozenset[str]], Awaitable[PeerDocument | None]
+        ],
+        on_document: Callable[[documents.Environment], None],
+        book: metrics.Book,
+        rng: random.Random,
+    ) -> None:
+        super().__init__("document")
+        self._follower = follower
+        self._store = store
+        self._ask_peer = ask_peer
+        self._on_document = on_document
+        self._book = book
+        self._rng = rng
+        self._asking: set[str] = set()
+        self._restoring = False
+        self._fetching = False
+        self._jobs: set[asyncio.Task[None]] = set()
+        self._poller: asyncio.Task[None] | None = None
+
+    @property
+    def follower(self) -> following.DocumentFollower:
+        """State for reports; only this task changes it."""
+        return self._follower
+
+    async def __aenter__(self) -> Self:
+        await super().__aenter__()
+        if self._store is not None:
+            self._poller = asyncio.create_task(self._poll_forever())
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        if self._poller is not None:
+            self._poller.cancel()
+        for job in list(self._jobs):
+            job.cancel()
+        await super().__aexit__(*exc_info)
+
+    def watch_report(
+        self, message: watching.Snapshot | watching.KeyChanged
+    ) -> None:
+        """Takes messages of the watch on the manifest."""
+        values = []
+        if isinstance(message, watching.Snapshot):
+            values = [each.value for each in message.stored]
+        elif message.value is not None:
+            values = [message.value]
+        for value in values:
+            manifest = manifests.load_manifest(value)
+            if manifest is not None:
+                self.send(ManifestSeen(manifest, following.Source.PLATFORM))
+
+    def receive(self, message: Message) -> None:
+        """Implements ``messaging.Actor``."""
+        for effect in _receive(message, self):
+            _apply(effect, self)
+
+    def _start(self, work: Awaitable[None]) -> None:
+        job = asyncio.ensure_future(work)
+        self._jobs.add(job)
+        job.add_done_callback(self._jobs.discard)
+
+    async def _poll_forever(self) -> None:
+        while True:
+            pause = POLL_INTERVAL_S * self._rng.uniform(0.8, 1.2)
+            await asyncio.sleep(pause)
+            self.send(_Poll())
+
+    async def _read_manifest(self) -> None:
+        assert self._store is not None
+        head = await self._store.head()
+        if isinstance(head, client.Unavailable) or head.manifest is None:
+            return
+        self.send(ManifestSeen(head.manifest, following.Source.PLATFORM))
+
+    async def _fetch(self, digests: frozenset[str]) -> None:
+        """Reads parts from the platform until all have come."""
+        assert self._store is not None
+        missing = digests
+        for _ in range(FETCH_TRIES):
+            found = await self._store.parts(missing)
+            if not isinstance(found, client.Unavailable):
+                self.send(PartsReceived(found, following.Source.PLATFORM))
+                missing = missing - found.keys()
+            if not missing:
+                break
+            await asyncio.sleep(FETCH_RETRY_S * self._rng.uniform(0.5, 1.5))
+        self._fetching = False
+
+    async def _ask(self, entry_id: str) -> None:
+        document = await self._ask_peer(
+            entry_id, self._follower.revision, self._follower.known_digests
+        )
+        if document is None:
+            await asyncio.sleep(PEER_RETRY_S)
+        self.send(_PeerAnswered(entry_id, document))
+
+    async def _restore(self, effect: following.RestorePlatform) -> None:
+        """Writes the newer document back to a platform that lost it."""
+        assert self._store is not None
+        await asyncio.sleep(RESTORE_PAUSE_S * self._rng.random())
+        head = await self._store.head()
+        if not isinstance(head, client.Unavailable):
+            older = head.revision < effect.manifest.revision
+            if older and await self._store.put_parts(dict(effect.parts), head):
+                await self._store.commit(effect.manifest, head)
+                self._book.count("documents_restored")
+                logging.warning(
+                    "platform showed revision %d, restored revision %d",
+                    effect.seen_revision,
+                    effect.manifest.revision,
+                )
+        self._restoring = False
+
+
+@functools.singledispatch
+def _receive(
+    message: Message, task: DocumentTask
+) -> list[following.FollowerEffect]:
+    raise TypeError(f"no rule for {type(message).__name__}")
+
+
+@_receive.register
+def _(
+    message: ManifestSeen, task: DocumentTask
+) -> list[following.FollowerEffect]:
+    return task._follower.manifest_seen(message.manifest, message.source)
+
+
+@_receive.register
+def _(
+    message: PartsReceived, task: DocumentTask
+) -> list[following.FollowerEffect]:
+    return task._follower.parts_received(message.contents, message.source)
+
+
+@_receive.register
+def _(message: PeerAhead, task: DocumentTask) -> list[following.FollowerEffect]:
+    ahead = message.revision > task._follower.revision
+    if ahead and message.entry_id not in task._asking:
+        task._asking.add(message.entry_id)
+        task._start(task._ask(message.entry_id))
+    return []
+
+
+@_receive.register
+def _(
+    message: _PeerAnswered, task: DocumentTask
+) -> list[following.FollowerEffect]:
+    task._asking.discard(message.entry_id)
+    document = message.document
+    if document is None:
+        return []
+    task._book.count("documents_from_peers")
+    follower = task._follower
+    follower.manifest_seen(document.manifest, following.Source.PEER)
+    return follower.parts_received(document.parts, following.Source.PEER)
+
+
+@_receive.register
+def _(message: _Poll, task: DocumentTask) -> list[following.FollowerEffect]:
+    task._start(task._read_manifest())
+    return []
+
+
+@functools.singledispatch
+def _apply(effect: following.FollowerEffect, task: DocumentTask) -> None:
+    raise TypeError(f"no rule for {type(effect).__name__}")
+
+
+@_apply.register
+def _(effect: following.FetchParts, task: DocumentTask) -> None:
+    if task._store is not None and not task._fetching:
+        task._fetching = True
+        task._start(task._fetch(effect.digests))
+
+
+@_apply.register
+def _(effect: following.Apply, task: DocumentTask) -> None:
+    manifest = effect.manifest
+    try:
+        environment = document_models.from_parts(
+            manifest.environment, manifest.revision, dict(effect.parts)
+        )
+    except (pydantic.ValidationError, KeyError) as error:
+        task._book.count("documents_rejected")
+        logging.error("revision %d is not valid: %s", manifest.revision, error)
+        return
+    task._book.count("documents_applied")
+    logging.info("revision %d is in force", manifest.revision)
+    task._on_document(environment)
+
+
+@_apply.register
+def _(effect: following.RestorePlatform, task: DocumentTask) -> None:
+    if task._store is not None and not task._restoring:
+        task._restoring = True
+        with contextlib.suppress(RuntimeError):
+            task._start(task._restore(effect))
+
+
+def manifest_key(environment: str) -> str:
+    """Key that the watch of a document task is set on."""
+    return keys.manifest(environment)
--- /dev/null
+++ b/src/sesamevale/platform/vm_list.py
@@ -0,0 +1,57 @@
+"""The platform's list of live and leaving VMs."""
+
+from __future__ import annotations
+
+from typing import Literal
+from typing import TYPE_CHECKING
+
+import pydantic
+
+from sesamevale.platform import watching
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+__all__ = ["VmList"]
+
+
+class _VmModel(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(extra="ignore")
+
+    address: str
+    state: Literal["live", "leaving"]
+
+
+class VmList:
+    """Addresses of VMs that are leaving.
+
+    Args:
+        on_change: Receives the addresses after each change.
+    """
+
+    def __init__(self, on_change: Callable[[frozenset[str]], None]) -> None:
+        self._on_change = on_change
+        self._leaving: dict[str, str] = {}
+
+    def watch_report(
+        self, message: watching.Snapshot | watching.KeyChanged
+    ) -> None:
+        """Takes messages of the watch on the list."""
+        if isinstance(message, watching.Snapshot):
+            self._leaving.clear()
+            for stored in message.stored:
+                self._take(stored.key, stored.value)
+        elif message.value is None:
+            self._leaving.pop(message.key, None)
+        else:
+            self._take(message.key, message.value)
+        self._on_change(frozenset(self._leaving.values()))
+
+    def _take(self, key: str, value: bytes) -> None:
+        self._leaving.pop(key, None)
+        try:
+            machine = _VmModel.model_validate_json(value)
+        except pydantic.ValidationError:
+            return
+        if machine.state == "leaving":
+            self._leaving[key] = machine.address
--- /dev/null
+++ b/src/sesamevale/platform/watching.py
@@ -0,0 +1,171 @@
+"""Task that watches all keys with a prefix over one connection."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import dataclasses
+import json
+import random
+from typing import Self
+from typing import TYPE_CHECKING
+
+import h11
+import pydantic
+
+from sesamevale import sockets
+from sesamevale.platform import client
+from sesamevale.platform import models
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+__all__ = ["KeyChanged", "Snapshot", "Watch"]
+
+RETRY_MIN_S = 0.1
+RETRY_MAX_S = 2.0
+WATCH_PATH = "/v3/watch"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Snapshot:
+    """All keys with the prefix at one moment."""
+
+    stored: tuple[client.Stored, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeyChanged:
+    """One key was written, or deleted if the value is None."""
+
+    key: str
+    value: bytes | None
+    mod_revision: int
+
+
+class Watch:
+    """Reports a snapshot and then each change, until its context is closed.
+
+    A watch that is cut is set up again after a random pause, with a new
+    snapshot, so that no change is missed.
+
+    Args:
+        platform: Client for snapshots.
+        address: Where the service listens.
+        prefix: Prefix of the keys.
+        report: Receives the messages.
+        on_call: Called with the path of each request, for counting.
+        rng: Source of randomness for pauses.
+    """
+
+    def __init__(
+        self,
+        platform: client.PlatformClient,
+        address: client.Address,
+        prefix: str,
+        report: Callable[[Snapshot | KeyChanged], None],
+        on_call: Callable[[str], None],
+        rng: random.Random,
+    ) -> None:
+        self._platform = platform
+        self._address = address
+        self._prefix = prefix
+        self._report = report
+        self._on_call = on_call
+        self._rng = rng
+        self._task: asyncio.Task[None] | None = None
+        self._connected = False
+
+    @property
+    def connected(self) -> bool:
+        """Whether the watch is set up."""
+        return self._connected
+
+    async def __aenter__(self) -> Self:
+        self._task = asyncio.create_task(self._run(), name="platform-watch")
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        if self._task is not None:
+            self._task.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await self._task
+
+    async def _run(self) -> None:
+        pause = RETRY_MIN_S
+        while True:
+            found = await self._platform.read_all_at(self._prefix)
+            if not isinstance(found, client.Unavailable):
+                pause = RETRY_MIN_S
+                stored, revision = found
+                self._report(Snapshot(tuple(stored)))
+                await self._follow(revision + 1)
+                self._connected = False
+            await asyncio.sleep(pause * self._rng.uniform(0.5, 1.5))
+            pause = min(RETRY_MAX_S, pause * 2)
+
+    async def _follow(self, start_revision: int) -> None:
+        """Reports changes until the connection ends."""
+        stream = await sockets.connect(
+            self._address.host, self._address.port, client.CONNECT_TIMEOUT_S
+        )
+        if stream is None:
+            return
+        self._on_call(WATCH_PATH)
+        http = h11.Connection(h11.CLIENT)
+        prefix = self._prefix.encode()
+        body = {
+            "create_request": {
+                "key": models.encode(prefix),
+                "range_end": models.encode(models.prefix_end(prefix)),
+                "start_revision": str(start_revision),
+            }
+        }
+        content = json.dumps(body).encode()
+        try:
+            stream.write(
+                client.open_request(http, self._address, WATCH_PATH, content)
+            )
+            await self._read(stream, http)
+        except h11.RemoteProtocolError:
+            return
+        finally:
+            stream.abort()
+
+    async def _read(
+        self, stream: sockets.ByteStream, http: h11.Connection
+    ) -> None:
+        buffer = bytearray()
+        while True:
+            event = http.next_event()
+            if event is h11.NEED_DATA:
+                http.receive_data(await stream.read())
+            elif isinstance(event, h11.Data):
+                buffer += event.data
+                if not self._take_lines(buffer):
+                    return
+            elif not isinstance(event, h11.Response):
+                return
+
+    def _take_lines(self, buffer: bytearray) -> bool:
+        """Reports the complete messages; False if the watch has ended."""
+        while (end := buffer.find(b"\n")) >= 0:
+            line = bytes(buffer[:end])
+            del buffer[: end + 1]
+            if not line.strip():
+                continue
+            try:
+                reply = models.WatchReply.model_validate_json(line)
+            except pydantic.ValidationError:
+                return False
+            if reply.result.canceled:
+                return False
+            self._connected = True
+            for event in reply.result.events:
+                self._report(_changed(event))
+        return True
+
+
+def _changed(event: models.Event) -> KeyChanged:
+    value = None if event.type == "DELETE" else event.kv.value
+    return KeyChanged(event.kv.key.decode(), value, event.kv.mod_revision)
--- /dev/null
+++ b/src/sesamevale/policy/attempts.py
@@ -0,0 +1,121 @@
+"""Results of single attempts at a call."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from sesamevale import outcomes
+
+__all__ = [
+    "Aborted",
+    "Completed",
+    "Held",
+    "Lost",
+    "NotSent",
+    "PeerLoad",
+    "PeerRefused",
+    "PeerUnknown",
+    "Result",
+    "ShedByUpstream",
+]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerLoad:
+    """Free slots and queue length that another entry reported."""
+
+    free_slots: int
+    queued: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Completed:
+    """The whole answer went to the receiver.
+
+    Attributes:
+        seconds: Time from sending to the end of the answer.
+        failed: Whether the status was a server error.
+        leaving: Whether the upstream said that it is leaving.
+        load: Load that a peer reported with the answer.
+    """
+
+    seconds: float
+    failed: bool = False
+    leaving: bool = False
+    load: PeerLoad | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Held:
+    """A server error was read whole and not passed on.
+
+    Attributes:
+        answer: The answer.
+        seconds: Time from sending to the end of the answer.
+        leaving: Whether the upstream said that it is leaving.
+        retries_left: Retries that the layers behind it did not use, if said.
+    """
+
+    answer: outcomes.Answer
+    seconds: float
+    leaving: bool = False
+    retries_left: int | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ShedByUpstream:
+    """The upstream said that it did not run the call."""
+
+    retry_after_ms: int = 0
+    leaving: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NotSent:
+    """No byte reached the other side."""
+
+    reason: outcomes.Reason
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Lost:
+    """The call was sent and no whole answer came.
+
+    Attributes:
+        passed: Whether part of the answer went to the receiver.
+    """
+
+    passed: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerRefused:
+    """Another entry answered "not run"."""
+
+    reason: outcomes.Reason
+    retry_after_ms: int
+    load: PeerLoad
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerUnknown:
+    """Another entry answered that the call may have run."""
+
+    reason: outcomes.Reason
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Aborted:
+    """The attempt was cancelled by this entry."""
+
+
+Result = (
+    Completed
+    | Held
+    | ShedByUpstream
+    | NotSent
+    | Lost
+    | PeerRefused
+    | PeerUnknown
+    | Aborted
+)
--- /dev/null
+++ b/src/sesamevale/policy/dispatch.py
@@ -0,0 +1,691 @@
+"""Dispatch of one service's calls at one entry.
+
+A call that finds a free slot is bound at once. Others wait in one queue and
+are bound when a slot falls free, never earlier. An entry that owns none of
+the upstreams relays the call to an entry that does.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import functools
+import itertools
+from typing import TYPE_CHECKING
+
+from sesamevale import outcomes
+from sesamevale.policy import attempts
+from sesamevale.policy import effects
+from sesamevale.policy import hedging
+from sesamevale.policy import peers
+from sesamevale.policy import pool
+from sesamevale.policy import queueing
+
+if TYPE_CHECKING:
+    from sesamevale import documents
+    from sesamevale.policy import homes
+
+__all__ = ["CallFacts", "Counts", "Dispatch"]
+
+INITIAL_SERVICE_SECONDS = 0.01
+SERVICE_SMOOTHING = 0.05
+TIMELY_SERVICE_TIMES = 1.5
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallFacts:
+    """What decisions need to know of a call.
+
+    Attributes:
+        call_id: Number of the call.
+        caller: Address that shares of the queue are counted by.
+        priority: Rank; 0 leaves the queue first.
+        deadline: Monotonic time in seconds.
+        repeatable: Whether the call may run more than once.
+        replayable: Whether its body is at hand for another attempt.
+        hedge: Whether its rule allows hedges.
+        retries: Retries that it and all it causes may use.
+        hops: Entries that it may still be relayed to.
+    """
+
+    call_id: int
+    caller: str
+    priority: int
+    deadline: float
+    repeatable: bool
+    replayable: bool
+    hedge: bool
+    retries: int
+    hops: int
+
+
+@dataclasses.dataclass(slots=True)
+class Counts:
+    """Counters of one dispatch; they only grow."""
+
+    submitted: int = 0
+    bound: int = 0
+    relayed: int = 0
+    queued: int = 0
+    hedged: int = 0
+    hedge_wins: int = 0
+    retried: int = 0
+    shed_by_upstream: int = 0
+    refused: int = 0
+    unknown: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class _Attempt:
+    attempt_id: int
+    call_id: int
+    upstream: str | None
+    entry_id: str | None
+    hedge: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class _CallState:
+    facts: CallFacts
+    retries: int
+    attempts: dict[int, _Attempt] = dataclasses.field(default_factory=dict)
+    tried: set[str] = dataclasses.field(default_factory=set)
+    hedged: bool = False
+    decided: bool = False
+
+
+class Dispatch:
+    """State of one service at one entry.
+
+    Args:
+        service: The service.
+        entry_id: Identifier of this entry.
+        now: Monotonic time in seconds.
+        warm: Whether upstreams start with all their slots.
+    """
+
+    def __init__(
+        self,
+        service: documents.Service,
+        entry_id: str,
+        now: float,
+        *,
+        warm: bool = True,
+    ) -> None:
+        self._service = service
+        self._entry_id = entry_id
+        self._pool = pool.Pool(service.upstreams, now, warm=warm)
+        self._queue = queueing.FairQueue()
+        self._hedger = hedging.Hedger(service.hedge_share)
+        self._peers = peers.PeerLoads()
+        self._mine: frozenset[str] = frozenset()
+        self._calls: dict[int, _CallState] = {}
+        self._attempts: dict[int, _Attempt] = {}
+        self._attempt_ids = itertools.count(1)
+        self._service_seconds = INITIAL_SERVICE_SECONDS
+        self._slots_wake: float | None = None
+        self._counts = Counts()
+
+    @property
+    def counts(self) -> Counts:
+        """Counters since the start."""
+        return self._counts
+
+    @property
+    def pool(self) -> pool.Pool:
+        """Upstreams and their health."""
+        return self._pool
+
+    @property
+    def queued(self) -> int:
+        """Calls that wait for a slot."""
+        return len(self._queue)
+
+    @property
+    def owned(self) -> frozenset[str]:
+        """Names of the upstreams that this entry owns."""
+        return self._mine
+
+    @property
+    def active(self) -> int:
+        """Calls that have not ended."""
+        return len(self._calls)
+
+    def knows(self, call_id: int) -> bool:
+        """Whether a call has not ended."""
+        return call_id in self._calls
+
+    def call_of(self, attempt_id: int) -> int:
+        """Returns the call that an attempt in flight belongs to."""
+        return self._attempts[attempt_id].call_id
+
+    def load(self, now: float) -> attempts.PeerLoad:
+        """Returns what this entry tells others about itself."""
+        free = self._pool.free_slots(self._candidates(), now)
+        return attempts.PeerLoad(free, len(self._queue))
+
+    def set_service(
+        self, service: documents.Service, now: float
+    ) -> list[effects.Effect]:
+        """Takes a new version of the service."""
+        if service.hedge_share != self._service.hedge_share:
+            self._hedger = hedging.Hedger(service.hedge_share)
+        self._service = service
+        self._pool.update(service.upstreams, now)
+        return self._serve_queue(now)
+
+    def set_homes(
+        self, home_map: homes.HomeMap | None, now: float
+    ) -> list[effects.Effect]:
+        """Takes new owners; calls that wait are placed again."""
+        owners = home_map.owners if home_map is not None else {}
+        self._mine = frozenset(
+            name for name, owner in owners.items() if owner == self._entry_id
+        )
+        others = [owner for owner in owners.values() if owner != self._entry_id]
+        self._peers.set_homes(others)
+        return self._place_queue_again(now)
+
+    def set_leaving(
+        self, names: frozenset[str], now: float
+    ) -> list[effects.Effect]:
+        """Takes the upstreams that the list of VMs shows as leaving."""
+        self._pool.list_leaving(names)
+        return self._serve_queue(now)
+
+    def probed(
+        self, upstream: str, now: float, *, healthy: bool, leaving: bool
+    ) -> list[effects.Effect]:
+        """Takes the answer to a probe."""
+        self._pool.probed(upstream, now, healthy=healthy)
+        if leaving:
+            self._pool.leaving(upstream, now)
+        return self._serve_queue(now)
+
+    def peer_reported(
+        self, entry_id: str, load: attempts.PeerLoad, now: float
+    ) -> list[effects.Effect]:
+        """Takes a load report of another entry."""
+        self._peers.reported(entry_id, load)
+        return self._spill_queue(now)
+
+    def submit(self, facts: CallFacts, now: float) -> list[effects.Effect]:
+        """Takes a new call."""
+        self._counts.submitted += 1
+        if facts.hedge:
+            self._hedger.call_started()
+        state = _CallState(facts, facts.retries)
+        self._calls[facts.call_id] = state
+        wake = effects.WakeAt(
+            effects.WakeKind.DEADLINE, facts.deadline, facts.call_id
+        )
+        return [wake, *self._place(state, now)]
+
+    def attempt_ended(
+        self, attempt_id: int, result: attempts.Result, now: float
+    ) -> list[effects.Effect]:
+        """Takes the result of an attempt."""
+        attempt = self._attempts.pop(attempt_id)
+        if attempt.upstream is not None:
+            self._pool.released(attempt.upstream)
+        if attempt.entry_id is not None:
+            self._peers.released(attempt.entry_id)
+        state = self._calls.get(attempt.call_id)
+        if state is not None:
+            state.attempts.pop(attempt_id, None)
+        done = _settle(result, self, attempt, state, now)
+        return done + self._serve_queue(now)
+
+    def cancel(self, call_id: int, now: float) -> list[effects.Effect]:
+        """Takes notice that nobody waits for the answer any more.
+
+        A call that must not be repeated is left to finish once it was sent.
+        """
+        state = self._calls.get(call_id)
+        if state is None:
+            return []
+        if self._queue.remove(call_id):
+            del self._calls[call_id]
+            return self._serve_queue(now)
+        if not state.facts.repeatable:
+            return []
+        return self._drop(state)
+
+    def wake(
+        self, kind: effects.WakeKind, call_id: int, now: float
+    ) -> list[effects.Effect]:
+        """Handles a moment that was asked for by ``WakeAt``."""
+        if kind is effects.WakeKind.SLOTS:
+            self._slots_wake = None
+            return self._serve_queue(now)
+        state = self._calls.get(call_id)
+        if state is None or state.decided:
+            return []
+        if kind is effects.WakeKind.HEDGE:
+            return self._hedge(state, now)
+        return self._expire(state, now)
+
+    def _candidates(self) -> frozenset[str] | list[str]:
+        return self._mine or list(self._pool.states)
+
+    def _place(self, state: _CallState, now: float) -> list[effects.Effect]:
+        """Binds, relays, queues or refuses a call."""
+        if not self._service.upstreams:
+            return self._refuse(state, outcomes.Reason.NO_UPSTREAM)
+        if not self._mine and state.facts.hops > 0:
+            entry_id = self._peers.best(state.tried)
+            if entry_id is not None:
+                return self._relay(state, entry_id)
+        chosen = None
+        if not len(self._queue):
+            chosen = self._choose(state, now)
+        if chosen is not None:
+            return self._bind(state, chosen, now)
+        if self._mine and state.facts.hops > 0:
+            entry_id = self._peers.idle(state.tried)
+            if entry_id is not None:
+                return self._relay(state, entry_id)
+        if not self._timely(state, now):
+            return self._refuse(state, outcomes.Reason.OVERLOADED)
+        return self._enqueue(state, now)
+
+    def _choose(self, state: _CallState, now: float) -> str | None:
+        candidates = self._candidates()
+        chosen = self._pool.choose(candidates, state.tried, now)
+        if chosen is None and state.tried.issuperset(candidates):
+            chosen = self._pool.choose(candidates, (), now)
+        return None if chosen is None else chosen.upstream.name
+
+    def _timely(self, state: _CallState, now: float) -> bool:
+        """Whether the deadline can probably be met from the queue."""
+        remaining = state.facts.deadline - now
+        slots = self._pool.allowed_slots(self._candidates(), now)
+        ahead = self._queue.ahead_of(state.facts.priority)
+        wait = ahead * self._service_seconds / max(1, slots)
+        return wait + TIMELY_SERVICE_TIMES * self._service_seconds < remaining
+
+    def _bind(
+        self, state: _CallState, upstream: str, now: float
+    ) -> list[effects.Effect]:
+        facts = state.facts
+        attempt = self._new_attempt(state, upstream=upstream)
+        self._pool.bound(upstream, now)
+        self._counts.bound += 1
+        may_retry = facts.repeatable and facts.replayable and state.retries > 0
+        bind: effects.Effect = effects.Bind(
+            facts.call_id,
+            attempt.attempt_id,
+            upstream,
+            state.retries if self._service.nested else 0,
+            may_retry,
+        )
+        delay = self._hedger.delay
+        if not facts.hedge or state.hedged or delay is None:
+            return [bind]
+        at = now + delay
+        return [
+            bind,
+            effects.WakeAt(effects.WakeKind.HEDGE, at, facts.call_id),
+        ]
+
+    def _relay(self, state: _CallState, entry_id: str) -> list[effects.Effect]:
+        attempt = self._new_attempt(state, entry_id=entry_id)
+        self._peers.sent(entry_id)
+        self._counts.relayed += 1
+        return [
+            effects.Relay(
+                state.facts.call_id,
+                attempt.attempt_id,
+                entry_id,
+                state.retries,
+            )
+        ]
+
+    def _new_attempt(
+        self,
+        state: _CallState,
+        *,
+        upstream: str | None = None,
+        entry_id: str | None = None,
+    ) -> _Attempt:
+        attempt = _Attempt(
+            next(self._attempt_ids), state.facts.call_id, upstream, entry_id
+        )
+        state.attempts[attempt.attempt_id] = attempt
+        state.tried.add(upstream or entry_id or "")
+        self._attempts[attempt.attempt_id] = attempt
+        return attempt
+
+    def _enqueue(self, state: _CallState, now: float) -> list[effects.Effect]:
+        facts = state.facts
+        waiting = queueing.Waiting(facts.call_id, facts.priority, facts.caller)
+        done: list[effects.Effect] = []
+        if len(self._queue) >= self._service.queue_limit:
+            victim = self._queue.victim_for(waiting)
+            if victim is None:
+                return self._refuse(state, outcomes.Reason.OVERLOADED)
+            self._queue.remove(victim)
+            done = self._refuse(self._calls[victim], outcomes.Reason.OVERLOADED)
+        self._queue.push(waiting)
+        self._counts.queued += 1
+        return done + self._wake_for_slots(now)
+
+    def _serve_queue(self, now: float) -> list[effects.Effect]:
+        """Binds waiting calls as long as there are free slots."""
+        done: list[effects.Effect] = []
+        while len(self._queue):
+            if self._pool.free_slots(self._candidates(), now) <= 0:
+                done += self._wake_for_slots(now)
+                break
+            call_id = self._queue.pop()
+            if call_id is None:
+                break
+            done += self._bind_waiting(self._calls[call_id], now)
+        return done
+
+    def _bind_waiting(
+        self, state: _CallState, now: float
+    ) -> list[effects.Effect]:
+        remaining = state.facts.deadline - now
+        if remaining < TIMELY_SERVICE_TIMES * self._service_seconds:
+            return self._refuse(state, outcomes.Reason.DEADLINE)
+        chosen = self._choose(state, now)
+        if chosen is None:
+            state.tried.clear()
+            chosen = self._choose(state, now)
+        if chosen is None:
+            return self._refuse(state, outcomes.Reason.NO_UPSTREAM)
+        return self._bind(state, chosen, now)
+
+    def _wake_for_slots(self, now: float) -> list[effects.Effect]:
+        """Asks for a wake-up when slots reappear without an answer."""
+        at = self._pool.next_change(now)
+        if at is None:
+            return []
+        if self._slots_wake is not None and self._slots_wake <= at:
+            return []
+        self._slots_wake = at
+        return [effects.WakeAt(effects.WakeKind.SLOTS, at)]
+
+    def _place_queue_again(self, now: float) -> list[effects.Effect]:
+        waiting = []
+        while (call_id := self._queue.pop()) is not None:
+            waiting.append(call_id)
+        done: list[effects.Effect] = []
+        for call_id in waiting:
+            done += self._place(self._calls[call_id], now)
+        return done
+
+    def _spill_queue(self, now: float) -> list[effects.Effect]:
+        """Relays waiting calls to homes that reported idle slots."""
+        done: list[effects.Effect] = []
+        while len(self._queue) and self._peers.idle(()) is not None:
+            call_id = self._queue.pop()
+            if call_id is None:
+                break
+            state = self._calls[call_id]
+            entry_id = self._peers.idle(state.tried)
+            if entry_id is None or state.facts.hops <= 0:
+                self._requeue_first(state)
+                break
+            done += self._relay(state, entry_id)
+        return done
+
+    def _requeue_first(self, state: _CallState) -> None:
+        facts = state.facts
+        waiting = queueing.Waiting(facts.call_id, facts.priority, facts.caller)
+        self._queue.push(waiting, front=True)
+
+    def _hedge(self, state: _CallState, now: float) -> list[effects.Effect]:
+        """Starts a second attempt if an idle slot and the budget allow it."""
+        if state.hedged or len(state.attempts) != 1 or len(self._queue):
+            return []
+        chosen = self._pool.choose(self._candidates(), state.tried, now)
+        if chosen is None or not self._hedger.take():
+            return []
+        state.hedged = True
+        self._counts.hedged += 1
+        done = self._bind(state, chosen.upstream.name, now)
+        last = max(state.attempts)
+        state.attempts[last].hedge = True
+        return done
+
+    def _expire(self, state: _CallState, now: float) -> list[effects.Effect]:
+        self._queue.remove(state.facts.call_id)
+        if not state.attempts:
+            return self._refuse(state, outcomes.Reason.DEADLINE)
+        self._counts.unknown += 1
+        outcome = outcomes.Unknown(outcomes.Reason.DEADLINE)
+        conclude = effects.Conclude(state.facts.call_id, outcome)
+        return [conclude, *self._drop(state)]
+
+    def _drop(self, state: _CallState) -> list[effects.Effect]:
+        """Forgets a call and cancels its attempts."""
+        self._calls.pop(state.facts.call_id, None)
+        state.decided = True
+        return [effects.Abort(attempt_id) for attempt_id in state.attempts]
+
+    def _refuse(
+        self,
+        state: _CallState,
+        reason: outcomes.Reason,
+        retry_after_ms: int = 0,
+    ) -> list[effects.Effect]:
+        """Ends a call that no upstream has run."""
+        self._counts.refused += 1
+        outcome = outcomes.NotRun(reason, retry_after_ms)
+        done = self._drop(state)
+        return [effects.Conclude(state.facts.call_id, outcome), *done]
+
+    def _not_run(
+        self,
+        state: _CallState | None,
+        reason: outcomes.Reason,
+        retry_after_ms: int,
+        now: float,
+    ) -> list[effects.Effect]:
+        """Handles an attempt that certainly did not run."""
+        if state is None or state.attempts:
+            return []
+        if not state.facts.replayable:
+            return self._refuse(state, reason, retry_after_ms)
+        if state.retries <= 0:
+            return self._refuse(state, reason, retry_after_ms)
+        state.retries -= 1
+        self._counts.retried += 1
+        return self._place(state, now)
+
+    def _may_have_run(
+        self,
+        state: _CallState | None,
+        reason: outcomes.Reason,
+        now: float,
+        *,
+        passed: bool,
+        retry: bool,
+    ) -> list[effects.Effect]:
+        """Handles an attempt that may have run."""
+        if state is None or state.attempts:
+            return []
+        facts = state.facts
+        retry = retry and not passed and facts.repeatable and facts.replayable
+        if retry and state.retries > 0:
+            state.retries -= 1
+            self._counts.retried += 1
+            return self._place(state, now)
+        self._counts.unknown += 1
+        done = self._drop(state)
+        outcome = outcomes.Unknown(reason)
+        return [effects.Conclude(facts.call_id, outcome), *done]
+
+    def _account_nested_retries(
+        self, state: _CallState, retries_left: int | None
+    ) -> None:
+        """Counts the retries that layers behind the upstream have used.
+
+        A nested upstream that does not say how many retries are left is taken
+        to have used them all.
+        """
+        if self._service.nested:
+            state.retries = min(state.retries, retries_left or 0)
+
+    def _record_service_time(self, seconds: float) -> None:
+        change = seconds - self._service_seconds
+        self._service_seconds += SERVICE_SMOOTHING * change
+        self._hedger.record(seconds)
+
+
+@functools.singledispatch
+def _settle(
+    result: attempts.Result,
+    dispatch: Dispatch,
+    attempt: _Attempt,
+    state: _CallState | None,
+    now: float,
+) -> list[effects.Effect]:
+    raise TypeError(f"no rule for {type(result).__name__}")
+
+
+@_settle.register
+def _(
+    result: attempts.Completed,
+    dispatch: Dispatch,
+    attempt: _Attempt,
+    state: _CallState | None,
+    now: float,
+) -> list[effects.Effect]:
+    if attempt.upstream is not None:
+        if result.failed:
+            dispatch._pool.failed(attempt.upstream, now)
+        else:
+            dispatch._pool.answered(attempt.upstream, result.seconds, now)
+            dispatch._record_service_time(result.seconds)
+        if result.leaving:
+            dispatch._pool.leaving(attempt.upstream, now)
+    if attempt.entry_id is not None and result.load is not None:
+        dispatch._peers.reported(attempt.entry_id, result.load)
+    if state is None:
+        return []
+    if attempt.hedge:
+        dispatch._counts.hedge_wins += 1
+    return dispatch._drop(state)
+
+
+@_settle.register
+def _(
+    result: attempts.Held,
+    dispatch: Dispatch,
+    attempt: _Attempt,
+    state: _CallState | None,
+    now: float,
+) -> list[effects.Effect]:
+    if attempt.upstream is not None:
+        dispatch._pool.failed(attempt.upstream, now)
+        if result.leaving:
+            dispatch._pool.leaving(attempt.upstream, now)
+    if state is None or state.attempts:
+        return []
+    dispatch._account_nested_retries(state, result.retries_left)
+    if state.retries > 0:
+        state.retries -= 1
+        dispatch._counts.retried += 1
+        return dispatch._place(state, now)
+    deliver = effects.Deliver(state.facts.call_id, result.answer)
+    return [deliver, *dispatch._drop(state)]
+
+
+@_settle.register
+def _(
+    result: attempts.ShedByUpstream,
+    dispatch: Dispatch,
+    attempt: _Attempt,
+    state: _CallState | None,
+    now: float,
+) -> list[effects.Effect]:
+    dispatch._counts.shed_by_upstream += 1
+    if attempt.upstream is not None:
+        dispatch._pool.shed(attempt.upstream, now)
+        if result.leaving:
+            dispatch._pool.leaving(attempt.upstream, now)
+    reason = outcomes.Reason.SHED
+    return dispatch._not_run(state, reason, result.retry_after_ms, now)
+
+
+@_settle.register
+def _(
+    result: attempts.NotSent,
+    dispatch: Dispatch,
+    attempt: _Attempt,
+    state: _CallState | None,
+    now: float,
+) -> list[effects.Effect]:
+    if attempt.upstream is not None:
+        dispatch._pool.failed(attempt.upstream, now, severe=True)
+        return dispatch._not_run(state, result.reason, 0, now)
+    if state is None or state.attempts:
+        return []
+    if not state.facts.replayable:
+        return dispatch._refuse(state, result.reason)
+    return dispatch._place(state, now)
+
+
+@_settle.register
+def _(
+    result: attempts.Lost,
+    dispatch: Dispatch,
+    attempt: _Attempt,
+    state: _CallState | None,
+    now: float,
+) -> list[effects.Effect]:
+    if attempt.upstream is not None:
+        dispatch._pool.failed(attempt.upstream, now)
+    reason = outcomes.Reason.CUT
+    if attempt.entry_id is not None:
+        reason = outcomes.Reason.PEER_LOST
+    if state is not None:
+        dispatch._account_nested_retries(state, None)
+    return dispatch._may_have_run(
+        state, reason, now, passed=result.passed, retry=True
+    )
+
+
+@_settle.register
+def _(
+    result: attempts.PeerRefused,
+    dispatch: Dispatch,
+    attempt: _Attempt,
+    state: _CallState | None,
+    now: float,
+) -> list[effects.Effect]:
+    if attempt.entry_id is not None:
+        dispatch._peers.reported(attempt.entry_id, result.load)
+    if state is None:
+        return []
+    return dispatch._refuse(state, result.reason, result.retry_after_ms)
+
+
+@_settle.register
+def _(
+    result: attempts.PeerUnknown,
+    dispatch: Dispatch,
+    attempt: _Attempt,
+    state: _CallState | None,
+    now: float,
+) -> list[effects.Effect]:
+    return dispatch._may_have_run(
+        state, result.reason, now, passed=False, retry=False
+    )
+
+
+@_settle.register
+def _(
+    result: attempts.Aborted,
+    dispatch: Dispatch,
+    attempt: _Attempt,
+    state: _CallState | None,
+    now: float,
+) -> list[effects.Effect]:
+    if state is None or state.attempts:
+        return []
+    return dispatch._may_have_run(
+        state, outcomes.Reason.CUT, now, passed=False, retry=True
+    )
--- /dev/null
+++ b/src/sesamevale/policy/hedging.py
@@ -0,0 +1,68 @@
+"""When a second attempt may race a slow first one."""
+
+from __future__ import annotations
+
+from hdrh import histogram
+
+__all__ = ["Hedger"]
+
+LOWEST_US = 1
+HIGHEST_US = 60_000_000
+SIGNIFICANT_DIGITS = 2
+RECOMPUTE_SAMPLES = 100
+WINDOW_SAMPLES = 4_000
+BURST_HEDGES = 5.0
+
+
+class Hedger:
+    """Learns the hedge delay and keeps hedges within their share of calls.
+
+    Args:
+        share: Hedges allowed, as a share of all calls; 0 turns hedging off.
+    """
+
+    def __init__(self, share: float) -> None:
+        self._share = share
+        self._tokens = 0.0
+        self._recent = _new_histogram()
+        self._previous = _new_histogram()
+        self._delay: float | None = None
+
+    @property
+    def delay(self) -> float | None:
+        """Seconds after which an attempt counts as slow; None at first."""
+        return self._delay
+
+    def call_started(self) -> None:
+        """Earns the share of a hedge."""
+        self._tokens = min(BURST_HEDGES, self._tokens + self._share)
+
+    def take(self) -> bool:
+        """Spends one hedge; False if the budget does not allow it."""
+        if self._tokens < 1.0:
+            return False
+        self._tokens -= 1.0
+        return True
+
+    def record(self, seconds: float) -> None:
+        """Adds the duration of an attempt that was answered."""
+        if self._share <= 0.0:
+            return
+        self._recent.record_value(max(LOWEST_US, int(seconds * 1e6)))
+        count = self._recent.get_total_count()
+        if count % RECOMPUTE_SAMPLES == 0:
+            self._recompute()
+        if count >= WINDOW_SAMPLES:
+            self._previous = self._recent
+            self._recent = _new_histogram()
+
+    def _recompute(self) -> None:
+        source = self._recent
+        if self._previous.get_total_count() > source.get_total_count():
+            source = self._previous
+        percentile = 100.0 * (1.0 - self._share)
+        self._delay = source.get_value_at_percentile(percentile) / 1e6
+
+
+def _new_histogram() -> histogram.HdrHistogram:
+    return histogram.HdrHistogram(LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS)
