--- /dev/null
+++ b/src/sesamevale/policy/membership.py
@@ -0,0 +1,557 @@
+"""Membership of the entries by gossip, after the SWIM protocol.
+
+Each period an entry pings one other. A ping that is not answered is tried
+through other entries; without an answer the entry is suspected, and a
+suspicion that is not refuted in time makes it dead. News of members rides on
+pings and acknowledgements. Source of the protocol: Das, Gupta, Motivala,
+"SWIM: Scalable Weakly-consistent Infection-style Process Group Membership
+Protocol", 2002.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+import functools
+import math
+from typing import TYPE_CHECKING
+
+from sesamevale.policy import attempts
+
+if TYPE_CHECKING:
+    import random
+
+__all__ = [
+    "Ack",
+    "Member",
+    "Membership",
+    "Message",
+    "Ping",
+    "PingRequest",
+    "Send",
+    "ServiceLoad",
+    "Status",
+    "Timing",
+]
+
+UPDATES_PER_MESSAGE = 8
+ROTATING_PER_MESSAGE = 2
+RETRANSMIT_FACTOR = 4
+INDIRECT_PROBES = 2
+IMMEDIATE_NOTICES = 3
+
+
+class Status(enum.IntEnum):
+    """State of a member; a higher one wins within one incarnation."""
+
+    JOINING = 0
+    ALIVE = 1
+    SUSPECT = 2
+    LEAVING = 3
+    DEAD = 4
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Member:
+    """What is known of one entry.
+
+    Attributes:
+        entry_id: Identifier, unique among the entries.
+        incarnation: Number of the process; a restart gets a higher one.
+        refutation: Grows when the entry refutes a suspicion.
+        status: State of the member.
+        data_center: Data centre that the entry is in.
+        host: IP address.
+        caller_port: TCP port for callers.
+        peer_port: UDP and TCP port for other entries.
+    """
+
+    entry_id: str
+    incarnation: int
+    refutation: int
+    status: Status
+    data_center: str
+    host: str
+    caller_port: int
+    peer_port: int
+
+    @property
+    def precedence(self) -> tuple[int, int, int]:
+        """News with a higher precedence replaces older news."""
+        return self.incarnation, self.refutation, int(self.status)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServiceLoad:
+    """Load of one service at the sender."""
+
+    service: str
+    load: attempts.PeerLoad
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ping:
+    """Asks for an acknowledgement and carries news."""
+
+    sequence: int
+    sender: str
+    environment: str
+    revision: int
+    updates: tuple[Member, ...]
+    loads: tuple[ServiceLoad, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ack:
+    """Acknowledges a ping and carries news."""
+
+    sequence: int
+    sender: str
+    environment: str
+    revision: int
+    updates: tuple[Member, ...]
+    loads: tuple[ServiceLoad, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PingRequest:
+    """Asks the receiver to ping another entry for the sender."""
+
+    sequence: int
+    sender: str
+    subject: str
+    environment: str
+
+
+Message = Ping | Ack | PingRequest
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Send:
+    """Send a message to an address."""
+
+    host: str
+    port: int
+    message: Message
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Timing:
+    """Intervals of the protocol in seconds."""
+
+    period_s: float = 0.4
+    ack_timeout_s: float = 0.25
+    indirect_timeout_s: float = 0.25
+    suspicion_s: float = 1.0
+    dead_ping_s: float = 3.0
+    dead_memory_s: float = 600.0
+
+
+@dataclasses.dataclass(slots=True)
+class _Probe:
+    subject: str
+    deadline: float
+    indirect: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class _Forwarded:
+    requester: str
+    sequence: int
+
+
+class Membership:
+    """View that one entry has of all entries.
+
+    Args:
+        own: This entry.
+        environment: Environment that the entry serves; others are ignored.
+        timing: Intervals of the protocol.
+        rng: Source of randomness.
+    """
+
+    def __init__(
+        self,
+        own: Member,
+        environment: str,
+        timing: Timing,
+        rng: random.Random,
+    ) -> None:
+        self._own = own
+        self._environment = environment
+        self._timing = timing
+        self._rng = rng
+        self._members: dict[str, Member] = {own.entry_id: own}
+        self._seeds: dict[tuple[str, int], None] = {}
+        self._probes: dict[int, _Probe] = {}
+        self._forwarded: dict[int, _Forwarded] = {}
+        self._retransmits: dict[str, int] = {}
+        self._suspected_at: dict[str, float] = {}
+        self._dead_at: dict[str, float] = {}
+        self._revisions: dict[str, int] = {}
+        self._order: list[str] = []
+        self._sequence = 0
+        self._rotation = 0
+        self._next_period = -math.inf
+        self._next_dead_ping = -math.inf
+        self._last_tick: float | None = None
+        self._version = 0
+        self._revision = 0
+        self._loads: tuple[ServiceLoad, ...] = ()
+        self._reports: dict[str, tuple[ServiceLoad, ...]] = {}
+
+    @property
+    def own(self) -> Member:
+        """This entry as others should see it."""
+        return self._own
+
+    @property
+    def version(self) -> int:
+        """Grows with each change of a member's state."""
+        return self._version
+
+    @property
+    def members(self) -> dict[str, Member]:
+        """All known members by identifier, dead ones included."""
+        return dict(self._members)
+
+    @property
+    def revisions(self) -> dict[str, int]:
+        """Document revision by entry, as last heard."""
+        return dict(self._revisions)
+
+    @property
+    def usable(self) -> list[Member]:
+        """Members that are alive and neither suspected nor leaving."""
+        return [
+            member
+            for member in self._members.values()
+            if member.status is Status.ALIVE
+        ]
+
+    @property
+    def reachable(self) -> dict[str, Member]:
+        """Members that may answer, suspected and leaving ones included."""
+        return {
+            name: member
+            for name, member in self._members.items()
+            if member.status is not Status.DEAD
+        }
+
+    def take_reports(self) -> dict[str, tuple[ServiceLoad, ...]]:
+        """Returns the load reports heard since the last call."""
+        reports = self._reports
+        self._reports = {}
+        return reports
+
+    def set_revision(self, revision: int) -> None:
+        """Sets the document revision that this entry announces."""
+        self._revision = revision
+
+    def set_loads(self, loads: tuple[ServiceLoad, ...]) -> None:
+        """Sets the loads that this entry announces."""
+        self._loads = loads
+
+    def seed(self, host: str, port: int) -> None:
+        """Adds an address to ping until its entry is known."""
+        if (host, port) != (self._own.host, self._own.peer_port):
+            self._seeds[host, port] = None
+
+    def join(self) -> list[Send]:
+        """Announces that this entry can serve calls."""
+        if self._own.status is not Status.JOINING:
+            return []
+        self._renew_own(Status.ALIVE)
+        return self._notify_some()
+
+    def leave(self) -> list[Send]:
+        """Announces that this entry is draining."""
+        self._renew_own(Status.LEAVING)
+        return self._notify_some()
+
+    def unreachable(self, entry_id: str, now: float) -> list[Send]:
+        """Takes direct evidence that an entry does not accept connections."""
+        member = self._members.get(entry_id)
+        if member is None or member.status in (Status.SUSPECT, Status.DEAD):
+            return []
+        leaving = member.status is Status.LEAVING
+        status = Status.DEAD if leaving else Status.SUSPECT
+        self._accept(dataclasses.replace(member, status=status), now)
+        return self._notify_some()
+
+    def tick(self, now: float) -> list[Send]:
+        """Advances the protocol; call several times a period."""
+        if self._paused(now):
+            self._probes.clear()
+            self._forwarded.clear()
+            for entry_id in self._suspected_at:
+                self._suspected_at[entry_id] = now
+        self._last_tick = now
+        sends = self._expire_probes(now)
+        self._expire_suspicions(now)
+        if now >= self._next_period:
+            self._next_period = now + self._timing.period_s
+            sends += self._probe_next(now)
+            sends += self._ping_seeds(now)
+        if now >= self._next_dead_ping:
+            self._next_dead_ping = now + self._timing.dead_ping_s
+            sends += self._ping_dead(now)
+        return sends
+
+    def receive(self, message: Message, now: float) -> list[Send]:
+        """Handles a message from another entry."""
+        if message.environment != self._environment:
+            return []
+        return _receive(message, self, now)
+
+    def _paused(self, now: float) -> bool:
+        """Whether this process did not run for longer than a period."""
+        if self._last_tick is None:
+            return False
+        return now - self._last_tick > 2 * self._timing.period_s
+
+    def _take_news(self, message: Ping | Ack, now: float) -> None:
+        for update in message.updates:
+            self._accept(update, now)
+        self._revisions[message.sender] = message.revision
+        if message.loads:
+            self._reports[message.sender] = message.loads
+
+    def _accept(self, update: Member, now: float) -> None:
+        """Takes news of a member if it is newer than what is known."""
+        if update.entry_id == self._own.entry_id:
+            self._refute(update)
+            return
+        known = self._members.get(update.entry_id)
+        if known is not None and update.precedence <= known.precedence:
+            return
+        if known is None and update.status is Status.DEAD:
+            return
+        self._members[update.entry_id] = update
+        self._retransmits[update.entry_id] = 0
+        self._note_status(update, now)
+        self._version += 1
+
+    def _note_status(self, member: Member, now: float) -> None:
+        entry_id = member.entry_id
+        self._suspected_at.pop(entry_id, None)
+        self._dead_at.pop(entry_id, None)
+        if member.status is Status.SUSPECT:
+            self._suspected_at[entry_id] = now
+        elif member.status is Status.DEAD:
+            self._dead_at[entry_id] = now
+            self._revisions.pop(entry_id, None)
+        self._seeds.pop((member.host, member.peer_port), None)
+
+    def _refute(self, update: Member) -> None:
+        own = self._own
+        if update.precedence <= own.precedence:
+            return
+        if update.incarnation > own.incarnation:
+            own = dataclasses.replace(own, incarnation=update.incarnation + 1)
+        refutation = max(own.refutation, update.refutation) + 1
+        self._own = dataclasses.replace(own, refutation=refutation)
+        self._announce_own()
+
+    def _renew_own(self, status: Status) -> None:
+        refutation = self._own.refutation + 1
+        self._own = dataclasses.replace(
+            self._own, status=status, refutation=refutation
+        )
+        self._announce_own()
+
+    def _announce_own(self) -> None:
+        self._members[self._own.entry_id] = self._own
+        self._retransmits[self._own.entry_id] = 0
+        self._version += 1
+
+    def _expire_probes(self, now: float) -> list[Send]:
+        sends: list[Send] = []
+        late = [
+            (sequence, probe)
+            for sequence, probe in self._probes.items()
+            if probe.deadline <= now
+        ]
+        for sequence, probe in late:
+            if not probe.indirect:
+                sends += self._probe_indirectly(sequence, probe, now)
+                continue
+            del self._probes[sequence]
+            sends += self.unreachable(probe.subject, now)
+        return sends
+
+    def _probe_indirectly(
+        self, sequence: int, probe: _Probe, now: float
+    ) -> list[Send]:
+        probe.indirect = True
+        probe.deadline = now + self._timing.indirect_timeout_s
+        helpers = [
+            member
+            for member in self.usable
+            if member.entry_id not in (probe.subject, self._own.entry_id)
+        ]
+        count = min(INDIRECT_PROBES, len(helpers))
+        request = PingRequest(
+            sequence, self._own.entry_id, probe.subject, self._environment
+        )
+        return [
+            Send(member.host, member.peer_port, request)
+            for member in self._rng.sample(helpers, count)
+        ]
+
+    def _expire_suspicions(self, now: float) -> None:
+        limit = now - self._timing.suspicion_s
+        for entry_id, since in list(self._suspected_at.items()):
+            if since <= limit:
+                member = self._members[entry_id]
+                dead = dataclasses.replace(member, status=Status.DEAD)
+                self._accept(dead, now)
+        forget = now - self._timing.dead_memory_s
+        for entry_id, since in list(self._dead_at.items()):
+            if since <= forget:
+                del self._dead_at[entry_id]
+                del self._members[entry_id]
+
+    def _probe_next(self, now: float) -> list[Send]:
+        subject = self._next_subject()
+        if subject is None:
+            return []
+        sequence = self._next_sequence()
+        deadline = now + self._timing.ack_timeout_s
+        self._probes[sequence] = _Probe(subject.entry_id, deadline)
+        return [self._ping(subject, sequence)]
+
+    def _next_subject(self) -> Member | None:
+        """Returns the next member in a random order that is then renewed."""
+        for _ in range(2):
+            while self._order:
+                member = self._members.get(self._order.pop())
+                if member is not None and member.status is not Status.DEAD:
+                    return member
+            self._order = [
+                name for name in self._members if name != self._own.entry_id
+            ]
+            self._rng.shuffle(self._order)
+        return None
+
+    def _ping_seeds(self, now: float) -> list[Send]:
+        return [
+            Send(host, port, self._ping_message(self._next_sequence()))
+            for host, port in self._seeds
+        ]
+
+    def _ping_dead(self, now: float) -> list[Send]:
+        if not self._dead_at:
+            return []
+        entry_id = self._rng.choice(sorted(self._dead_at))
+        member = self._members[entry_id]
+        return [self._ping(member, self._next_sequence())]
+
+    def _notify_some(self) -> list[Send]:
+        """Pings a few members at once, so that news does not wait."""
+        others = [
+            member
+            for member in self._members.values()
+            if member.entry_id != self._own.entry_id
+            and member.status is not Status.DEAD
+        ]
+        count = min(IMMEDIATE_NOTICES, len(others))
+        return [
+            self._ping(member, self._next_sequence())
+            for member in self._rng.sample(others, count)
+        ]
+
+    def _ping(self, subject: Member, sequence: int) -> Send:
+        message = self._ping_message(sequence, subject)
+        return Send(subject.host, subject.peer_port, message)
+
+    def _ping_message(
+        self, sequence: int, subject: Member | None = None
+    ) -> Ping:
+        return Ping(
+            sequence,
+            self._own.entry_id,
+            self._environment,
+            self._revision,
+            self._news(subject),
+            self._loads,
+        )
+
+    def _news(self, subject: Member | None) -> tuple[Member, ...]:
+        """Chooses the news for one message, least often told first."""
+        chosen: dict[str, Member] = {self._own.entry_id: self._own}
+        if subject is not None and subject.status is not Status.ALIVE:
+            chosen[subject.entry_id] = subject
+        limit = RETRANSMIT_FACTOR * math.ceil(math.log2(len(self._members) + 1))
+        for entry_id in sorted(
+            self._retransmits, key=lambda name: self._retransmits[name]
+        ):
+            if len(chosen) >= UPDATES_PER_MESSAGE:
+                break
+            self._retransmits[entry_id] += 1
+            if self._retransmits[entry_id] >= limit:
+                del self._retransmits[entry_id]
+            if entry_id in self._members:
+                chosen[entry_id] = self._members[entry_id]
+        names = sorted(self._members)
+        for offset in range(min(ROTATING_PER_MESSAGE, len(names))):
+            name = names[(self._rotation + offset) % len(names)]
+            chosen[name] = self._members[name]
+        self._rotation += ROTATING_PER_MESSAGE
+        return tuple(chosen.values())
+
+    def _next_sequence(self) -> int:
+        self._sequence += 1
+        return self._sequence
+
+
+@functools.singledispatch
+def _receive(message: Message, view: Membership, now: float) -> list[Send]:
+    raise TypeError(f"no rule for {type(message).__name__}")
+
+
+@_receive.register
+def _(message: Ping, view: Membership, now: float) -> list[Send]:
+    view._take_news(message, now)
+    sender = view._members.get(message.sender)
+    if sender is None:
+        return []
+    ack = Ack(
+        message.sequence,
+        view._own.entry_id,
+        view._environment,
+        view._revision,
+        view._news(sender),
+        view._loads,
+    )
+    return [Send(sender.host, sender.peer_port, ack)]
+
+
+@_receive.register
+def _(message: Ack, view: Membership, now: float) -> list[Send]:
+    view._take_news(message, now)
+    view._probes.pop(message.sequence, None)
+    forwarded = view._forwarded.pop(message.sequence, None)
+    if forwarded is None:
+        return []
+    requester = view._members.get(forwarded.requester)
+    if requester is None:
+        return []
+    ack = dataclasses.replace(
+        message,
+        sequence=forwarded.sequence,
+        sender=view._own.entry_id,
+        revision=view._revision,
+        loads=(),
+    )
+    return [Send(requester.host, requester.peer_port, ack)]
+
+
+@_receive.register
+def _(message: PingRequest, view: Membership, now: float) -> list[Send]:
+    subject = view._members.get(message.subject)
+    if subject is None:
+        return []
+    sequence = view._next_sequence()
+    view._forwarded[sequence] = _Forwarded(message.sender, message.sequence)
+    return [view._ping(subject, sequence)]
--- /dev/null
+++ b/src/sesamevale/policy/peers.py
@@ -0,0 +1,86 @@
+"""What an entry believes about the other homes of a service."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+from typing import TYPE_CHECKING
+
+from sesamevale.policy import attempts
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+    from collections.abc import Iterable
+
+__all__ = ["PeerLoads"]
+
+UNKNOWN_LOAD = attempts.PeerLoad(0, 0)
+
+
+@dataclasses.dataclass(slots=True)
+class _Peer:
+    upstreams: int
+    load: attempts.PeerLoad = UNKNOWN_LOAD
+    sent_since_report: int = 0
+    outstanding: int = 0
+
+    @property
+    def headroom(self) -> int:
+        """Free slots less queued calls, as far as known."""
+        return self.load.free_slots - self.load.queued - self.sent_since_report
+
+
+class PeerLoads:
+    """Loads of the other homes: last report plus what was sent since."""
+
+    def __init__(self) -> None:
+        self._peers: dict[str, _Peer] = {}
+
+    def set_homes(self, owners: Iterable[str]) -> None:
+        """Takes the owner of each upstream that another entry owns."""
+        counts = collections.Counter(owners)
+        old = self._peers
+        self._peers = {}
+        for entry_id, upstreams in counts.items():
+            peer = old.get(entry_id) or _Peer(upstreams)
+            peer.upstreams = upstreams
+            self._peers[entry_id] = peer
+
+    def reported(self, entry_id: str, load: attempts.PeerLoad) -> None:
+        """Takes a load report."""
+        peer = self._peers.get(entry_id)
+        if peer is not None:
+            peer.load = load
+            peer.sent_since_report = 0
+
+    def sent(self, entry_id: str) -> None:
+        """Counts a call relayed to an entry."""
+        peer = self._peers.get(entry_id)
+        if peer is not None:
+            peer.outstanding += 1
+            peer.sent_since_report += 1
+
+    def released(self, entry_id: str) -> None:
+        """Counts the end of a relayed call."""
+        peer = self._peers.get(entry_id)
+        if peer is not None:
+            peer.outstanding = max(0, peer.outstanding - 1)
+
+    def best(self, excluded: Collection[str]) -> str | None:
+        """Returns the home to relay a call to, if there is one."""
+        allowed = [name for name in self._peers if name not in excluded]
+        if not allowed:
+            return None
+        return max(allowed, key=self._rank)
+
+    def idle(self, excluded: Collection[str]) -> str | None:
+        """Returns a home that is believed to have a free slot."""
+        best = self.best(excluded)
+        if best is None or self._peers[best].headroom <= 0:
+            return None
+        return best
+
+    def _rank(self, entry_id: str) -> tuple[int, float, str]:
+        peer = self._peers[entry_id]
+        busy = peer.outstanding / peer.upstreams
+        return peer.headroom, -busy, entry_id
--- /dev/null
+++ b/src/sesamevale/policy/pool.py
@@ -0,0 +1,312 @@
+"""Upstreams of one service as one entry sees them."""
+
+from __future__ import annotations
+
+import dataclasses
+import math
+import statistics
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from sesamevale import documents
+
+__all__ = ["Pool", "UpstreamState"]
+
+SMOOTHING = 0.15
+SLOW_RATIO_LOG = math.log(4.0)
+MIN_SAMPLES = 6
+FAILURES_TO_EJECT = 3
+EJECT_SECONDS = 1.0
+EJECT_MAX_SECONDS = 30.0
+EJECTED_SHARE_MAX = 1.0 / 3.0
+RAMP_SECONDS_PER_SLOT = 0.5
+SHED_PAUSE_SECONDS = 0.02
+FAILURE_PAUSE_SECONDS = 0.1
+ANSWERS_PER_RESTORED_SLOT = 8
+LEAVING_SECONDS = 30.0
+MIN_LATENCY_SECONDS = 1e-6
+MAX_EJECT_DOUBLINGS = 5
+
+
+@dataclasses.dataclass(slots=True)
+class UpstreamState:
+    """What one entry knows of one upstream.
+
+    Attributes:
+        upstream: Its entry in the document.
+        in_flight: Calls that this entry has sent and that have not ended.
+        latency_log: Smoothed natural logarithm of the answer time in seconds.
+        samples: Answers that went into ``latency_log``.
+        failures: Failures since the last good answer.
+        ejections: Ejections since the upstream was last trusted.
+        ejected_until: Monotonic time until which it gets no call.
+        on_trial: Whether it gets one call at a time after an ejection.
+        ramp_from: Monotonic time at which it got its first slot.
+        paused_until: Monotonic time until which it gets no call after a shed.
+        cap: Slots that it is trusted with after sheds.
+        answers_since_shed: Good answers since the last change of ``cap``.
+        leaving_until: Monotonic time until which it counts as leaving.
+        listed_leaving: Whether the list of VMs says that it is leaving.
+        last_answer: Monotonic time of the last answer.
+        last_bound: Monotonic time of the last call sent.
+    """
+
+    upstream: documents.Upstream
+    in_flight: int = 0
+    latency_log: float = 0.0
+    samples: int = 0
+    failures: int = 0
+    ejections: int = 0
+    ejected_until: float = -math.inf
+    on_trial: bool = False
+    ramp_from: float = -math.inf
+    paused_until: float = -math.inf
+    cap: int = 0
+    answers_since_shed: int = 0
+    leaving_until: float = -math.inf
+    listed_leaving: bool = False
+    last_answer: float = -math.inf
+    last_bound: float = -math.inf
+
+    def __post_init__(self) -> None:
+        self.cap = self.upstream.slots
+
+    def allowed(self, now: float) -> int:
+        """Slots that may be used at this moment."""
+        if self.listed_leaving or now < self.leaving_until:
+            return 0
+        if now < self.ejected_until or now < self.paused_until:
+            return 0
+        if self.on_trial:
+            return 1
+        ramped = 1 + (now - self.ramp_from) / RAMP_SECONDS_PER_SLOT
+        return int(min(self.cap, self.upstream.slots, ramped))
+
+    def free(self, now: float) -> int:
+        """Slots that are allowed and not in use."""
+        return max(0, self.allowed(now) - self.in_flight)
+
+
+class Pool:
+    """All upstreams of a service with their health.
+
+    Args:
+        upstreams: Upstreams of the document.
+        now: Monotonic time in seconds.
+        warm: Whether the upstreams start with all their slots.
+    """
+
+    def __init__(
+        self,
+        upstreams: Iterable[documents.Upstream],
+        now: float,
+        *,
+        warm: bool = True,
+    ) -> None:
+        self._states: dict[str, UpstreamState] = {}
+        self.update(upstreams, now, warm=warm)
+
+    @property
+    def states(self) -> dict[str, UpstreamState]:
+        """States by upstream name."""
+        return self._states
+
+    def update(
+        self,
+        upstreams: Iterable[documents.Upstream],
+        now: float,
+        *,
+        warm: bool = False,
+    ) -> None:
+        """Takes the upstreams of a new document; new ones start cold."""
+        old = self._states
+        self._states = {}
+        for upstream in upstreams:
+            state = old.get(upstream.name)
+            if state is None or state.upstream.host != upstream.host:
+                state = UpstreamState(upstream)
+                state.ramp_from = -math.inf if warm else now
+            elif state.upstream != upstream:
+                state.upstream = upstream
+                state.cap = upstream.slots
+            self._states[upstream.name] = state
+
+    def choose(
+        self, names: Iterable[str], excluded: Iterable[str], now: float
+    ) -> UpstreamState | None:
+        """Returns the least used upstream with a free slot, if any."""
+        best = None
+        best_key = (math.inf, math.inf)
+        for name in names:
+            state = self._states.get(name)
+            if state is None or name in excluded or state.free(now) <= 0:
+                continue
+            key = (state.in_flight / state.upstream.slots, state.last_bound)
+            if key < best_key:
+                best = state
+                best_key = key
+        return best
+
+    def free_slots(self, names: Iterable[str], now: float) -> int:
+        """Counts the free slots of the named upstreams."""
+        return sum(
+            self._states[name].free(now)
+            for name in names
+            if name in self._states
+        )
+
+    def allowed_slots(self, names: Iterable[str], now: float) -> int:
+        """Counts the allowed slots of the named upstreams."""
+        return sum(
+            self._states[name].allowed(now)
+            for name in names
+            if name in self._states
+        )
+
+    def bound(self, name: str, now: float) -> None:
+        """Counts a call that is being sent."""
+        state = self._states[name]
+        state.in_flight += 1
+        state.last_bound = now
+
+    def released(self, name: str) -> None:
+        """Counts the end of a call that was sent."""
+        state = self._states.get(name)
+        if state is not None and state.in_flight > 0:
+            state.in_flight -= 1
+
+    def answered(self, name: str, seconds: float, now: float) -> None:
+        """Records a good answer and ejects the upstream if it is slow."""
+        state = self._states.get(name)
+        if state is None:
+            return
+        state.failures = 0
+        state.last_answer = now
+        sample = math.log(max(seconds, MIN_LATENCY_SECONDS))
+        self._smooth(state, sample)
+        self._restore_cap(state)
+        typical = self._typical_log(state)
+        if typical is None:
+            state.on_trial = False
+            return
+        slow_from = typical + SLOW_RATIO_LOG
+        if state.latency_log < slow_from:
+            self._trust(state)
+        elif sample > slow_from:
+            self._eject(state, now)
+
+    def failed(self, name: str, now: float, *, severe: bool = False) -> None:
+        """Records a failure.
+
+        Args:
+            name: Upstream that failed.
+            now: Monotonic time in seconds.
+            severe: Whether one such failure is enough for an ejection.
+        """
+        state = self._states.get(name)
+        if state is None:
+            return
+        state.failures += 1
+        if severe:
+            state.paused_until = now + FAILURE_PAUSE_SECONDS
+        if severe or state.on_trial or state.failures >= FAILURES_TO_EJECT:
+            self._eject(state, now)
+
+    def shed(self, name: str, now: float) -> None:
+        """Records that an upstream refused a call; trusts it with less."""
+        state = self._states.get(name)
+        if state is None:
+            return
+        state.last_answer = now
+        state.cap = max(1, min(state.cap, state.in_flight))
+        state.answers_since_shed = 0
+        state.paused_until = now + SHED_PAUSE_SECONDS
+
+    def leaving(self, name: str, now: float) -> None:
+        """Stops new calls to an upstream that said that it is leaving."""
+        state = self._states.get(name)
+        if state is not None:
+            state.leaving_until = now + LEAVING_SECONDS
+
+    def list_leaving(self, names: frozenset[str]) -> None:
+        """Takes the upstreams that the list of VMs shows as leaving."""
+        for name, state in self._states.items():
+            state.listed_leaving = name in names
+
+    def silent(self, names: Iterable[str], since: float) -> list[str]:
+        """Lists the upstreams without an answer since a moment."""
+        return [
+            name
+            for name in names
+            if name in self._states and self._states[name].last_answer < since
+        ]
+
+    def probed(self, name: str, now: float, *, healthy: bool) -> None:
+        """Records the answer to a probe."""
+        state = self._states.get(name)
+        if state is None:
+            return
+        state.last_answer = now
+        if not healthy:
+            self.failed(name, now)
+            return
+        state.failures = 0
+        if now < state.ejected_until and state.samples < MIN_SAMPLES:
+            state.ejected_until = now
+            state.on_trial = True
+
+    def next_change(self, now: float) -> float | None:
+        """Returns when a slot becomes allowed with no other event, if ever."""
+        moments = []
+        for state in self._states.values():
+            moments.append(state.ejected_until)
+            moments.append(state.paused_until)
+            moments.append(state.leaving_until)
+            if state.allowed(now) < min(state.cap, state.upstream.slots):
+                moments.append(now + RAMP_SECONDS_PER_SLOT)
+        later = [moment for moment in moments if moment > now]
+        return min(later, default=None)
+
+    def _smooth(self, state: UpstreamState, sample: float) -> None:
+        state.samples += 1
+        weight = max(SMOOTHING, 1.0 / state.samples)
+        state.latency_log += weight * (sample - state.latency_log)
+
+    def _restore_cap(self, state: UpstreamState) -> None:
+        if state.cap >= state.upstream.slots:
+            return
+        state.answers_since_shed += 1
+        if state.answers_since_shed >= ANSWERS_PER_RESTORED_SLOT:
+            state.answers_since_shed = 0
+            state.cap += 1
+
+    def _typical_log(self, state: UpstreamState) -> float | None:
+        """Median of the other upstreams' answer times, if known."""
+        if state.samples < MIN_SAMPLES:
+            return None
+        others = [
+            other.latency_log
+            for other in self._states.values()
+            if other is not state and other.samples >= MIN_SAMPLES
+        ]
+        return statistics.median(others) if others else None
+
+    def _trust(self, state: UpstreamState) -> None:
+        state.on_trial = False
+        state.ejections = 0
+
+    def _eject(self, state: UpstreamState, now: float) -> None:
+        ejected = sum(
+            1
+            for other in self._states.values()
+            if other is not state and (now < other.ejected_until)
+        )
+        if ejected + 1 > EJECTED_SHARE_MAX * len(self._states):
+            return
+        doublings = min(state.ejections, MAX_EJECT_DOUBLINGS)
+        duration = min(EJECT_MAX_SECONDS, EJECT_SECONDS * 2**doublings)
+        state.ejections += 1
+        state.ejected_until = now + duration
+        state.on_trial = True
--- /dev/null
+++ b/src/sesamevale/policy/queueing.py
@@ -0,0 +1,113 @@
+"""Queue of waiting calls: priorities first, then a fair turn per caller."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+
+__all__ = ["FairQueue", "Waiting"]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Waiting:
+    """One waiting call."""
+
+    call_id: int
+    priority: int
+    caller: str
+
+
+class FairQueue:
+    """Calls that wait for a slot.
+
+    Lower priority numbers leave first. Within one priority callers take turns,
+    so a caller with many waiting calls delays only itself.
+    """
+
+    def __init__(self) -> None:
+        self._levels: dict[
+            int, collections.OrderedDict[str, collections.deque[int]]
+        ] = {}
+        self._waiting: dict[int, Waiting] = {}
+
+    def __len__(self) -> int:
+        return len(self._waiting)
+
+    def __contains__(self, call_id: int) -> bool:
+        return call_id in self._waiting
+
+    def push(self, waiting: Waiting, *, front: bool = False) -> None:
+        """Adds a call, behind or in front of its caller's others."""
+        self._waiting[waiting.call_id] = waiting
+        level = self._levels.setdefault(
+            waiting.priority, collections.OrderedDict()
+        )
+        turns = level.get(waiting.caller)
+        if turns is None:
+            turns = level[waiting.caller] = collections.deque()
+        if not front:
+            turns.append(waiting.call_id)
+            return
+        turns.appendleft(waiting.call_id)
+        level.move_to_end(waiting.caller, last=False)
+
+    def pop(self) -> int | None:
+        """Removes and returns the next call; None if nothing waits."""
+        if not self._waiting:
+            return None
+        priority = min(self._levels)
+        level = self._levels[priority]
+        caller = next(iter(level))
+        call_id = level[caller].popleft()
+        level.move_to_end(caller)
+        self._forget(self._waiting.pop(call_id))
+        return call_id
+
+    def remove(self, call_id: int) -> bool:
+        """Removes a call; False if it does not wait."""
+        waiting = self._waiting.pop(call_id, None)
+        if waiting is None:
+            return False
+        self._levels[waiting.priority][waiting.caller].remove(call_id)
+        self._forget(waiting)
+        return True
+
+    def ahead_of(self, priority: int) -> int:
+        """Counts the calls that leave before a new one of this priority."""
+        if not self._waiting:
+            return 0
+        return sum(
+            len(turns)
+            for level, callers in self._levels.items()
+            if level <= priority
+            for turns in callers.values()
+        )
+
+    def victim_for(self, waiting: Waiting) -> int | None:
+        """Finds the call that should make room for a new one.
+
+        Args:
+            waiting: The new call.
+
+        Returns:
+            A call of lower rank, or of the caller that has the most waiting
+            calls of the same rank; None if the new call has to be refused.
+        """
+        if not self._waiting:
+            return None
+        lowest = max(self._levels)
+        if lowest < waiting.priority:
+            return None
+        level = self._levels[lowest]
+        longest = max(level.values(), key=len)
+        if lowest > waiting.priority:
+            return longest[-1]
+        own = len(level.get(waiting.caller, ()))
+        return longest[-1] if len(longest) > own + 1 else None
+
+    def _forget(self, waiting: Waiting) -> None:
+        level = self._levels[waiting.priority]
+        if not level[waiting.caller]:
+            del level[waiting.caller]
+        if not level:
+            del self._levels[waiting.priority]
--- /dev/null
+++ b/src/sesamevale/policy/register.py
@@ -0,0 +1,210 @@
+"""Register of actions that run at most once.
+
+The entry that issued an identity is the only one that decides about it. The
+register lives in that entry's memory and ends with its incarnation.
+"""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+from typing import TYPE_CHECKING
+
+from sesamevale import outcomes
+
+if TYPE_CHECKING:
+    from sesamevale.policy import identity as identities
+
+__all__ = [
+    "Barred",
+    "Decision",
+    "Join",
+    "Refuse",
+    "Register",
+    "Replay",
+    "Run",
+    "Running",
+]
+
+KEPT_ANSWER_BYTES = 64 * 1024
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Run:
+    """The action is new: run it once."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Join:
+    """The action is running: wait for its outcome."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Replay:
+    """The action has an outcome: give it again."""
+
+    outcome: outcomes.Outcome
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refuse:
+    """The action is not taken up, and nothing is remembered of it."""
+
+    outcome: outcomes.NotRun | outcomes.Unknown
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Barred:
+    """The action has not run and never will."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Running:
+    """The action is running and cannot be barred."""
+
+
+Decision = Run | Join | Replay | Refuse
+
+
+@dataclasses.dataclass(slots=True)
+class _Action:
+    fingerprint: str
+    expires_s: int
+    outcome: outcomes.Outcome | None = None
+
+
+class Register:
+    """Actions by identity.
+
+    An action is kept until its ticket expires on the clock that also decides
+    whether a ticket is still accepted, so a forgotten action cannot run again.
+
+    Args:
+        window_s: Longest life of a ticket in seconds.
+        actions_max: Most actions kept at once.
+        bytes_max: Most bytes of answers kept at once.
+    """
+
+    def __init__(self, window_s: int, actions_max: int, bytes_max: int) -> None:
+        self._window_s = window_s
+        self._actions_max = actions_max
+        self._bytes_max = bytes_max
+        self._bytes = 0
+        self._actions: dict[str, _Action] = {}
+        self._expiry: dict[int, list[str]] = collections.defaultdict(list)
+
+    def __len__(self) -> int:
+        return len(self._actions)
+
+    @property
+    def kept_bytes(self) -> int:
+        """Bytes of the answers that are kept."""
+        return self._bytes
+
+    @property
+    def window_s(self) -> int:
+        """Longest life of a ticket in seconds."""
+        return self._window_s
+
+    def set_window(self, window_s: int) -> None:
+        """Changes the life of tickets issued from now on."""
+        self._window_s = window_s
+
+    def submit(
+        self, identity: identities.Identity, fingerprint: str, now_s: float
+    ) -> Decision:
+        """Decides what to do with a call.
+
+        Args:
+            identity: Identity of the action; issued by this incarnation.
+            fingerprint: Digest of everything that makes the request.
+            now_s: The issuer's clock in seconds; never runs backwards.
+        """
+        key = str(identity)
+        action = self._actions.get(key)
+        if action is not None:
+            return self._repeat(action, fingerprint)
+        refusal = self._refusal(identity, now_s)
+        if refusal is not None:
+            return refusal
+        self._add(key, identity.ticket.expires_s, fingerprint)
+        return Run()
+
+    def settle(self, key: str, outcome: outcomes.Outcome) -> None:
+        """Records the outcome of an action that was run."""
+        action = self._actions.get(key)
+        if action is None or action.outcome is not None:
+            return
+        action.outcome = self._kept(outcome)
+
+    def bar(
+        self, identity: identities.Identity, now_s: float
+    ) -> Barred | Running | Replay:
+        """Makes sure that an action will not run, if it has not begun."""
+        key = str(identity)
+        action = self._actions.get(key)
+        if action is None:
+            if now_s < identity.ticket.expires_s:
+                self._add(key, identity.ticket.expires_s, "")
+                reason = outcomes.Reason.BARRED
+                self._actions[key].outcome = outcomes.NotRun(reason)
+            return Barred()
+        if action.outcome is None:
+            return Running()
+        if isinstance(action.outcome, outcomes.NotRun):
+            return Barred()
+        return Replay(action.outcome)
+
+    def expire(self, now_s: float) -> int:
+        """Forgets actions whose tickets have expired; returns how many."""
+        due = [second for second in self._expiry if second <= now_s]
+        forgotten = 0
+        for second in due:
+            for key in self._expiry.pop(second):
+                forgotten += self._forget(key)
+        return forgotten
+
+    def _repeat(self, action: _Action, fingerprint: str) -> Decision:
+        if action.fingerprint not in ("", fingerprint):
+            reason = outcomes.Reason.IDENTITY_MISMATCH
+            return Refuse(outcomes.NotRun(reason))
+        if action.outcome is None:
+            return Join()
+        return Replay(action.outcome)
+
+    def _refusal(
+        self, identity: identities.Identity, now_s: float
+    ) -> Refuse | None:
+        expires_s = identity.ticket.expires_s
+        if not now_s < expires_s <= now_s + self._window_s + 1:
+            reason = outcomes.Reason.IDENTITY_EXPIRED
+            return Refuse(outcomes.Unknown(reason))
+        if len(self._actions) >= self._actions_max:
+            full = outcomes.Reason.REGISTER_FULL
+            return Refuse(outcomes.NotRun(full))
+        return None
+
+    def _add(self, key: str, expires_s: int, fingerprint: str) -> None:
+        self._actions[key] = _Action(fingerprint, expires_s)
+        self._expiry[expires_s].append(key)
+
+    def _kept(self, outcome: outcomes.Outcome) -> outcomes.Outcome:
+        if not isinstance(outcome, outcomes.Answered):
+            return outcome
+        size = len(outcome.answer.body)
+        too_large = size > KEPT_ANSWER_BYTES
+        if too_large or self._bytes + size > self._bytes_max:
+            return outcomes.Unknown(outcomes.Reason.NOT_RETAINED)
+        self._bytes += size
+        return outcome
+
+    def _forget(self, key: str) -> int:
+        action = self._actions[key]
+        if action.outcome is None:
+            self._expiry[action.expires_s + self._window_s].append(key)
+            action.expires_s += self._window_s
+            return 0
+        if isinstance(action.outcome, outcomes.Answered):
+            self._bytes -= len(action.outcome.answer.body)
+        del self._actions[key]
+        return 1
--- /dev/null
+++ b/src/sesamevale/sockets.py
@@ -0,0 +1,190 @@
+"""Byte streams over TCP, owned by one task each."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+    from collections.abc import Callable
+
+__all__ = ["ByteStream", "connect", "listen"]
+
+READ_HIGH_WATER_BYTES = 128 * 1024
+
+
+class ByteStream(asyncio.Protocol):
+    """One TCP connection as its owning task sees it.
+
+    Args:
+        on_connected: Called once with this stream when it is accepted.
+    """
+
+    def __init__(
+        self, on_connected: Callable[[ByteStream], None] | None = None
+    ) -> None:
+        self._on_connected = on_connected
+        self._on_lost: Callable[[], None] | None = None
+        self._transport: asyncio.Transport | None = None
+        self._received = bytearray()
+        self._ended = False
+        self._lost = False
+        self._paused = False
+        self._read_waiter: asyncio.Future[None] | None = None
+        self._write_waiter: asyncio.Future[None] | None = None
+        self._write_paused = False
+
+    @property
+    def closed(self) -> bool:
+        """Whether no more can be read from the connection."""
+        return self._ended or self._lost
+
+    @property
+    def peer_host(self) -> str:
+        """IP address of the other side."""
+        if self._transport is None:
+            return ""
+        name = self._transport.get_extra_info("peername")
+        return name[0] if name else ""
+
+    def on_lost(self, callback: Callable[[], None] | None) -> None:
+        """Sets what is called when the other side goes away."""
+        self._on_lost = callback
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Implements ``asyncio.Protocol``."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        raw = transport.get_extra_info("socket")
+        if raw is not None:
+            raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        if self._on_connected is not None:
+            self._on_connected(self)
+
+    def data_received(self, data: bytes) -> None:
+        """Implements ``asyncio.Protocol``."""
+        self._received += data
+        if len(self._received) > READ_HIGH_WATER_BYTES and self._transport:
+            self._paused = True
+            self._transport.pause_reading()
+        self._wake_reader()
+
+    def eof_received(self) -> bool:
+        """Implements ``asyncio.Protocol``."""
+        self._ended = True
+        self._wake_reader()
+        if self._on_lost is not None:
+            self._on_lost()
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Implements ``asyncio.Protocol``."""
+        first = not self._ended
+        self._lost = True
+        self._ended = True
+        self._wake_reader()
+        self.resume_writing()
+        if first and self._on_lost is not None:
+            self._on_lost()
+
+    def pause_writing(self) -> None:
+        """Implements ``asyncio.Protocol``."""
+        self._write_paused = True
+
+    def resume_writing(self) -> None:
+        """Implements ``asyncio.Protocol``."""
+        self._write_paused = False
+        waiter = self._write_waiter
+        if waiter is not None and not waiter.done():
+            waiter.set_result(None)
+
+    async def read(self) -> bytes:
+        """Returns what has arrived; empty at the end of the stream."""
+        while not self._received and not self._ended:
+            loop = asyncio.get_running_loop()
+            self._read_waiter = loop.create_future()
+            await self._read_waiter
+        data = bytes(self._received)
+        self._received.clear()
+        if self._paused and self._transport is not None and not self._lost:
+            self._paused = False
+            self._transport.resume_reading()
+        return data
+
+    def unread(self, data: bytes) -> None:
+        """Puts bytes back in front of what has arrived."""
+        self._received[:0] = data
+
+    def write(self, data: bytes) -> None:
+        """Sends bytes; nothing happens once the connection is lost."""
+        if self._transport is not None and not self._lost:
+            self._transport.write(data)
+
+    async def drained(self) -> None:
+        """Waits until the other side has taken most of what was sent."""
+        while self._write_paused and not self._lost:
+            loop = asyncio.get_running_loop()
+            self._write_waiter = loop.create_future()
+            await self._write_waiter
+
+    def close(self) -> None:
+        """Closes after what was written has been sent."""
+        if self._transport is not None:
+            self._transport.close()
+
+    def abort(self) -> None:
+        """Closes at once and drops what was not sent."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    def _wake_reader(self) -> None:
+        waiter = self._read_waiter
+        if waiter is not None and not waiter.done():
+            waiter.set_result(None)
+
+
+async def connect(host: str, port: int, timeout_s: float) -> ByteStream | None:
+    """Opens a connection.
+
+    Args:
+        host: IP address.
+        port: TCP port.
+        timeout_s: Longest time to wait, in seconds.
+
+    Returns:
+        The stream, or None if the connection could not be made in time.
+    """
+    loop = asyncio.get_running_loop()
+    try:
+        async with asyncio.timeout(timeout_s):
+            _, stream = await loop.create_connection(ByteStream, host, port)
+    except OSError:
+        return None
+    return stream
+
+
+@contextlib.asynccontextmanager
+async def listen(
+    host: str, port: int, on_connected: Callable[[ByteStream], None]
+) -> AsyncIterator[asyncio.Server]:
+    """Listens on an address while the context is open.
+
+    Args:
+        host: IP address.
+        port: TCP port; 0 picks a free one.
+        on_connected: Called with each accepted stream.
+
+    Raises:
+        OSError: The address cannot be used.
+    """
+    loop = asyncio.get_running_loop()
+    server = await loop.create_server(
+        lambda: ByteStream(on_connected), host, port, backlog=1024
+    )
+    try:
+        yield server
+    finally:
+        server.close()
--- /dev/null
+++ b/src/sesamevale/tracing.py
@@ -0,0 +1,142 @@
+"""Traces with a span for each hop; unsampled calls create no spans."""
+
+from __future__ import annotations
+
+import contextlib
+import random
+import re
+from typing import TYPE_CHECKING
+
+from opentelemetry import trace
+from opentelemetry.sdk import resources
+from opentelemetry.sdk import trace as trace_sdk
+from opentelemetry.sdk.trace import export
+
+from sesamevale import __version__
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from sesamevale import calls
+
+__all__ = [
+    "CallSpan",
+    "attempt_span",
+    "configure",
+    "console_exporter",
+    "start_call",
+]
+
+TRACEPARENT = re.compile(rb"00-([0-9a-f]{32})-([0-9a-f]{16})-([0-9a-f]{2})")
+SAMPLED_FLAG = 1
+
+_tracer = trace.get_tracer("sesamevale")
+_sample_share = 0.0
+_random = random.Random()
+
+
+class CallSpan:
+    """Span of one call at one entry; does nothing for unsampled calls."""
+
+    __slots__ = ("_span", "traceparent")
+
+    def __init__(
+        self, span: trace.Span | None, traceparent: bytes | None
+    ) -> None:
+        self._span = span
+        self.traceparent = traceparent
+
+    def end(self, outcome: str) -> None:
+        """Ends the span and records how the call ended."""
+        if self._span is not None:
+            self._span.set_attribute("sesamevale.outcome", outcome)
+            self._span.end()
+
+
+UNSAMPLED = CallSpan(None, None)
+
+
+def console_exporter() -> export.SpanExporter:
+    """Returns an exporter that writes each span as one line of JSON."""
+    return export.ConsoleSpanExporter(
+        formatter=lambda span: span.to_json(indent=None) + "\n"
+    )
+
+
+def configure(
+    entry_id: str, sample_share: float, exporter: export.SpanExporter | None
+) -> None:
+    """Sets up tracing for this process.
+
+    Args:
+        entry_id: Identifier of this entry.
+        sample_share: Share of calls without a trace context to sample.
+        exporter: Where spans go; None turns tracing off.
+    """
+    global _tracer, _sample_share
+    if exporter is None:
+        return
+    resource = resources.Resource(
+        {"service.name": "sesamevaled", "service.instance.id": entry_id}
+    )
+    provider = trace_sdk.TracerProvider(resource=resource)
+    provider.add_span_processor(export.BatchSpanProcessor(exporter))
+    _tracer = provider.get_tracer("sesamevale", __version__)
+    _sample_share = sample_share
+
+
+def start_call(name: str, received: bytes | None) -> CallSpan:
+    """Starts the span of a call that arrived.
+
+    Args:
+        name: Name of the hop.
+        received: Value of the ``traceparent`` field that came with the call.
+    """
+    matched = TRACEPARENT.fullmatch(received) if received else None
+    if matched is None:
+        if _sample_share <= 0.0 or _random.random() >= _sample_share:
+            return UNSAMPLED if received is None else CallSpan(None, received)
+        return _new_span(name, None)
+    if not int(matched[3], 16) & SAMPLED_FLAG or _sample_share <= 0.0:
+        return CallSpan(None, received)
+    return _new_span(name, _parent(matched))
+
+
+@contextlib.contextmanager
+def attempt_span(call: calls.Call, target: str) -> Iterator[None]:
+    """Covers one attempt with a span if the call is sampled."""
+    matched = (
+        TRACEPARENT.fullmatch(call.traceparent) if call.traceparent else None
+    )
+    if matched is None or _sample_share <= 0.0:
+        yield
+        return
+    if not int(matched[3], 16) & SAMPLED_FLAG:
+        yield
+        return
+    context = trace.set_span_in_context(
+        trace.NonRecordingSpan(_parent(matched))
+    )
+    with _tracer.start_as_current_span(
+        "attempt", context=context, attributes={"sesamevale.target": target}
+    ):
+        yield
+
+
+def _parent(matched: re.Match[bytes]) -> trace.SpanContext:
+    return trace.SpanContext(
+        trace_id=int(matched[1], 16),
+        span_id=int(matched[2], 16),
+        is_remote=True,
+        trace_flags=trace.TraceFlags(SAMPLED_FLAG),
+    )
+
+
+def _new_span(name: str, parent: trace.SpanContext | None) -> CallSpan:
+    context = None
+    if parent is not None:
+        context = trace.set_span_in_context(trace.NonRecordingSpan(parent))
+    span = _tracer.start_span(name, context=context)
+    own = span.get_span_context()
+    traceparent = b"00-%032x-%016x-01" % (own.trace_id, own.span_id)
+    return CallSpan(span, traceparent)
--- /dev/null
+++ b/src/sesamevale/upstreams/__init__.py
@@ -0,0 +1,3 @@
+"""Everything that talks to upstreams: connections and probes."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/sesamevale/upstreams/connection.py
@@ -0,0 +1,292 @@
+"""Connection to one upstream: a task that owns one socket."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import time
+from typing import TYPE_CHECKING
+
+import h11
+
+from sesamevale import calls
+from sesamevale import http1
+from sesamevale import messaging
+from sesamevale import outcomes
+from sesamevale import sockets
+from sesamevale import tracing
+from sesamevale.dispatching import exchanges
+from sesamevale.policy import attempts
+
+if TYPE_CHECKING:
+    from sesamevale import documents
+
+__all__ = ["UpstreamConnection"]
+
+CONNECT_TIMEOUT_S = 0.5
+HELD_BODY_BYTES = 64 * 1024
+SERVER_ERROR = 500
+
+
+class UpstreamConnection:
+    """Sends calls to an upstream, one after the other.
+
+    The task runs until the connection is closed. A connection whose exchange
+    did not end cleanly is closed and never used again.
+
+    Args:
+        upstream: The upstream.
+    """
+
+    def __init__(self, upstream: documents.Upstream) -> None:
+        self._upstream = upstream
+        self._inbox: messaging.Inbox[exchanges.Exchange | None] = (
+            messaging.Inbox()
+        )
+        self._stream: sockets.ByteStream | None = None
+        self._http = h11.Connection(h11.CLIENT)
+        self._aborted = False
+        self._sent = False
+        self._idle_since = time.monotonic()
+        self._task = asyncio.create_task(self._run())
+
+    @property
+    def open(self) -> bool:
+        """Whether the connection can carry another exchange."""
+        if self._aborted or self._task.done():
+            return False
+        if self._stream is None:
+            return True
+        return not self._stream.closed and self._http.our_state is h11.IDLE
+
+    @property
+    def idle_since(self) -> float:
+        """Monotonic time in seconds at which the last exchange ended."""
+        return self._idle_since
+
+    def send(self, message: exchanges.Exchange) -> None:
+        """Starts an exchange; one at a time."""
+        self._inbox.put(message)
+
+    def abort(self) -> None:
+        """Closes the connection; a running exchange ends as aborted."""
+        self._aborted = True
+        self._inbox.put(None)
+        if self._stream is not None:
+            self._stream.abort()
+
+    async def _run(self) -> None:
+        while True:
+            exchange = await self._inbox.get()
+            if exchange is None:
+                break
+            started = time.monotonic()
+            with tracing.attempt_span(exchange.call, self._upstream.name):
+                result = await self._perform(exchange, started)
+            self._idle_since = time.monotonic()
+            exchange.call.upstream_seconds += self._idle_since - started
+            if isinstance(result, attempts.NotSent) or not self.open:
+                self.abort()
+            exchange.reporter.send(
+                exchanges.AttemptEnded(exchange.attempt_id, result, self)
+            )
+        if self._stream is not None:
+            self._stream.abort()
+
+    async def _perform(
+        self, exchange: exchanges.Exchange, started: float
+    ) -> attempts.Result:
+        """Runs one exchange and says how it ended."""
+        if self._aborted:
+            return attempts.NotSent(outcomes.Reason.CALLER_GONE)
+        if not await self._connect():
+            return attempts.NotSent(outcomes.Reason.CONNECT_FAILED)
+        if self._aborted or self._stream is None:
+            return attempts.NotSent(outcomes.Reason.CALLER_GONE)
+        try:
+            await self._send_request(exchange)
+            result = await self._read_answer(exchange, started)
+        except (h11.RemoteProtocolError, h11.LocalProtocolError):
+            result = self._lost(exchange)
+        if self._http.our_state is h11.DONE:
+            with contextlib.suppress(h11.LocalProtocolError):
+                self._http.start_next_cycle()
+        return result
+
+    async def _connect(self) -> bool:
+        if self._stream is not None:
+            return not self._stream.closed
+        self._stream = await sockets.connect(
+            self._upstream.host, self._upstream.port, CONNECT_TIMEOUT_S
+        )
+        return self._stream is not None
+
+    async def _send_request(self, exchange: exchanges.Exchange) -> None:
+        call = exchange.call
+        stream = self._stream
+        assert stream is not None
+        remaining_ms = max(1, int((call.deadline - time.monotonic()) * 1000))
+        headers = [
+            *call.headers,
+            (http1.Field.DEADLINE.value, b"%d" % remaining_ms),
+            (http1.Field.RETRIES.value, b"%d" % exchange.retries),
+        ]
+        if call.traceparent is not None:
+            headers.append((http1.Field.TRACEPARENT.value, call.traceparent))
+        if call.stream is None and call.body:
+            headers.append(
+                (http1.Field.CONTENT_LENGTH.value, b"%d" % len(call.body))
+            )
+        elif call.stream is not None:
+            headers.append((http1.Field.TRANSFER_ENCODING.value, b"chunked"))
+        request = h11.Request(
+            method=call.method, target=call.target, headers=headers
+        )
+        data = self._http.send(request) or b""
+        if call.body:
+            data += self._http.send(h11.Data(data=call.body)) or b""
+        if call.stream is None:
+            data += self._http.send(h11.EndOfMessage()) or b""
+        stream.write(data)
+        if call.stream is not None:
+            await self._send_stream(call.stream, stream)
+
+    async def _send_stream(
+        self, body: calls.BodyChannel, stream: sockets.ByteStream
+    ) -> None:
+        """Passes a long body on, at the pace that the upstream takes it."""
+        while not stream.closed:
+            part = await body.get()
+            if part is None:
+                break
+            stream.write(self._http.send(h11.Data(data=part)) or b"")
+            await stream.drained()
+        body.release()
+        if body.broken or stream.closed:
+            stream.abort()
+            return
+        stream.write(self._http.send(h11.EndOfMessage()) or b"")
+
+    async def _read_answer(
+        self, exchange: exchanges.Exchange, started: float
+    ) -> attempts.Result:
+        response = await self._next_event()
+        while isinstance(response, h11.InformationalResponse):
+            response = await self._next_event()
+        if not isinstance(response, h11.Response):
+            return self._lost(exchange)
+        headers = tuple(response.headers)
+        leaving = self._is_leaving(exchange, headers)
+        if _is_shed(exchange.service.shed, response.status_code, headers):
+            return await self._read_shed(headers, leaving)
+        if exchange.hold_failures and response.status_code >= SERVER_ERROR:
+            return await self._read_held(exchange, response, started, leaving)
+        return await self._pass_on(exchange, response, started, leaving)
+
+    async def _pass_on(
+        self,
+        exchange: exchanges.Exchange,
+        response: h11.Response,
+        started: float,
+        leaving: bool,
+    ) -> attempts.Result:
+        """Gives the answer to the receiver while it arrives."""
+        answer = exchange.call.answer
+        if not answer.claim(exchange.attempt_id):
+            self.abort()
+            return attempts.Aborted()
+        kept = http1.forwarded(response.headers, frozenset())
+        answer.put(calls.AnswerHead(response.status_code, kept))
+        while True:
+            event = await self._next_event()
+            if isinstance(event, h11.Data):
+                answer.put(calls.AnswerData(bytes(event.data)))
+                await answer.drained()
+            elif isinstance(event, h11.EndOfMessage):
+                break
+            else:
+                failed = outcomes.Unknown(outcomes.Reason.CUT)
+                answer.put(calls.Failed(failed))
+                return attempts.Lost(passed=True)
+        answer.put(calls.AnswerEnd())
+        seconds = time.monotonic() - started
+        failed_status = response.status_code >= SERVER_ERROR
+        return attempts.Completed(seconds, failed_status, leaving)
+
+    async def _read_shed(
+        self, headers: calls.Headers, leaving: bool
+    ) -> attempts.Result:
+        """Reads the rest of an answer that says "not run"."""
+        await self._read_body()
+        seconds = http1.integer(headers, http1.Field.RETRY_AFTER.value) or 0
+        return attempts.ShedByUpstream(seconds * 1000, leaving)
+
+    async def _read_held(
+        self,
+        exchange: exchanges.Exchange,
+        response: h11.Response,
+        started: float,
+        leaving: bool,
+    ) -> attempts.Result:
+        """Reads a server error whole, so that a retry can replace it."""
+        body = await self._read_body()
+        if body is None:
+            return self._lost(exchange)
+        kept = http1.forwarded(response.headers, frozenset())
+        answer = outcomes.Answer(response.status_code, kept, body)
+        left = http1.integer(
+            tuple(response.headers), http1.Field.RETRIES_LEFT.value
+        )
+        seconds = time.monotonic() - started
+        return attempts.Held(answer, seconds, leaving, left)
+
+    async def _read_body(self) -> bytes | None:
+        """Returns a whole small body; None if it is cut or too long."""
+        parts = bytearray()
+        while True:
+            event = await self._next_event()
+            if isinstance(event, h11.Data):
+                parts += event.data
+            elif isinstance(event, h11.EndOfMessage):
+                return bytes(parts)
+            else:
+                return None
+            if len(parts) > HELD_BODY_BYTES:
+                self.abort()
+                return None
+
+    async def _next_event(self) -> object:
+        assert self._stream is not None
+        while True:
+            event = self._http.next_event()
+            if event is not h11.NEED_DATA:
+                return event
+            data = await self._stream.read()
+            if not data and self._aborted:
+                return h11.ConnectionClosed()
+            self._http.receive_data(data)
+
+    def _lost(self, exchange: exchanges.Exchange) -> attempts.Result:
+        if self._aborted:
+            return attempts.Aborted()
+        answer = exchange.call.answer
+        passed = answer.claimed and answer.claim(exchange.attempt_id)
+        if passed:
+            failed = outcomes.Unknown(outcomes.Reason.CUT)
+            answer.put(calls.Failed(failed))
+        return attempts.Lost(passed)
+
+    def _is_leaving(
+        self, exchange: exchanges.Exchange, headers: calls.Headers
+    ) -> bool:
+        name = exchange.service.drain_header
+        return bool(name) and http1.find(headers, name) is not None
+
+
+def _is_shed(
+    form: documents.ShedForm, status: int, headers: calls.Headers
+) -> bool:
+    if status != form.status:
+        return False
+    value = http1.find(headers, form.header)
+    return value is not None and form.value in (b"", value)
