--- a/bench/__init__.py
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks; each prints what it measured."""
--- a/demo/__init__.py
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""A demonstration on one machine."""
--- /dev/null
+++ b/src/sesamevale/operators/admin_client.py
@@ -0,0 +1,50 @@
+"""Client of the admin pages of an entry."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from typing import Any
+
+import h11
+
+from sesamevale import sockets
+
+__all__ = ["status"]
+
+TIMEOUT_S = 5.0
+
+
+async def status(host: str, port: int) -> dict[str, Any] | None:
+    """Returns the status of an entry; None if it does not answer."""
+    stream = await sockets.connect(host, port, TIMEOUT_S)
+    if stream is None:
+        return None
+    try:
+        async with asyncio.timeout(TIMEOUT_S):
+            body = await _get(stream, f"{host}:{port}", "/status")
+    except (TimeoutError, h11.ProtocolError):
+        return None
+    finally:
+        stream.abort()
+    return None if body is None else json.loads(body)
+
+
+async def _get(
+    stream: sockets.ByteStream, host: str, path: str
+) -> bytes | None:
+    http = h11.Connection(h11.CLIENT)
+    request = h11.Request(method="GET", target=path, headers=[("Host", host)])
+    data = http.send(request) or b""
+    stream.write(data + (http.send(h11.EndOfMessage()) or b""))
+    body = bytearray()
+    while True:
+        event = http.next_event()
+        if event is h11.NEED_DATA:
+            http.receive_data(await stream.read())
+        elif isinstance(event, h11.Data):
+            body += event.data
+        elif isinstance(event, h11.EndOfMessage):
+            return bytes(body)
+        elif not isinstance(event, h11.Response):
+            return None
--- /dev/null
+++ b/src/sesamevale/operators/command_line.py
@@ -0,0 +1,46 @@
+"""The command line for operators."""
+
+from __future__ import annotations
+
+import typer
+
+from sesamevale.operators.commands import check
+from sesamevale.operators.commands import diff
+from sesamevale.operators.commands import entries
+from sesamevale.operators.commands import history
+from sesamevale.operators.commands import promote
+from sesamevale.operators.commands import schema
+from sesamevale.operators.commands import status
+from sesamevale.operators.commands import submit
+from sesamevale.operators.commands import upstreams
+
+__all__ = ["main"]
+
+app = typer.Typer(
+    help="Changes and inspects a fleet of sesamevale entries.",
+    no_args_is_help=True,
+    rich_markup_mode=None,
+    pretty_exceptions_enable=False,
+)
+
+for _command in (
+    check.check,
+    schema.schema,
+    submit.submit,
+    diff.diff,
+    promote.promote,
+    history.history,
+    status.status,
+    entries.entries,
+    upstreams.upstreams,
+):
+    app.command()(_command)
+
+
+def main() -> None:
+    """Runs the command line."""
+    app()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/sesamevale/operators/commands/__init__.py
@@ -0,0 +1,3 @@
+"""Subcommands of the command line, one module each."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/sesamevale/operators/commands/common.py
@@ -0,0 +1,169 @@
+"""What several subcommands share: exit codes, output and connections."""
+
+from __future__ import annotations
+
+import asyncio
+import enum
+import json
+from collections.abc import Awaitable
+from collections.abc import Callable
+from typing import Annotated
+from typing import Any
+from typing import NoReturn
+from typing import TypeVar
+
+import typer
+
+from sesamevale import document_models
+from sesamevale import settings
+from sesamevale.operators import admin_client
+from sesamevale.operators import document_files
+from sesamevale.platform import client
+from sesamevale.platform import store
+from sesamevale.policy import differences
+from sesamevale.policy import following
+
+__all__ = [
+    "Admin",
+    "Environment",
+    "Exit",
+    "Json",
+    "Platform",
+    "changes_between",
+    "content_of",
+    "decode_parts",
+    "endpoint",
+    "fail",
+    "load_or_exit",
+    "print_json",
+    "read_document",
+    "read_status",
+    "unreachable",
+    "with_store",
+]
+
+Result = TypeVar("Result")
+
+
+class Exit(enum.IntEnum):
+    """Exit codes of the command line."""
+
+    OK = 0
+    FAULTS = 1
+    USAGE = 2
+    UNREACHABLE = 3
+    CONFLICT = 4
+    UNDECIDED = 5
+
+
+Json = Annotated[bool, typer.Option("--json", help="Print JSON.")]
+Platform = Annotated[
+    str,
+    typer.Option(
+        help="IP-ADDRESS:PORT of the key-value service.",
+        envvar="SESAMEVALE_PLATFORM",
+    ),
+]
+Admin = Annotated[
+    str,
+    typer.Option(
+        help="IP-ADDRESS:PORT for operators of one entry.",
+        envvar="SESAMEVALE_ADMIN",
+    ),
+]
+Environment = Annotated[
+    str,
+    typer.Option(help="Environment.", envvar="SESAMEVALE_ENVIRONMENT"),
+]
+
+
+def fail(code: Exit, message: str) -> NoReturn:
+    """Prints one line to standard error and exits."""
+    typer.echo(f"sesamevale: {message}", err=True)
+    raise typer.Exit(code)
+
+
+def print_json(content: Any) -> None:
+    """Prints a value as JSON."""
+    typer.echo(json.dumps(content, indent=2, sort_keys=True))
+
+
+def endpoint(flag: str, text: str) -> settings.Endpoint:
+    """Reads an address or exits with a message that names the flag."""
+    try:
+        return settings.Endpoint.parse(text)
+    except ValueError as error:
+        fail(Exit.USAGE, f"{flag}: {error} (found {text!r})")
+
+
+def load_or_exit(path: str) -> document_models.DocumentModel:
+    """Reads a document file; prints all its faults and exits if it has any."""
+    loaded = document_files.load(path)
+    if isinstance(loaded, document_models.DocumentModel):
+        return loaded
+    for fault in loaded:
+        typer.echo(str(fault), err=True)
+    raise typer.Exit(Exit.FAULTS)
+
+
+def with_store(
+    platform: str,
+    environment: str,
+    work: Callable[[store.DocumentStore], Awaitable[Result]],
+) -> Result:
+    """Runs work on the documents of an environment."""
+    address = endpoint("--platform", platform)
+
+    async def run() -> Result:
+        where = client.Address(address.host, address.port)
+        async with client.PlatformClient(where, lambda path: None) as opened:
+            return await work(store.DocumentStore(opened, environment))
+
+    return asyncio.run(run())
+
+
+def unreachable() -> NoReturn:
+    """Exits because the platform gave no usable answer."""
+    fail(Exit.UNREACHABLE, "the platform cannot be reached")
+
+
+async def read_document(
+    documents: store.DocumentStore, manifest: following.Manifest | None
+) -> dict[str, Any]:
+    """Returns the content of a document by part; empty without one."""
+    if manifest is None:
+        return {}
+    contents = await documents.parts(manifest.digests)
+    if isinstance(contents, client.Unavailable):
+        unreachable()
+    return {
+        name: json.loads(contents[digest])
+        for name, digest in manifest.parts
+        if digest in contents
+    }
+
+
+def changes_between(
+    before: dict[str, Any], after: dict[str, Any]
+) -> list[differences.Change]:
+    """Lists the changes between two documents by part."""
+    return differences.compare(before, after)
+
+
+def content_of(model: document_models.DocumentModel) -> dict[str, Any]:
+    """Returns the content of a document file by part."""
+    return decode_parts(document_models.to_parts(model))
+
+
+def read_status(admin: str) -> dict[str, Any]:
+    """Returns the status of the entry with this admin address."""
+    address = endpoint("--admin", admin)
+    status = asyncio.run(admin_client.status(address.host, address.port))
+    if status is None:
+        fail(Exit.UNREACHABLE, f"no entry answers on {admin}")
+    return status
+
+
+def decode_parts(parts: dict[str, bytes]) -> dict[str, Any]:
+    """Returns the content of stored parts."""
+    return {name: json.loads(content) for name, content in parts.items()}
--- /dev/null
+++ b/src/sesamevale/operators/commands/promote.py
@@ -0,0 +1,69 @@
+"""``sesamevale promote``: copies a document to another environment."""
+
+from __future__ import annotations
+
+from typing import Annotated
+
+import typer
+
+from sesamevale.operators.commands import common
+from sesamevale.operators.commands import submit
+from sesamevale.platform import client
+from sesamevale.platform import store
+from sesamevale.policy import following
+
+__all__ = ["promote"]
+
+Promoted = tuple[following.Manifest, dict[str, bytes]]
+
+
+def promote(
+    source: Annotated[str, typer.Argument(help="Environment to copy.")],
+    target: Annotated[str, typer.Argument(help="Environment to change.")],
+    revision: Annotated[
+        int, typer.Option(help="Revision of the source that was tried.")
+    ],
+    base: Annotated[
+        int, typer.Option(help="Revision of the target that it replaces.")
+    ],
+    platform: common.Platform,
+    author: submit.Author = "operator",
+    as_json: common.Json = False,
+) -> None:
+    """Copies an accepted revision of one environment to another.
+
+    Example: sesamevale promote trial production --revision 1796300000 --base 0
+    """
+    manifest, contents = common.with_store(
+        platform, source, lambda documents: _read(documents, revision)
+    )
+    parts = {name: contents[digest] for name, digest in manifest.parts}
+
+    async def work(documents: store.DocumentStore) -> None:
+        head = await documents.head()
+        if isinstance(head, client.Unavailable):
+            common.unreachable()
+        content = common.decode_parts(parts)
+        if head.revision != base:
+            await submit.show_conflict(documents, head, base, content, as_json)
+        outcome = await documents.submit(parts, head, author)
+        await submit.finish(documents, outcome, base, content, as_json)
+
+    common.with_store(platform, target, work)
+
+
+async def _read(documents: store.DocumentStore, revision: int) -> Promoted:
+    history = await documents.history()
+    if isinstance(history, client.Unavailable):
+        common.unreachable()
+    found = [each for each in history if each.revision == revision]
+    if not found:
+        common.fail(
+            common.Exit.FAULTS, f"revision {revision} was never accepted"
+        )
+    contents = await documents.parts(found[0].digests)
+    if isinstance(contents, client.Unavailable):
+        common.unreachable()
+    if len(contents) < len(found[0].digests):
+        common.fail(common.Exit.FAULTS, "parts of the revision are missing")
+    return found[0], contents
--- /dev/null
+++ b/src/sesamevale/operators/commands/submit.py
@@ -0,0 +1,143 @@
+"""``sesamevale submit``: submits a document file."""
+
+from __future__ import annotations
+
+import functools
+from typing import Annotated
+from typing import Any
+
+import typer
+
+from sesamevale import document_models
+from sesamevale.operators.commands import common
+from sesamevale.platform import client
+from sesamevale.platform import store
+from sesamevale.policy import differences
+
+__all__ = ["finish", "submit"]
+
+Author = Annotated[
+    str, typer.Option(help="Who submits the change.", envvar="USER")
+]
+
+
+def submit(
+    file: str,
+    base: Annotated[
+        int, typer.Option(help="Revision that the file was made from.")
+    ],
+    platform: common.Platform,
+    author: Author = "operator",
+    as_json: common.Json = False,
+) -> None:
+    """Submits a document file as a change of the revision it was made from.
+
+    The change is accepted only if that revision is still in force; otherwise
+    both sides' changes are shown and the exit code is 4.
+
+    Example: sesamevale submit examples/pritchard.toml --base 0
+    """
+    model = common.load_or_exit(file)
+
+    async def work(documents: store.DocumentStore) -> None:
+        head = await documents.head()
+        if isinstance(head, client.Unavailable):
+            common.unreachable()
+        content = common.content_of(model)
+        if head.revision != base:
+            await show_conflict(documents, head, base, content, as_json)
+        parts = document_models.to_parts(model)
+        outcome = await documents.submit(parts, head, author)
+        await finish(documents, outcome, base, content, as_json)
+
+    common.with_store(platform, model.environment, work)
+
+
+async def finish(
+    documents: store.DocumentStore,
+    outcome: store.SubmitOutcome,
+    base: int,
+    content: dict[str, Any],
+    as_json: bool,
+) -> None:
+    """Prints the outcome of a change and exits if it was not accepted."""
+    if isinstance(outcome, store.Conflict):
+        await show_conflict(documents, outcome.head, base, content, as_json)
+    _report(outcome, as_json)
+
+
+async def show_conflict(
+    documents: store.DocumentStore,
+    head: store.Head,
+    base: int,
+    content: dict[str, Any],
+    as_json: bool,
+) -> None:
+    """Shows what both sides changed since the base, and exits."""
+    base_content: dict[str, Any] = {}
+    history = await documents.history()
+    if isinstance(history, client.Unavailable):
+        common.unreachable()
+    for manifest in history:
+        if manifest.revision == base:
+            base_content = await common.read_document(documents, manifest)
+    head_content = await common.read_document(documents, head.manifest)
+    theirs = common.changes_between(base_content, head_content)
+    yours = common.changes_between(base_content, content)
+    both = differences.overlap(theirs, yours)
+    if as_json:
+        common.print_json(
+            {
+                "outcome": "conflict",
+                "base": base,
+                "in_force": head.revision,
+                "theirs": [str(change) for change in theirs],
+                "yours": [str(change) for change in yours],
+                "both": both,
+            }
+        )
+        raise typer.Exit(common.Exit.CONFLICT)
+    author = head.manifest.author if head.manifest is not None else "nobody"
+    typer.echo(f"changes since {base} by {author} (in force):", err=True)
+    _echo_changes(theirs)
+    typer.echo(f"your changes since {base} (not accepted):", err=True)
+    _echo_changes(yours)
+    if both:
+        typer.echo(f"changed on both sides: {', '.join(both)}", err=True)
+    common.fail(
+        common.Exit.CONFLICT,
+        f"revision {head.revision} is in force, not {base}",
+    )
+
+
+def _echo_changes(changes: list[differences.Change]) -> None:
+    for change in changes:
+        typer.echo(f"  {change}", err=True)
+
+
+@functools.singledispatch
+def _report(outcome: store.SubmitOutcome, as_json: bool) -> None:
+    raise TypeError(f"no rule for {type(outcome).__name__}")
+
+
+@_report.register
+def _(outcome: store.Accepted, as_json: bool) -> None:
+    revision = outcome.manifest.revision
+    if as_json:
+        common.print_json({"outcome": "accepted", "revision": revision})
+        return
+    typer.echo(f"accepted as revision {revision}")
+
+
+@_report.register
+def _(outcome: store.Unreachable, as_json: bool) -> None:
+    common.unreachable()
+
+
+@_report.register
+def _(outcome: store.Undecided, as_json: bool) -> None:
+    common.fail(
+        common.Exit.UNDECIDED,
+        f"no answer: change {outcome.change_id} may be in force as revision "
+        f"{outcome.revision}; look it up with `sesamevale history`",
+    )
--- /dev/null
+++ b/src/sesamevale/operators/commands/upstreams.py
@@ -0,0 +1,44 @@
+"""``sesamevale upstreams``: lists the upstreams as an entry sees them."""
+
+from __future__ import annotations
+
+from typing import Annotated
+from typing import Any
+
+import typer
+
+from sesamevale.operators.commands import common
+
+__all__ = ["upstreams"]
+
+
+def upstreams(
+    admin: common.Admin,
+    service: Annotated[str, typer.Option(help="Only this service.")] = "",
+    as_json: common.Json = False,
+) -> None:
+    """Lists the upstreams, their slots and their health at one entry.
+
+    Example: sesamevale upstreams --admin 127.0.0.1:7103 --service till
+    """
+    found = common.read_status(admin)["services"]
+    if service:
+        if service not in found:
+            common.fail(common.Exit.FAULTS, f"no service {service!r}")
+        found = {service: found[service]}
+    if as_json:
+        content = {name: each["upstreams"] for name, each in found.items()}
+        common.print_json(content)
+        return
+    for name, each in found.items():
+        for upstream in each["upstreams"]:
+            typer.echo(f"{name}  {_line(upstream)}")
+
+
+def _line(upstream: dict[str, Any]) -> str:
+    marks = [mark for mark in ("owned", "leaving", "ejected") if upstream[mark]]
+    return (
+        f"{upstream['name']}  {upstream['host']}:{upstream['port']}  "
+        f"{upstream['in_flight']}/{upstream['slots']} slots"
+        f"  allowed {upstream['allowed']}  {' '.join(marks)}"
+    )
--- a/tests/builders/fleet.py
+++ b/tests/builders/fleet.py
@@ -53,7 +53,7 @@
 
     def __init__(self, name: str, arguments: list[str], module: str):
         self.name = name
-        self.log = tempfile.TemporaryFile()
+        self.log = tempfile.TemporaryFile()  # noqa: SIM115
         environment = dict(os.environ, PYTHONPATH=f"{ROOT}/src:{ROOT}")
         self._process = subprocess.Popen(
             [sys.executable, "-m", module, *arguments],
