--- a/src/sesamevale/policy/dispatch.py
+++ b/src/sesamevale/policy/dispatch.py
@@ -91,6 +91,7 @@
     tried: set[str] = dataclasses.field(default_factory=set)
     hedged: bool = False
     decided: bool = False
+    may_have_run: bool = False
 
 
 class Dispatch:
@@ -470,9 +471,17 @@
         reason: outcomes.Reason,
         retry_after_ms: int = 0,
     ) -> list[effects.Effect]:
-        """Ends a call that no upstream has run."""
-        self._counts.refused += 1
-        outcome = outcomes.NotRun(reason, retry_after_ms)
+        """Ends a call that is not sent, or not sent again.
+
+        It is "not run" only if no earlier attempt may have run.
+        """
+        outcome: outcomes.NotRun | outcomes.Unknown
+        if state.may_have_run:
+            self._counts.unknown += 1
+            outcome = outcomes.Unknown(reason)
+        else:
+            self._counts.refused += 1
+            outcome = outcomes.NotRun(reason, retry_after_ms)
         done = self._drop(state)
         return [effects.Conclude(state.facts.call_id, outcome), *done]
 
@@ -504,6 +513,8 @@
         retry: bool,
     ) -> list[effects.Effect]:
         """Handles an attempt that may have run."""
+        if state is not None:
+            state.may_have_run = True
         if state is None or state.attempts:
             return []
         facts = state.facts
@@ -582,6 +593,8 @@
         dispatch._pool.failed(attempt.upstream, now)
         if result.leaving:
             dispatch._pool.leaving(attempt.upstream, now)
+    if state is not None:
+        state.may_have_run = True
     if state is None or state.attempts:
         return []
     dispatch._account_nested_retries(state, result.retries_left)
--- /dev/null
+++ b/tests/builders/machines.py
@@ -0,0 +1,25 @@
+"""Settings of the state machines.
+
+A failing case is printed as it was found. Set ``SHRINK=1`` in the environment
+to have it made smaller first, which can take minutes.
+"""
+
+from __future__ import annotations
+
+import os
+
+import hypothesis
+
+
+def machine_settings(examples: int, steps: int) -> hypothesis.settings:
+    phases = [hypothesis.Phase.explicit, hypothesis.Phase.generate]
+    if os.environ.get("SHRINK"):
+        phases.append(hypothesis.Phase.shrink)
+    return hypothesis.settings(
+        max_examples=examples,
+        stateful_step_count=steps,
+        deadline=None,
+        database=None,
+        phases=phases,
+        suppress_health_check=list(hypothesis.HealthCheck),
+    )
--- /dev/null
+++ b/tests/policy/test_following_machine.py
@@ -0,0 +1,91 @@
+"""Stateful fuzzing of the document follower: nothing ever goes back."""
+
+from __future__ import annotations
+
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from sesamevale.policy import following
+from tests.builders import facts
+from tests.builders import machines
+
+SOURCES = (following.Source.PLATFORM, following.Source.PEER)
+
+
+class FollowerMachine(stateful.RuleBasedStateMachine):
+    """Manifests and parts arrive late, twice, out of order or never."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.follower = following.DocumentFollower("test")
+        self.accepted: list[following.Manifest] = []
+        self.applied: list[int] = []
+        self.restored: list[int] = []
+        self.highest_heard = 0
+
+    def take(self, wanted: list[following.FollowerEffect]) -> None:
+        for effect in wanted:
+            if isinstance(effect, following.Apply):
+                parts = {name: value.decode() for name, value in effect.parts}
+                assert parts == dict(effect.manifest.parts)
+                self.applied.append(effect.manifest.revision)
+            elif isinstance(effect, following.RestorePlatform):
+                assert effect.manifest.revision == self.follower.revision
+                assert effect.seen_revision < self.follower.revision
+                digests = {digest for digest, _ in effect.parts}
+                assert digests == effect.manifest.digests
+                self.restored.append(effect.seen_revision)
+
+    @stateful.rule(
+        step=st.integers(1, 3), shared=st.integers(0, 2), own=st.integers(0, 2)
+    )
+    def accept(self, step, shared, own) -> None:
+        base = self.accepted[-1].revision if self.accepted else 0
+        parts = {"settings": f"s{shared}", "service/a": f"a{own}"}
+        self.accepted.append(facts.manifest(base + step, parts, base))
+
+    @stateful.precondition(lambda self: self.accepted)
+    @stateful.rule(
+        pick=st.integers(0, 1000), source=st.sampled_from(SOURCES)
+    )
+    def manifest_arrives(self, pick, source) -> None:
+        manifest = self.accepted[pick % len(self.accepted)]
+        self.highest_heard = max(self.highest_heard, manifest.revision)
+        self.take(self.follower.manifest_seen(manifest, source))
+
+    @stateful.precondition(lambda self: self.accepted)
+    @stateful.rule(
+        pick=st.integers(0, 1000), source=st.sampled_from(SOURCES)
+    )
+    def parts_arrive(self, pick, source) -> None:
+        manifest = self.accepted[pick % len(self.accepted)]
+        contents = {digest: digest.encode() for digest in manifest.digests}
+        self.take(self.follower.parts_received(contents, source))
+
+    @stateful.invariant()
+    def never_goes_back(self) -> None:
+        assert self.applied == sorted(set(self.applied))
+        in_force = self.applied[-1] if self.applied else 0
+        assert self.follower.revision == in_force
+
+    def teardown(self) -> None:
+        """Once the newest has arrived whole, it is in force."""
+        if not self.accepted:
+            return
+        newest = self.accepted[-1]
+        source = following.Source.PLATFORM
+        self.take(self.follower.manifest_seen(newest, source))
+        contents = {digest: digest.encode() for digest in newest.digests}
+        self.take(self.follower.parts_received(contents, source))
+        assert self.follower.revision == newest.revision
+
+
+TestFollower = FollowerMachine.TestCase
+TestFollower.settings = machines.machine_settings(200, 30)
+
+
+def test_other_environment_is_refused():
+    follower = following.DocumentFollower("production")
+    manifest = facts.manifest(5)
+    assert not follower.manifest_seen(manifest, following.Source.PLATFORM)
+    assert follower.revision == 0
--- /dev/null
+++ b/tests/policy/test_register_machine.py
@@ -0,0 +1,186 @@
+"""Stateful fuzzing of at most once over several entries.
+
+The entries are the pure parts only: a register for each incarnation and
+``identity.locate``. Relays between entries are messages that arrive late,
+never, or after a bar. The oracle counts the runs of each action.
+"""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from sesamevale import outcomes
+from sesamevale.policy import identity
+from sesamevale.policy import register
+from tests.builders import machines
+
+WINDOW_S = 100
+ENTRIES = ("e1", "e2", "e3")
+
+
+@dataclasses.dataclass(slots=True)
+class Entry:
+    """One incarnation of an entry."""
+
+    incarnation: int
+    actions: register.Register
+    running: list[identity.Identity] = dataclasses.field(default_factory=list)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RelayedCall:
+    """A call on its way to the issuer of its identity."""
+
+    target: str
+    incarnation: int
+    action: identity.Identity
+
+
+class AtMostOnceMachine(stateful.RuleBasedStateMachine):
+    """Calls, repeats, relays, bars, kills and restarts at random."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now_s = 1000.0
+        self.incarnations = collections.Counter()
+        self.entries: dict[str, Entry] = {}
+        for name in ENTRIES:
+            self.start(name)
+        self.actions: list[identity.Identity] = []
+        self.relays: list[RelayedCall] = []
+        self.runs = collections.Counter()
+        self.told_not_run: set[str] = set()
+        self.answers: dict[str, object] = {}
+
+    def start(self, name: str) -> None:
+        self.incarnations[name] += 1
+        actions = register.Register(WINDOW_S, 1000, 1 << 20)
+        self.entries[name] = Entry(self.incarnations[name], actions)
+
+    def live(self) -> dict[str, int]:
+        return {
+            name: entry.incarnation for name, entry in self.entries.items()
+        }
+
+    @stateful.rule(name=st.sampled_from(ENTRIES))
+    def new_action(self, name) -> None:
+        if name not in self.entries:
+            return
+        entry = self.entries[name]
+        expires = int(self.now_s) + WINDOW_S
+        ticket = identity.Ticket(name, entry.incarnation, expires, "0" * 16)
+        number = len(self.actions)
+        self.actions.append(identity.Identity(ticket, f"a{number}"))
+
+    @stateful.precondition(lambda self: self.actions and self.entries)
+    @stateful.rule(pick=st.integers(0, 10_000), at=st.integers(0, 10))
+    def call(self, pick, at) -> None:
+        action = self.actions[pick % len(self.actions)]
+        name = sorted(self.entries)[at % len(self.entries)]
+        entry = self.entries[name]
+        verdict = identity.locate(
+            action, name, entry.incarnation, self.live()
+        )
+        if verdict.here:
+            self.decide(entry, action)
+        elif verdict.peer is not None:
+            incarnation = action.ticket.incarnation
+            relay = RelayedCall(verdict.peer, incarnation, action)
+            self.relays.append(relay)
+
+    def decide(self, entry: Entry, action: identity.Identity) -> None:
+        decision = entry.actions.submit(action, "print", self.now_s)
+        if isinstance(decision, register.Run):
+            entry.running.append(action)
+        elif isinstance(decision, register.Replay):
+            self.tell(action, decision.outcome)
+        elif isinstance(decision, register.Refuse):
+            self.tell(action, decision.outcome)
+
+    def tell(self, action, outcome) -> None:
+        key = str(action)
+        if isinstance(outcome, outcomes.NotRun):
+            assert self.runs[key] == 0, "told not run after a run"
+            self.told_not_run.add(key)
+        if isinstance(outcome, outcomes.Answered):
+            first = self.answers.setdefault(key, outcome)
+            assert first == outcome, "another answer for a repeat"
+
+    @stateful.precondition(lambda self: self.relays)
+    @stateful.rule(pick=st.integers(0, 10_000), lost=st.booleans())
+    def relay_arrives(self, pick, lost) -> None:
+        relay = self.relays.pop(pick % len(self.relays))
+        entry = self.entries.get(relay.target)
+        if lost or entry is None:
+            return
+        if entry.incarnation == relay.incarnation:
+            self.decide(entry, relay.action)
+
+    @stateful.precondition(lambda self: self.actions)
+    @stateful.rule(pick=st.integers(0, 10_000))
+    def bar(self, pick) -> None:
+        """A relay got no answer in time: its sender asks for a bar."""
+        action = self.actions[pick % len(self.actions)]
+        entry = self.entries.get(action.ticket.entry_id)
+        if entry is None or entry.incarnation != action.ticket.incarnation:
+            return
+        result = entry.actions.bar(action, self.now_s)
+        if isinstance(result, register.Barred):
+            self.tell(action, outcomes.NotRun(outcomes.Reason.BARRED))
+        elif isinstance(result, register.Replay):
+            self.tell(action, result.outcome)
+
+    @stateful.rule(
+        name=st.sampled_from(ENTRIES),
+        kind=st.sampled_from(["answer", "answer", "refuse", "unknown"]),
+    )
+    def upstream_ends(self, name, kind) -> None:
+        entry = self.entries.get(name)
+        if entry is None or not entry.running:
+            return
+        action = entry.running.pop(0)
+        key = str(action)
+        outcome: outcomes.Outcome
+        if kind == "refuse":
+            outcome = outcomes.NotRun(outcomes.Reason.OVERLOADED)
+        else:
+            self.run(key)
+            outcome = outcomes.Unknown(outcomes.Reason.CUT)
+            if kind == "answer":
+                body = str(self.runs[key]).encode()
+                outcome = outcomes.Answered(outcomes.Answer(200, (), body))
+        entry.actions.settle(key, outcome)
+        self.tell(action, outcome)
+
+    def run(self, key: str) -> None:
+        self.runs[key] += 1
+        assert self.runs[key] <= 1, "two runs"
+        assert key not in self.told_not_run, "a run after not run"
+
+    @stateful.rule(name=st.sampled_from(ENTRIES), ran=st.booleans())
+    def kill(self, name, ran) -> None:
+        entry = self.entries.pop(name, None)
+        if entry is None:
+            return
+        for action in entry.running:
+            if ran:
+                self.run(str(action))
+
+    @stateful.rule(name=st.sampled_from(ENTRIES))
+    def restart(self, name) -> None:
+        if name not in self.entries:
+            self.start(name)
+
+    @stateful.rule(step=st.floats(0.1, 150.0))
+    def pass_time(self, step) -> None:
+        self.now_s += step
+        for entry in self.entries.values():
+            entry.actions.expire(self.now_s)
+
+
+TestAtMostOnce = AtMostOnceMachine.TestCase
+TestAtMostOnce.settings = machines.machine_settings(200, 40)
