--- /dev/null
+++ b/demo/callers.py
@@ -0,0 +1,231 @@
+"""Callers that follow the entry directory, as the users' programs would."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import dataclasses
+import json
+import random
+import time
+import uuid
+
+from tests.builders import fleet
+from tests.standins import http_client
+
+__all__ = ["Directory", "Result", "Tally", "call", "run_action"]
+
+RETRY_PAUSE_S = 0.05
+DIRECTORY_PATH = "/.well-known/sesamevale/directory"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Result:
+    """How one call ended for its caller.
+
+    Attributes:
+        outcome: ``answered``, ``not-run`` or ``unknown``.
+        seconds: Time from the call to its end.
+        tries: Requests that the caller sent.
+        reason: Reason given by the entry, if any.
+        crossed: Whether the answer belongs to another request.
+        cut: Whether a connection broke after a request was sent on it.
+    """
+
+    outcome: str
+    seconds: float
+    tries: int
+    reason: str = ""
+    crossed: bool = False
+    cut: bool = False
+
+
+class Directory:
+    """The directory of one service as one caller keeps it.
+
+    Args:
+        ports: Caller ports of the entries that the caller knows at first.
+        service: Service that it calls.
+        rng: Source of randomness.
+    """
+
+    def __init__(
+        self, ports: list[int], service: str, rng: random.Random
+    ) -> None:
+        self._first = list(ports)
+        self._service = service
+        self._rng = rng
+        self._entries: list[tuple[int, int]] = []
+        self._until = 0.0
+        self._avoid: dict[int, float] = {}
+        self._ticket = ""
+        self._clients: dict[int, list[http_client.Client]] = {}
+
+    async def port(self) -> int:
+        """Returns the entry to use for the next call."""
+        if time.monotonic() >= self._until:
+            await self._refresh()
+        now = time.monotonic()
+        allowed = [
+            entry
+            for entry in self._entries
+            if self._avoid.get(entry[0], 0.0) < now
+        ] or self._entries
+        best = max((weight for _, weight in allowed), default=1)
+        ports = [port for port, weight in allowed if weight == best]
+        return self._rng.choice(ports or self._first)
+
+    async def ticket(self) -> str:
+        """Returns a ticket for an action."""
+        if time.monotonic() >= self._until or not self._ticket:
+            await self._refresh()
+        return self._ticket
+
+    def failed(self, port: int) -> None:
+        """Avoids an entry for a moment and asks for the directory anew."""
+        self._avoid[port] = time.monotonic() + 1.0
+        self._until = 0.0
+
+    async def request(
+        self, port: int, method: str, path: str, headers: dict, body: bytes
+    ) -> tuple[http_client.Answer | None, bool]:
+        """Sends one request; also tells whether the connection was refused."""
+        idle = self._clients.setdefault(port, [])
+        client = idle.pop() if idle else http_client.Client(fleet.HOST, port)
+        answer = await client.call(method, path, headers, body)
+        if answer is None:
+            client.close()
+        else:
+            idle.append(client)
+        return answer, client.refused
+
+    def close(self) -> None:
+        """Closes all connections."""
+        for clients in self._clients.values():
+            for client in clients:
+                client.close()
+
+    async def _refresh(self) -> None:
+        known = [port for port, _ in self._entries] or self._first
+        order = list(dict.fromkeys([*known, *self._first]))
+        self._rng.shuffle(order)
+        for port in order:
+            path = f"{DIRECTORY_PATH}?service={self._service}"
+            answer, _ = await self.request(port, "GET", path, {}, b"")
+            if answer is None or answer.status != 200:
+                continue
+            content = json.loads(answer.body)
+            self._entries = [
+                (entry["port"], entry["weight"]) for entry in content["entries"]
+            ]
+            self._ticket = content["ticket"]
+            lifetime_s = content["lifetime_ms"] / 1000
+            self._until = time.monotonic() + lifetime_s
+            return
+
+
+async def call(
+    directory: Directory,
+    path: str,
+    headers: dict[str, str] | None = None,
+    deadline_s: float = 3.0,
+) -> Result:
+    """Makes one repeatable call; tries another entry if one is gone."""
+    started = time.monotonic()
+    request = uuid.uuid4().hex
+    tries = 0
+    cut = False
+    while time.monotonic() - started < deadline_s:
+        tries += 1
+        port = await directory.port()
+        fields = {"x-request": request} | (headers or {})
+        answer, refused = await directory.request(
+            port, "GET", path, fields, b""
+        )
+        seconds = time.monotonic() - started
+        if answer is None:
+            cut |= not refused
+            directory.failed(port)
+            continue
+        result = _result(answer, seconds, tries, request)
+        return dataclasses.replace(result, cut=cut)
+    seconds = time.monotonic() - started
+    return Result("unknown", seconds, tries, "no_entry", cut=cut)
+
+
+async def run_action(
+    directory: Directory,
+    path: str,
+    tally: Tally,
+    deadline_s: float = 6.0,
+) -> Result:
+    """Runs one action at most once; repeats it until its outcome is known.
+
+    A caller that has not sent the action before may take a new identity if
+    the entry that issued the first one is gone.
+    """
+    started = time.monotonic()
+    identity = ""
+    tries = 0
+    while time.monotonic() - started < deadline_s:
+        if not identity:
+            identity = f"{await directory.ticket()}~{uuid.uuid4().hex}"
+            tally.actions.append(identity)
+            may_have_arrived = False
+        tries += 1
+        port = await directory.port()
+        answer, refused = await _send_action(directory, port, path, identity)
+        if answer is None:
+            may_have_arrived |= not refused
+            directory.failed(port)
+            await asyncio.sleep(RETRY_PAUSE_S)
+            continue
+        seconds = time.monotonic() - started
+        result = _result(answer, seconds, tries, identity)
+        if result.reason == "issuer_gone" and not may_have_arrived:
+            identity = ""
+            directory.failed(port)
+            continue
+        if result.outcome == "not-run":
+            tally.not_run.add(identity)
+        return dataclasses.replace(result, cut=may_have_arrived)
+    return Result("unknown", time.monotonic() - started, tries, "no_entry")
+
+
+async def _send_action(
+    directory: Directory, port: int, path: str, identity: str
+) -> tuple[http_client.Answer | None, bool]:
+    headers = {
+        "idempotency-key": identity,
+        "x-action": identity,
+        "x-request": identity,
+    }
+    return await directory.request(port, "POST", path, headers, b"{}")
+
+
+def _result(
+    answer: http_client.Answer, seconds: float, tries: int, request: str
+) -> Result:
+    outcome = answer.headers.get("sesamevale-outcome", "")
+    if outcome:
+        reason = json.loads(answer.body)["reason"]
+        return Result(outcome, seconds, tries, reason)
+    if answer.status >= 400:
+        return Result("answered", seconds, tries, str(answer.status))
+    crossed = json.loads(answer.body)["request"] != request
+    return Result("answered", seconds, tries, "", crossed)
+
+
+@dataclasses.dataclass(slots=True)
+class Tally:
+    """Results of many calls by service."""
+
+    results: dict[str, list[Result]] = dataclasses.field(
+        default_factory=lambda: collections.defaultdict(list)
+    )
+    actions: list[str] = dataclasses.field(default_factory=list)
+    not_run: set[str] = dataclasses.field(default_factory=set)
+
+    def add(self, service: str, result: Result) -> None:
+        """Adds one result."""
+        self.results[service].append(result)
--- /dev/null
+++ b/demo/run.py
@@ -0,0 +1,183 @@
+"""Runs a small fleet, calls it for some seconds and kills one entry midway."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import collections
+import random
+import time
+
+from bench import measuring
+from demo import callers
+from sesamevale import document_models
+from tests.builders import fleet
+
+DOCUMENT = "examples/pritchard.toml"
+ACTIONS = {"till": "/till/charges/1", "bookdesk": "/bookdesk/bookings/1"}
+CALLS_PER_SECOND = 60.0
+ACTION_SHARE = 0.3
+ENTRIES = {"entry-1": "rhondda", "entry-2": "cynon", "entry-3": "taff"}
+
+
+def with_free_ports(
+    model: document_models.DocumentModel,
+) -> document_models.DocumentModel:
+    """Returns the document with ports that are free on this machine."""
+    content = model.model_dump(mode="json")
+    for service in content["services"].values():
+        ports = fleet.free_ports(len(service["upstreams"]))
+        for upstream, port in zip(service["upstreams"], ports, strict=True):
+            upstream["port"] = port
+    return document_models.DocumentModel.model_validate(content)
+
+
+async def start(running: fleet.Fleet) -> document_models.DocumentModel:
+    """Starts stand-ins and entries, and submits the document."""
+    model = with_free_ports(fleet.load_document(DOCUMENT))
+    await running.start_platform()
+    for service in model.services.values():
+        ports = [upstream.port for upstream in service.upstreams]
+        slots = service.upstreams[0].slots
+        await running.start_upstreams(ports, slots, mean_ms=10.0)
+    await running.submit(model, "demo")
+    for entry_id, data_center in ENTRIES.items():
+        running.start_entry(entry_id, model.environment, data_center)
+    await running.wait_ready()
+    return model
+
+
+async def one_call(
+    directory: callers.Directory,
+    service: str,
+    is_action: bool,
+    tally: callers.Tally,
+) -> None:
+    """Makes one call of a service and adds its result."""
+    if is_action:
+        path = ACTIONS[service]
+        result = await callers.run_action(directory, path, tally)
+        tally.add(f"{service} (action)", result)
+        return
+    path = f"/{service}/list/1"
+    tally.add(service, await callers.call(directory, path))
+
+
+async def load(
+    running: fleet.Fleet,
+    model: document_models.DocumentModel,
+    seconds: float,
+    tally: callers.Tally,
+) -> None:
+    """Calls every service at a steady rate."""
+    rng = random.Random(1)
+    ports = [entry.caller_port for entry in running.entries.values()]
+    directories = {
+        service: [callers.Directory(ports, service, rng) for _ in range(8)]
+        for service in model.services
+    }
+    tasks = []
+    until = time.monotonic() + seconds
+    while time.monotonic() < until:
+        for service, known in directories.items():
+            is_action = service in ACTIONS and rng.random() < ACTION_SHARE
+            work = one_call(rng.choice(known), service, is_action, tally)
+            tasks.append(asyncio.ensure_future(work))
+        await asyncio.sleep(rng.expovariate(CALLS_PER_SECOND))
+    await asyncio.gather(*tasks)
+    for known in directories.values():
+        for directory in known:
+            directory.close()
+
+
+async def count_runs(
+    model: document_models.DocumentModel,
+) -> collections.Counter[str]:
+    """Counts the runs of every action at all upstreams."""
+    runs: collections.Counter[str] = collections.Counter()
+    for service in model.services.values():
+        for upstream in service.upstreams:
+            runs.update(await fleet.stats(upstream.port, "/_runs"))
+    return runs
+
+
+def print_table(tally: callers.Tally) -> None:
+    """Prints calls, outcomes and times by service."""
+    rows = []
+    for service, results in sorted(tally.results.items()):
+        seconds = [result.seconds * 1000 for result in results]
+        outcomes = collections.Counter(result.outcome for result in results)
+        rows.append(
+            [
+                service,
+                len(results),
+                outcomes["answered"],
+                outcomes["not-run"],
+                outcomes["unknown"],
+                measuring.percentile(seconds, 0.5),
+                measuring.percentile(seconds, 0.99),
+                measuring.percentile(seconds, 0.999),
+            ]
+        )
+    header = (
+        "service",
+        "calls",
+        "answered",
+        "not run",
+        "unknown",
+        "p50 ms",
+        "p99 ms",
+        "p99.9 ms",
+    )
+    print(measuring.table(header, rows))
+
+
+async def print_added(running: fleet.Fleet) -> None:
+    """Prints the time that the entries themselves added."""
+    for entry in running.entries.values():
+        if not entry.running:
+            continue
+        text = await fleet.page(entry.admin_port, "/metrics")
+        for line in text.splitlines():
+            wanted = 'quantile="0.99"' in line
+            if line.startswith("sesamevale_added_seconds{") and wanted:
+                name, _, value = line.partition(" ")
+                service = name.split('service="')[1].split('"')[0]
+                milliseconds = float(value) * 1000
+                print(
+                    f"{entry.entry_id}: {service}: "
+                    f"added p99 {milliseconds:.2f} ms"
+                )
+
+
+async def main(seconds: float) -> int:
+    """Runs the demonstration; returns its exit code."""
+    tally = callers.Tally()
+    async with fleet.Fleet() as running:
+        print(f"starting {len(ENTRIES)} entries for {DOCUMENT}")
+        model = await start(running)
+        calling = asyncio.ensure_future(load(running, model, seconds, tally))
+        await asyncio.sleep(seconds / 2)
+        print("killing entry-2")
+        running.entries["entry-2"].kill()
+        await calling
+        runs = await count_runs(model)
+        print_table(tally)
+        await print_added(running)
+    crossed = sum(
+        result.crossed
+        for results in tally.results.values()
+        for result in results
+    )
+    doubled = sum(count > 1 for count in runs.values())
+    refused = sum(identity in runs for identity in tally.not_run)
+    print(f"crossed answers: {crossed}")
+    print(f"actions: {len(tally.actions)}, run twice: {doubled}")
+    print(f"run although refused as not run: {refused}")
+    return 1 if crossed or doubled or refused else 0
+
+
+if __name__ == "__main__":
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--seconds", type=float, default=6.0)
+    raise SystemExit(asyncio.run(main(parser.parse_args().seconds)))
--- a/src/sesamevale/platform/client.py
+++ b/src/sesamevale/platform/client.py
@@ -175,7 +175,7 @@
     async def revoke_lease(self, lease_id: int) -> None:
         """Gives a lease back."""
         await self._ask(
-            "/v3/lease/revoke", {"ID": str(lease_id)}, pydantic.BaseModel
+            "/v3/lease/revoke", {"ID": str(lease_id)}, models.RevokeReply
         )
 
     async def _ask_range(
--- a/src/sesamevale/platform/models.py
+++ b/src/sesamevale/platform/models.py
@@ -13,6 +13,7 @@
     "KeyValue",
     "LeaseReply",
     "RangeReply",
+    "RevokeReply",
     "TxnReply",
     "WatchReply",
     "encode",
@@ -84,6 +85,12 @@
     TTL: int = 0
 
 
+class RevokeReply(_Model):
+    """Reply to giving a lease back."""
+
+    header: Header = Header()
+
+
 class _KeepAliveResult(_Model):
     ID: int = 0
     TTL: int = 0
--- a/src/sesamevale/platform/store.py
+++ b/src/sesamevale/platform/store.py
@@ -167,10 +167,20 @@
             put = client.Put(
                 keys.part(self._environment, digest), contents[digest]
             )
-            if await self._platform.write([], [put]) is not True:
+            if not await self._put_again_until_answered(put):
                 return False
         return True
 
+    async def _put_again_until_answered(self, put: client.Put) -> bool:
+        """Writes a part; a lost answer is met by writing it once more."""
+        for _ in range(COMMIT_TRIES):
+            written = await self._platform.write([], [put])
+            if not isinstance(written, client.Unavailable):
+                return written
+            if not written.sent:
+                return False
+        return False
+
     async def commit(
         self, manifest: following.Manifest, base: Head
     ) -> SubmitOutcome:
--- a/tests/builders/fleet.py
+++ b/tests/builders/fleet.py
@@ -54,7 +54,7 @@
     def __init__(self, name: str, arguments: list[str], module: str):
         self.name = name
         self.log = tempfile.TemporaryFile()  # noqa: SIM115
-        environment = dict(os.environ, PYTHONPATH=f"{ROOT}/src:{ROOT}:/tmp")
+        environment = dict(os.environ, PYTHONPATH=f"{ROOT}/src:{ROOT}")
         self._process = subprocess.Popen(
             [sys.executable, "-m", module, *arguments],
             stdout=self.log,
@@ -264,6 +264,14 @@
         return json.loads(answer.body)
 
 
+async def page(port: int, path: str) -> str:
+    """Reads one page of an admin server."""
+    async with http_client.Client(HOST, port, 5.0) as admin:
+        answer = await admin.call("GET", path)
+        assert answer is not None
+        return answer.body.decode()
+
+
 async def ticket(client_: http_client.Client, service: str = "") -> str:
     """Gets a ticket from an entry's directory."""
     path = f"/.well-known/sesamevale/directory?service={service}"
--- /dev/null
+++ b/tests/features/steps/load_steps.py
@@ -0,0 +1,128 @@
+"""Steps that keep calls going while something happens."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import random
+import signal
+
+from behave import given
+from behave import step
+from behave import then
+from behave import when
+
+from demo import callers
+from tests.builders import fleet
+from tests.features.steps import call_steps
+
+DRAIN_WAIT_S = 30.0
+
+
+@given("an action with a ticket of a homeless entry")
+def action_of_homeless(context):
+    async def find() -> str:
+        home = await home_of(context, "till")
+        return next(name for name in context.fleet.entries if name != home)
+
+    context.issuer = context.run(find())
+    context.identity = context.run(
+        call_steps.new_identity(context, context.issuer)
+    )
+
+
+async def home_of(context, service: str) -> str:
+    entry = next(each for each in context.fleet.entries.values())
+    status = await entry.status()
+    assert status is not None
+    return status["services"][service]["homes"][0]
+
+
+@step("the action is sent through the issuer")
+def sent_through_issuer(context):
+    call_steps.action_sent(context, context.issuer)
+
+
+@step("the action is sent through the issuer in the background")
+def sent_through_issuer_in_background(context):
+    call_steps.action_sent_in_background(context, context.issuer)
+
+
+@when("the home of {service:S} is killed")
+def kill_home(context, service):
+    home = context.run(home_of(context, service))
+    context.fleet.entries[home].kill()
+
+
+@when("callers of till give up after a while")
+def callers_give_up(context):
+    async def give_up(name: str) -> None:
+        client = context.fleet.client(name, timeout_s=0.05)
+        await client.call("GET", "/till/late")
+        client.close()
+
+    async def run() -> None:
+        names = list(context.fleet.entries)
+        works = [give_up(names[n % len(names)]) for n in range(20)]
+        await asyncio.gather(*works)
+
+    context.run(run())
+
+
+@when("all entries are replaced one by one while calls go on")
+def replace_all(context):
+    context.tally = callers.Tally()
+    context.run(replace_under_load(context))
+
+
+async def replace_under_load(context) -> None:
+    stop = asyncio.Event()
+    ports = [entry.caller_port for entry in context.fleet.entries.values()]
+    loads = [
+        asyncio.ensure_future(keep_calling(context, ports, seed, stop))
+        for seed in range(4)
+    ]
+    for name in list(context.fleet.entries):
+        old = context.fleet.entries[name]
+        old.signal(signal.SIGTERM)
+        await fleet.wait_until(lambda e=old: stopped(e), DRAIN_WAIT_S)
+        assert old.exit_code == 0, old.output()
+        ports_of_old = [old.caller_port, old.peer_port, old.admin_port]
+        context.fleet.start_entry(name, "test", ports=ports_of_old)
+        await context.fleet.wait_ready()
+    stop.set()
+    await asyncio.gather(*loads)
+
+
+async def stopped(entry: fleet.EntryProcess) -> bool:
+    return not entry.running
+
+
+async def keep_calling(context, ports, seed: int, stop: asyncio.Event):
+    """Calls by the directory; counts connections cut during a call."""
+    directory = callers.Directory(ports, "till", random.Random(seed))
+    while not stop.is_set():
+        result = await callers.call(directory, "/till/x")
+        context.tally.add("till", result)
+        action = await callers.run_action(
+            directory, "/till/charge", context.tally
+        )
+        context.tally.add("till (action)", action)
+    directory.close()
+
+
+@then("no call was cut and no action ran twice")
+def nothing_cut(context):
+    runs = context.run(call_steps.count_runs(context))
+    doubled = [key for key, count in runs.items() if count > 1]
+    assert not doubled, doubled
+    refused = [key for key in context.tally.not_run if runs[key]]
+    assert not refused, refused
+    assert len(context.tally.results["till"]) > 50
+    for service, results in context.tally.results.items():
+        ends = collections.Counter(
+            (result.outcome, result.reason) for result in results
+        )
+        assert set(ends) == {("answered", "")}, (service, ends)
+        assert not any(result.crossed for result in results)
+        assert not any(result.cut for result in results)
--- a/tests/policy/test_dispatch_machine.py
+++ b/tests/policy/test_dispatch_machine.py
@@ -166,17 +166,13 @@
             timer = min(due, key=lambda each: each.at)
             self.timers.remove(timer)
             self.now = max(self.now, timer.at)
-            self.apply(
-                self.dispatch.wake(timer.kind, timer.call_id, self.now)
-            )
+            self.apply(self.dispatch.wake(timer.kind, timer.call_id, self.now))
         self.now = until
 
     @stateful.invariant()
     def slots_hold(self) -> None:
         for name, state in self.dispatch.pool.states.items():
-            used = sum(
-                each.upstream == name for each in self.running.values()
-            )
+            used = sum(each.upstream == name for each in self.running.values())
             assert used <= SLOTS
             assert used == state.in_flight
 
--- a/tests/policy/test_following_machine.py
+++ b/tests/policy/test_following_machine.py
@@ -45,18 +45,14 @@
         self.accepted.append(facts.manifest(base + step, parts, base))
 
     @stateful.precondition(lambda self: self.accepted)
-    @stateful.rule(
-        pick=st.integers(0, 1000), source=st.sampled_from(SOURCES)
-    )
+    @stateful.rule(pick=st.integers(0, 1000), source=st.sampled_from(SOURCES))
     def manifest_arrives(self, pick, source) -> None:
         manifest = self.accepted[pick % len(self.accepted)]
         self.highest_heard = max(self.highest_heard, manifest.revision)
         self.take(self.follower.manifest_seen(manifest, source))
 
     @stateful.precondition(lambda self: self.accepted)
-    @stateful.rule(
-        pick=st.integers(0, 1000), source=st.sampled_from(SOURCES)
-    )
+    @stateful.rule(pick=st.integers(0, 1000), source=st.sampled_from(SOURCES))
     def parts_arrive(self, pick, source) -> None:
         manifest = self.accepted[pick % len(self.accepted)]
         contents = {digest: digest.encode() for digest in manifest.digests}
--- a/tests/policy/test_leases_machine.py
+++ b/tests/policy/test_leases_machine.py
@@ -61,9 +61,7 @@
     @stateful.precondition(lambda self: self.answers)
     @stateful.rule(pick=st.integers(0, 100))
     def answer_arrives(self, pick) -> None:
-        kind, request_id, lease_id = self.answers.pop(
-            pick % len(self.answers)
-        )
+        kind, request_id, lease_id = self.answers.pop(pick % len(self.answers))
         if kind == "granted":
             self.holder.granted(request_id, lease_id)
         elif kind == "renewed":
--- a/tests/policy/test_register_machine.py
+++ b/tests/policy/test_register_machine.py
@@ -62,9 +62,7 @@
         self.entries[name] = Entry(self.incarnations[name], actions)
 
     def live(self) -> dict[str, int]:
-        return {
-            name: entry.incarnation for name, entry in self.entries.items()
-        }
+        return {name: entry.incarnation for name, entry in self.entries.items()}
 
     @stateful.rule(name=st.sampled_from(ENTRIES))
     def new_action(self, name) -> None:
@@ -82,9 +80,7 @@
         action = self.actions[pick % len(self.actions)]
         name = sorted(self.entries)[at % len(self.entries)]
         entry = self.entries[name]
-        verdict = identity.locate(
-            action, name, entry.incarnation, self.live()
-        )
+        verdict = identity.locate(action, name, entry.incarnation, self.live())
         if verdict.here:
             self.decide(entry, action)
         elif verdict.peer is not None:
@@ -96,9 +92,7 @@
         decision = entry.actions.submit(action, "print", self.now_s)
         if isinstance(decision, register.Run):
             entry.running.append(action)
-        elif isinstance(decision, register.Replay):
-            self.tell(action, decision.outcome)
-        elif isinstance(decision, register.Refuse):
+        elif isinstance(decision, register.Replay | register.Refuse):
             self.tell(action, decision.outcome)
 
     def tell(self, action, outcome) -> None:
--- a/tests/standins/http_server.py
+++ b/tests/standins/http_server.py
@@ -57,7 +57,7 @@
             if reply is None:
                 stream.abort()
                 return
-            if not await _send(stream, http, reply):
+            if not await _send(stream, http, reply, request.method == "HEAD"):
                 return
             if http.our_state is not h11.DONE:
                 return
@@ -109,7 +109,10 @@
 
 
 async def _send(
-    stream: sockets.ByteStream, http: h11.Connection, reply: Reply
+    stream: sockets.ByteStream,
+    http: h11.Connection,
+    reply: Reply,
+    is_head: bool,
 ) -> bool:
     headers = dict(reply.headers)
     if reply.stream is None:
@@ -123,7 +126,8 @@
         stream.abort()
         return False
     if reply.stream is None:
-        data += http.send(h11.Data(data=reply.body))
+        if http.their_state is not h11.ERROR and not is_head:
+            data += http.send(h11.Data(data=reply.body))
         stream.write(data + http.send(h11.EndOfMessage()))
         return True
     stream.write(data)
