Announce the end of a drain, so that nothing is sent to an entry that ends

Cause: in a rolling replacement under load one action of 736 came back as "unknown" (peer_lost): its issuer ended while the relay was on its way. Ruled out: the drain itself (no call in flight was cut) and the register (no action ran twice). Change: after draining, an entry announces itself as dead to all members and serves for 0.3 s what was already sent; a relay that was not sent says issuer_gone.

--- a/src/sesamevale/entries/gossip.py
+++ b/src/sesamevale/entries/gossip.py
@@ -21,6 +21,7 @@
 
 __all__ = [
     "Announce",
+    "Depart",
     "Gossip",
     "Join",
     "Leave",
@@ -50,6 +51,11 @@
     """This entry is draining."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Depart:
+    """This entry has drained and is about to end."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Seed:
     """An address where another entry may be."""
@@ -75,7 +81,9 @@
     """Time to advance the protocol."""
 
 
-Message = Announce | Join | Leave | Seed | Unreachable | _Received | _Tick
+Message = (
+    Announce | Join | Leave | Depart | Seed | Unreachable | _Received | _Tick
+)
 
 
 class _Socket(asyncio.DatagramProtocol):
@@ -192,6 +200,11 @@
     return task._view.leave()
 
 
+@_receive.register
+def _(message: Depart, task: Gossip) -> list[membership.Send]:
+    return task._view.depart()
+
+
 @_receive.register
 def _(message: Seed, task: Gossip) -> list[membership.Send]:
     task._view.seed(message.host, message.port)
--- a/src/sesamevale/entries/issuer_relay.py
+++ b/src/sesamevale/entries/issuer_relay.py
@@ -98,6 +98,10 @@
         unknown = outcomes.Unknown(result.reason)
         call.answer.put(calls.Failed(unknown))
         return
+    if isinstance(result, attempts.NotSent):
+        gone = outcomes.Unknown(outcomes.Reason.ISSUER_GONE)
+        call.answer.put(calls.Failed(gone))
+        return
     if call.answer.claimed:
         lost = outcomes.Unknown(outcomes.Reason.PEER_LOST)
         call.answer.put(calls.Failed(lost))
--- a/src/sesamevale/entry.py
+++ b/src/sesamevale/entry.py
@@ -49,6 +49,7 @@
 
 ANNOUNCE_INTERVAL_S = 0.2
 DRAIN_STEP_S = 0.05
+DEPART_LINGER_S = 0.3
 INCARNATION_RANDOM_BITS = 10
 MEBIBYTE = 1024 * 1024
 
@@ -111,16 +112,25 @@
         """Leaves the directory, finishes what is in flight, then returns.
 
         New calls are still served until the directory answers that callers
-        have kept run out; each answer asks the caller to close.
+        have kept run out; each answer asks the caller to close. At the end
+        the other entries are told that this one answers nothing any more,
+        and what they had already sent is still served.
         """
+        limit = time.monotonic() + self._settings.drain_seconds
+        await self._finish_callers(limit)
+        self._gossip.send(gossip.Depart())
+        await asyncio.sleep(DEPART_LINGER_S)
+        while self._front.active and time.monotonic() < limit:
+            await asyncio.sleep(DRAIN_STEP_S)
+
+    async def _finish_callers(self, limit: float) -> None:
+        """Serves callers until none is left or the time has run out."""
         self._gossip.send(gossip.Leave())
         environment = self._front.view.environment
         lifetime_s = 0.0
         if environment is not None:
             lifetime_s = environment.directory_lifetime_ms / 1000
-        start = time.monotonic()
-        limit = start + self._settings.drain_seconds
-        quiet_from = min(limit, start + lifetime_s)
+        quiet_from = min(limit, time.monotonic() + lifetime_s)
         while time.monotonic() < quiet_from:
             await asyncio.sleep(DRAIN_STEP_S)
         self._callers.stop_accepting()
--- a/src/sesamevale/policy/membership.py
+++ b/src/sesamevale/policy/membership.py
@@ -269,6 +269,16 @@
         self._renew_own(Status.LEAVING)
         return self._notify_some()
 
+    def depart(self) -> list[Send]:
+        """Announces to all that this entry answers nothing any more."""
+        self._renew_own(Status.DEAD)
+        return [
+            self._ping(member, self._next_sequence())
+            for member in self._members.values()
+            if member.entry_id != self._own.entry_id
+            and member.status is not Status.DEAD
+        ]
+
     def unreachable(self, entry_id: str, now: float) -> list[Send]:
         """Takes direct evidence that an entry does not accept connections."""
         member = self._members.get(entry_id)
