--- /dev/null
+++ b/bench/baseline_entry.py
@@ -0,0 +1,65 @@
+"""An entry whose routing is replaced by a baseline, for comparison only.
+
+The environment variable ``BASELINE`` names it: ``random``, ``two-choices`` or
+``own-count`` (least in flight by the entry's own count, with the ejection of
+slow and failing upstreams). A baseline sends each call at once; calls beyond
+an upstream's slots wait there.
+"""
+
+from __future__ import annotations
+
+import os
+import random
+
+from sesamevale import daemon
+from sesamevale import outcomes
+from sesamevale.dispatching import coordinator
+from sesamevale.policy import dispatch
+from sesamevale.policy import effects
+from sesamevale.policy import homes
+
+KIND = os.environ.get("BASELINE", "own-count")
+
+
+class BaselineDispatch(dispatch.Dispatch):
+    """Chooses an upstream at arrival; has no homes and no queue."""
+
+    def __init__(self, *arguments: object, **options: object) -> None:
+        super().__init__(*arguments, **options)  # type: ignore[arg-type]
+        self._random = random.Random()
+
+    def set_homes(
+        self, home_map: homes.HomeMap | None, now: float
+    ) -> list[effects.Effect]:
+        """Treats every upstream as this entry's own."""
+        self._mine = frozenset(self._pool.states)
+        return []
+
+    def _place(
+        self, state: dispatch._CallState, now: float
+    ) -> list[effects.Effect]:
+        names = [name for name in sorted(self._mine) if self._usable(name, now)]
+        untried = [name for name in names if name not in state.tried] or names
+        if not untried:
+            return self._refuse(state, outcomes.Reason.NO_UPSTREAM)
+        return self._bind(state, self._pick(untried), now)
+
+    def _usable(self, name: str, now: float) -> bool:
+        if KIND != "own-count":
+            return True
+        return self._pool.states[name].allowed(now) > 0
+
+    def _pick(self, names: list[str]) -> str:
+        if KIND == "random":
+            return self._random.choice(names)
+        if KIND == "two-choices":
+            names = self._random.sample(names, min(2, len(names)))
+        else:
+            self._random.shuffle(names)
+        return min(names, key=lambda name: self._pool.states[name].in_flight)
+
+
+coordinator.dispatch.Dispatch = BaselineDispatch  # type: ignore[misc]
+
+if __name__ == "__main__":
+    daemon.main()
--- /dev/null
+++ b/bench/routing.py
@@ -0,0 +1,326 @@
+"""Routing with homes against baselines, with real entries at a user's size.
+
+Each condition runs for every way with the same arrivals; the ideal central
+queue is computed for those arrivals.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import dataclasses
+import json
+import os
+import time
+
+from bench import ideal
+from bench import measuring
+from tests.builders import documents
+from tests.builders import fleet
+
+WAYS = ("homes", "homes-2", "own-count", "two-choices", "random")
+DEADLINE_MS = 8000
+LOSE_FIRST_SECONDS = 1.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class User:
+    """Size of one user: upstreams by service."""
+
+    upstreams: dict[str, int]
+    slots: int
+    mean_ms: float
+    entries: int = 6
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Condition:
+    """What happens during a measurement."""
+
+    load: float
+    slow_upstream: float = 1.0
+    failing: bool = False
+    draining: bool = False
+    kill: bool = False
+    step: bool = False
+    skewed: bool = False
+    hedge: bool = False
+    own_work: bool = False
+
+
+USERS = {
+    "pritchard": User({"roundsheet": 10, "till": 6, "bookdesk": 12}, 4, 80.0),
+    "ulicni-tok": User(
+        {"locker-map": 11, "charge-control": 6, "ledger": 13}, 2, 40.0
+    ),
+}
+
+CONDITIONS = {
+    "50": Condition(0.5),
+    "80": Condition(0.8),
+    "95": Condition(0.95),
+    "drawn-50": Condition(0.5, own_work=True),
+    "hedge-50": Condition(0.5, hedge=True, own_work=True),
+    "straggler-72": Condition(0.72, slow_upstream=10.0),
+    "failing-50": Condition(0.5, failing=True),
+    "draining-50": Condition(0.5, draining=True),
+    "kill-50": Condition(0.5, kill=True),
+    "step-80": Condition(0.8, step=True),
+    "skewed-80": Condition(0.8, skewed=True),
+}
+
+
+class Measurement:
+    """One way under one condition.
+
+    Args:
+        user: Size.
+        way: Routing of the entries.
+        condition: What happens.
+        seconds: How long the load lasts.
+    """
+
+    def __init__(
+        self, user: User, way: str, condition: Condition, seconds: float
+    ) -> None:
+        self._user = user
+        self._way = way
+        self._condition = condition
+        self._seconds = seconds
+        self._homes = {"homes": 1, "homes-2": 2}.get(way, 0)
+        self._busiest = 0.0
+        self._ports: dict[str, list[int]] = {}
+        self._calls: dict[str, list[list]] = {}
+
+    async def run(self) -> list[list[object]]:
+        """Runs the load; returns one table row for each service."""
+        async with fleet.Fleet() as running:
+            await self._start(running)
+            before = await self._counters(running)
+            cpu_before = _cpu_by_entry(running)
+            started = time.monotonic()
+            workers = [
+                asyncio.create_task(self._work(running, service))
+                for service in self._user.upstreams
+            ]
+            await self._disturb(running)
+            await asyncio.gather(*workers)
+            took = time.monotonic() - started
+            cpu_after = _cpu_by_entry(running)
+            after = await self._counters(running)
+        self._busiest = max(
+            (cpu_after[name] - cpu_before[name]) / took for name in cpu_after
+        )
+        return self._rows(before, after)
+
+    async def _start(self, running: fleet.Fleet) -> None:
+        user = self._user
+        await running.start_platform()
+        for service, count in user.upstreams.items():
+            ports = fleet.free_ports(count)
+            self._ports[service] = ports
+            await running.start_upstreams(ports, user.slots, user.mean_ms)
+        everything = [port for each in self._ports.values() for port in each]
+        for port in everything:
+            await fleet.control(port, shed_over=self._homes > 0)
+        await running.submit(self._document())
+        module = "sesamevale.daemon"
+        if not self._homes:
+            module = "bench.baseline_entry"
+            os.environ["BASELINE"] = self._way
+        for number in range(user.entries):
+            data_center = documents.DATA_CENTERS[number % 3]
+            running.start_entry(
+                f"e{number}", "test", data_center, module=module
+            )
+        await running.wait_ready(30.0)
+
+    def _document(self):
+        rule = {"deadline_ms": DEADLINE_MS, "hedge": self._condition.hedge}
+        services = {
+            service: documents.service(
+                service,
+                ports,
+                self._user.slots,
+                [documents.read_rule(service, **rule)],
+                hedge_share=0.05 if self._condition.hedge else 0.0,
+                queue_limit=2000,
+                homes=max(1, self._homes),
+            )
+            for service, ports in self._ports.items()
+        }
+        return documents.document(services, directory_lifetime_ms=5000)
+
+    def _rate(self, service: str) -> float:
+        slots = self._user.upstreams[service] * self._user.slots
+        return self._condition.load * slots / (self._user.mean_ms / 1000)
+
+    async def _work(self, running: fleet.Fleet, service: str) -> None:
+        """Runs the load of one service in a process of its own."""
+        ports = [str(each.caller_port) for each in running.entries.values()]
+        process = fleet.Process(
+            f"load-{service}",
+            [
+                f"--entries={','.join(ports)}",
+                f"--service={service}",
+                f"--rate={self._rate(service)}",
+                f"--seconds={self._seconds}",
+                f"--mean-ms={self._user.mean_ms}",
+                f"--steered={int(self._homes > 0)}",
+                f"--step={int(self._condition.step)}",
+                f"--skewed={int(self._condition.skewed)}",
+                f"--send-work={int(not self._condition.own_work)}",
+            ],
+            "bench.load_worker",
+        )
+        running.processes.append(process)
+        while process.running:
+            await asyncio.sleep(0.1)
+        self._calls[service] = json.loads(process.output())
+
+    async def _disturb(self, running: fleet.Fleet) -> None:
+        condition = self._condition
+        first = [ports[0] for ports in self._ports.values()]
+        if condition.slow_upstream > 1.0:
+            for port in first:
+                await fleet.control(port, slow=condition.slow_upstream)
+        if condition.failing:
+            for port in first:
+                await fleet.control(port, mode="fail")
+        await asyncio.sleep(self._seconds / 2)
+        if condition.draining:
+            for port in first:
+                await fleet.control(port, mode="drain")
+        if condition.kill:
+            running.entries["e0"].kill()
+
+    async def _counters(self, running: fleet.Fleet) -> dict[str, float]:
+        found: dict[str, float] = {"over_slots": 0}
+        for entry in running.entries.values():
+            status = await entry.status() if entry.running else None
+            if status is None:
+                continue
+            counters = status["counters"]
+            for name in ("gossip_datagrams_sent", "gossip_bytes_sent"):
+                found[name] = found.get(name, 0) + counters.get(name, 0)
+            for service in status["services"].values():
+                for name in ("relayed", "hedged", "submitted"):
+                    value = service["counts"][name]
+                    found[name] = found.get(name, 0) + value
+        for ports in self._ports.values():
+            for port in ports:
+                stats = await fleet.stats(port)
+                found["over_slots"] += stats["over_slots"]
+        return found
+
+    def _rows(
+        self, before: dict[str, float], after: dict[str, float]
+    ) -> list[list[object]]:
+        grown = {name: after[name] - before.get(name, 0) for name in after}
+        total = sum(len(calls) for calls in self._calls.values())
+        rows = []
+        for service, calls in self._calls.items():
+            rows.append(
+                [*self._row(service, calls), *self._costs(grown, total)]
+            )
+        return rows
+
+    def _row(self, service: str, calls: list[list]) -> list[object]:
+        from_s = LOSE_FIRST_SECONDS
+        if self._condition.step:
+            from_s = self._seconds / 2
+        kept = [call for call in calls if call[0] >= from_s]
+        answered = [call[2] * 1000 for call in kept if call[3] == "answered"]
+        slots = self._user.upstreams[service] * self._user.slots
+        slow = self._user.slots if self._condition.slow_upstream > 1.0 else 0
+        best = ideal.central_queue(
+            [(call[0], call[1]) for call in calls],
+            slots,
+            slow,
+            self._condition.slow_upstream,
+        )
+        ordered = sorted(calls)
+        ideal_ms = [
+            seconds * 1000
+            for call, seconds in zip(ordered, best, strict=True)
+            if call[0] >= from_s
+        ]
+        p99 = measuring.percentile(answered, 0.99)
+        ideal99 = measuring.percentile(ideal_ms, 0.99)
+        return [
+            service,
+            len(kept),
+            measuring.percentile(answered, 0.5),
+            p99,
+            measuring.percentile(answered, 0.999),
+            ideal99,
+            p99 / ideal99,
+            sum(call[3] == "not-run" for call in kept),
+            sum(call[3] == "unknown" for call in kept),
+        ]
+
+    def _costs(self, grown: dict[str, float], total: int) -> list[object]:
+        return [
+            grown["relayed"] / total,
+            grown["hedged"] / total,
+            grown["gossip_datagrams_sent"] / total,
+            grown["gossip_bytes_sent"] / total,
+            int(grown["over_slots"]),
+            self._busiest,
+        ]
+
+
+def _cpu_by_entry(running: fleet.Fleet) -> dict[str, float]:
+    return {
+        name: measuring.cpu_seconds(entry.pid)
+        for name, entry in running.entries.items()
+        if entry.running
+    }
+
+
+HEADER = (
+    "condition",
+    "way",
+    "service",
+    "calls",
+    "p50",
+    "p99",
+    "p99.9",
+    "ideal p99",
+    "ratio",
+    "not run",
+    "unknown",
+    "relays/call",
+    "hedges/call",
+    "msgs/call",
+    "bytes/call",
+    "over slots",
+    "busiest cpu",
+)
+
+
+async def main(arguments: argparse.Namespace) -> None:
+    """Runs the chosen conditions and prints one table."""
+    user = USERS[arguments.user]
+    print(f"user {arguments.user}: {user}; times in ms", flush=True)
+    rows = []
+    for name in arguments.conditions.split(","):
+        for way in arguments.ways.split(","):
+            started = time.monotonic()
+            measurement = Measurement(
+                user, way, CONDITIONS[name], arguments.seconds
+            )
+            for row in await measurement.run():
+                rows.append([name, way, *row])
+            took = time.monotonic() - started
+            print(f"{name} {way}: {took:.0f} s", flush=True)
+    print(measuring.table(HEADER, rows))
+
+
+if __name__ == "__main__":
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--user", choices=sorted(USERS), default="ulicni-tok")
+    parser.add_argument("--ways", default=",".join(WAYS))
+    parser.add_argument("--conditions", default=",".join(CONDITIONS))
+    parser.add_argument("--seconds", type=float, default=10.0)
+    asyncio.run(main(parser.parse_args()))
--- a/src/sesamevale/dispatching/coordinator.py
+++ b/src/sesamevale/dispatching/coordinator.py
@@ -135,7 +135,7 @@
             home_maps=home_maps,
             usable=usable,
             live=live,
-            draining=own.status is membership.Status.LEAVING,
+            draining=own.status >= membership.Status.LEAVING,
             revision=old.revision + 1,
         )
         self._front.set_view(view)
