Make the caller server before a document can come in force

Cause: an entry that read its document from a file ended at start with an AttributeError: the document was applied before the caller server existed. With a platform the same race was open but the platform's answer came later.

--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 export PYTHONPATH := $(CURDIR)/src:$(CURDIR)
 export PYTHONHASHSEED := 0
 
-.PHONY: setup demo test format lint types unit features bench bench-routing bench-control wire clean
+.PHONY: setup demo test format lint types unit features bench bench-routing bench-control bench-recovery wire clean
 
 setup: $(STAMP)
 
@@ -50,6 +50,9 @@
 bench-control: setup
 	$(BIN)/python -m bench.control
 
+bench-recovery: setup
+	$(BIN)/python -m bench.recovery
+
 wire: src/sesamevale/entries/wire.thrift
 	thrift -gen py:slots -out src/sesamevale/entries $<
 
--- /dev/null
+++ b/bench/control.py
@@ -0,0 +1,194 @@
+"""What an entry spends on control, by entries, upstreams and services.
+
+No calls are made. Each row is one fleet; figures are means over its entries.
+Memory is what an entry has above a process with the same imports and no tasks.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import dataclasses
+import subprocess
+import sys
+import time
+
+from bench import measuring
+from sesamevale import document_models
+from tests.builders import documents
+from tests.builders import fleet
+
+SETTLE_S = 4.0
+COUNTERS = (
+    "gossip_bytes_sent",
+    "gossip_bytes_received",
+    "platform_bytes",
+    "platform_calls",
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Size:
+    """Size of one fleet and the rate of changes during the measurement."""
+
+    entries: int
+    services: int
+    upstreams: int
+    changes_per_second: float = 0.0
+    homes: int = 1
+
+
+SIZES = (
+    Size(3, 3, 28),
+    Size(6, 3, 28),
+    Size(12, 3, 28),
+    Size(24, 3, 28),
+    Size(6, 3, 280),
+    Size(6, 3, 1100),
+    Size(6, 30, 1100),
+    Size(6, 62, 1100),
+    Size(6, 62, 1100, homes=2),
+    Size(6, 62, 1100, changes_per_second=1.0),
+)
+
+
+def build(size: Size, version: int) -> document_models.DocumentModel:
+    """Returns a document of a size; versions differ in one service."""
+    services = {}
+    per_service = size.upstreams // size.services
+    for number in range(size.services):
+        name = f"service-{number:02d}"
+        first = 10_000 + number * per_service
+        services[name] = documents.service(
+            name,
+            list(range(first, first + per_service)),
+            4,
+            probes_per_second=0.0,
+            homes=size.homes,
+        )
+    name = f"service-{version % size.services:02d}"
+    services[name]["queue_limit"] = 500 + version
+    return documents.document(services)
+
+
+def document_bytes(model: document_models.DocumentModel) -> int:
+    """Returns the size of all parts of a document."""
+    return sum(len(part) for part in document_models.to_parts(model).values())
+
+
+def bare_process_mebibytes() -> float:
+    """Returns the memory of a process with the same imports and no tasks."""
+    script = "import sesamevale.daemon, time; print('x', flush=True); "
+    process = subprocess.Popen(
+        [sys.executable, "-c", script + "time.sleep(30)"],
+        stdout=subprocess.PIPE,
+        cwd=fleet.ROOT,
+    )
+    assert process.stdout is not None
+    process.stdout.readline()
+    found = measuring.rss_mebibytes(process.pid)
+    process.kill()
+    process.wait()
+    return found
+
+
+class Measurement:
+    """One fleet.
+
+    Args:
+        size: Its size.
+        seconds: How long it is observed.
+    """
+
+    def __init__(self, size: Size, seconds: float) -> None:
+        self._size = size
+        self._seconds = seconds
+        self._version = 0
+
+    async def run(self, bare_mebibytes: float) -> list[object]:
+        """Observes the fleet; returns one table row."""
+        size = self._size
+        async with fleet.Fleet() as running:
+            await running.start_platform()
+            model = build(size, 0)
+            await running.submit(model)
+            for number in range(size.entries):
+                running.start_entry(f"entry-{number:02d}", "test")
+            await running.wait_ready(60.0)
+            await asyncio.sleep(SETTLE_S)
+            before = await self._read(running)
+            started = time.monotonic()
+            await self._change_until(running, started + self._seconds)
+            after = await self._read(running)
+            took = time.monotonic() - started
+            memory = [
+                measuring.rss_mebibytes(entry.pid) - bare_mebibytes
+                for entry in running.entries.values()
+            ]
+        grown = {key: (after[key] - before[key]) / took for key in after}
+        share = {key: value / size.entries for key, value in grown.items()}
+        return [
+            size.entries,
+            size.services,
+            size.upstreams,
+            size.homes,
+            document_bytes(model),
+            size.changes_per_second,
+            share["cpu"] * 100,
+            sum(memory) / len(memory),
+            share["gossip_bytes_sent"] + share["gossip_bytes_received"],
+            share["platform_bytes"],
+            share["platform_calls"],
+        ]
+
+    async def _change_until(self, running: fleet.Fleet, until: float) -> None:
+        rate = self._size.changes_per_second
+        while time.monotonic() < until:
+            if rate <= 0.0:
+                await asyncio.sleep(until - time.monotonic())
+                return
+            self._version += 1
+            await running.submit(build(self._size, self._version))
+            await asyncio.sleep(1.0 / rate)
+
+    async def _read(self, running: fleet.Fleet) -> dict[str, float]:
+        found = dict.fromkeys((*COUNTERS, "cpu"), 0.0)
+        for entry in running.entries.values():
+            status = await entry.status()
+            assert status is not None
+            for name in COUNTERS:
+                found[name] += status["counters"].get(name, 0)
+            found["cpu"] += measuring.cpu_seconds(entry.pid)
+        return found
+
+
+HEADER = (
+    "entries",
+    "services",
+    "upstreams",
+    "homes",
+    "document B",
+    "changes/s",
+    "cpu %",
+    "MiB above bare",
+    "gossip B/s",
+    "platform B/s",
+    "platform calls/s",
+)
+
+
+async def main(seconds: float) -> None:
+    """Measures all sizes and prints one table."""
+    bare = bare_process_mebibytes()
+    print(f"bare process: {bare:.1f} MiB", flush=True)
+    rows = []
+    for size in SIZES:
+        rows.append(await Measurement(size, seconds).run(bare))
+        print(f"measured {size}", flush=True)
+    print(measuring.table(HEADER, rows))
+
+
+if __name__ == "__main__":
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--seconds", type=float, default=10.0)
+    asyncio.run(main(parser.parse_args().seconds))
--- a/bench/load_worker.py
+++ b/bench/load_worker.py
@@ -37,6 +37,7 @@
             for seed in range(arguments.callers)
         ]
         self._mu = math.log(arguments.mean_ms) - SIGMA**2 / 2
+        self._tally = callers.Tally()
         self.calls: list[list[object]] = []
 
     async def run(self) -> None:
@@ -66,7 +67,9 @@
         if self._arguments.send_work:
             headers["x-work-ms"] = f"{work_ms:.3f}"
         started = time.monotonic()
-        if self._arguments.skewed:
+        if self._arguments.actions:
+            result = await callers.run_action(directory, path, self._tally)
+        elif self._arguments.skewed:
             result = await self._call_skewed(directory, path, headers)
         else:
             result = await callers.call(directory, path, headers, 10.0)
@@ -99,6 +102,7 @@
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--callers", type=int, default=16)
     parser.add_argument("--steered", type=int, default=1)
+    parser.add_argument("--actions", type=int, default=0)
     parser.add_argument("--send-work", type=int, default=1)
     parser.add_argument("--step", type=int, default=0)
     parser.add_argument("--skewed", type=int, default=0)
--- /dev/null
+++ b/bench/recovery.py
@@ -0,0 +1,217 @@
+"""How fast changes and failures are taken in by a fleet of real entries."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import collections
+import itertools
+import json
+import random
+import time
+
+from bench import measuring
+from demo import callers
+from sesamevale.platform import store
+from tests.builders import documents
+from tests.builders import fleet
+
+ENTRIES = 6
+KILL_EVERY = 40
+CUT_EVERY = 25
+POLL_S = 0.01
+TIMEOUT_S = 30.0
+DIRECTORY = "/.well-known/sesamevale/directory?service=till"
+
+
+async def start(running: fleet.Fleet) -> dict[str, list[int]]:
+    """Starts a fleet with two services."""
+    ports = {name: fleet.free_ports(6) for name in ("till", "roundsheet")}
+    await running.start_platform()
+    everything = [port for each in ports.values() for port in each]
+    await running.start_upstreams(everything, 4, 10.0)
+    await running.submit(build(ports, 1))
+    for number in range(ENTRIES):
+        running.start_entry(f"e{number}", "test")
+    await running.wait_ready()
+    return ports
+
+
+def build(ports: dict[str, list[int]], version: int):
+    """Returns a document; versions differ in one part."""
+    services = {
+        name: documents.service(name, each) for name, each in ports.items()
+    }
+    services["till"]["queue_limit"] = 500 + version
+    return documents.document(services, directory_lifetime_ms=1000)
+
+
+async def until_in_force(running: fleet.Fleet, revision: int) -> float:
+    """Returns the seconds until all running entries have a revision."""
+    started = time.monotonic()
+
+    async def one(entry: fleet.EntryProcess) -> None:
+        while entry.running and time.monotonic() - started < TIMEOUT_S:
+            status = await entry.status()
+            if status is not None and status["revision"] >= revision:
+                return
+            await asyncio.sleep(POLL_S)
+
+    await asyncio.gather(*(one(each) for each in running.entries.values()))
+    return time.monotonic() - started
+
+
+async def measure_changes(
+    running: fleet.Fleet, ports: dict[str, list[int]], count: int
+) -> None:
+    """Accepts many changes while entries are killed and watches are cut."""
+    rng = random.Random(1)
+    calm: list[float] = []
+    disturbed: list[float] = []
+    for version in range(2, count + 2):
+        disturbing = version % KILL_EVERY == 0 or version % CUT_EVERY == 0
+        if version % CUT_EVERY == 0:
+            await running.control_platform(cut_watches=True)
+        if version % KILL_EVERY == 0:
+            victim = rng.choice(sorted(running.entries))
+            await replace(running, victim)
+        outcome = await running.submit(build(ports, version))
+        assert isinstance(outcome, store.Accepted), outcome
+        took = await until_in_force(running, outcome.manifest.revision)
+        (disturbed if disturbing else calm).append(took)
+    everything = calm + disturbed
+    rows = [
+        [name, len(times), *(measuring.percentile(times, p) for p in SHARES)]
+        for name, times in (
+            ("calm", calm),
+            ("kill or cut watch", disturbed),
+            ("all", everything),
+        )
+    ]
+    print("seconds from acceptance until in force on all live entries")
+    print(measuring.table(("changes", "count", "p50", "p99", "max"), rows))
+
+
+SHARES = (0.5, 0.99, 1.0)
+
+
+async def replace(running: fleet.Fleet, name: str) -> None:
+    """Kills an entry and starts it again at the same address."""
+    old = running.entries[name]
+    old.kill()
+    ports = [old.caller_port, old.peer_port, old.admin_port]
+    running.start_entry(name, "test", ports=ports)
+
+
+async def measure_outage(
+    running: fleet.Fleet, ports: dict[str, list[int]]
+) -> None:
+    """Accepts a change right after an outage of the platform."""
+    await running.control_platform(down=True)
+    await asyncio.sleep(8.0)
+    await running.control_platform(down=False)
+    outcome = await running.submit(build(ports, 9999))
+    assert isinstance(outcome, store.Accepted), outcome
+    took = await until_in_force(running, outcome.manifest.revision)
+    print(f"change accepted right after an outage: {took:.2f} s")
+
+
+async def measure_kill(running: fleet.Fleet, kills: int) -> None:
+    """Kills the home of a service under load, several times."""
+    rows = []
+    for number in range(kills):
+        await running.wait_ready()
+        status = await running.entries["e0"].status()
+        assert status is not None
+        home = status["services"]["till"]["homes"][0]
+        rows.append([number, *(await kill_under_load(running, home))])
+        await replace(running, home)
+    print("the home of a service is killed at 200 calls a second")
+    print(measuring.table(KILL_HEADER, rows))
+
+
+KILL_HEADER = (
+    "kill",
+    "directory s",
+    "calls",
+    "answered",
+    "not run",
+    "unknown",
+    "slowest answer s",
+    "longest gap s",
+)
+
+
+async def kill_under_load(running: fleet.Fleet, home: str) -> list[object]:
+    """Returns what callers saw and when the directories dropped the home."""
+    ports = [entry.caller_port for entry in running.entries.values()]
+    directories = [
+        callers.Directory(ports, "till", random.Random(seed))
+        for seed in range(16)
+    ]
+    ends: list[float] = []
+    results: list[callers.Result] = []
+
+    async def one(directory: callers.Directory) -> None:
+        results.append(await callers.call(directory, "/till/x"))
+        ends.append(time.monotonic())
+
+    tasks = []
+    gone_after = None
+    for index in range(800):
+        if index == 300:
+            running.entries[home].kill()
+            gone_after = asyncio.ensure_future(until_unlisted(running, home))
+        tasks.append(asyncio.ensure_future(one(random.choice(directories))))
+        await asyncio.sleep(0.005)
+    await asyncio.gather(*tasks)
+    assert gone_after is not None
+    outcomes = collections.Counter(result.outcome for result in results)
+    ends.sort()
+    gaps = [later - earlier for earlier, later in itertools.pairwise(ends)]
+    for directory in directories:
+        directory.close()
+    return [
+        await gone_after,
+        len(results),
+        outcomes["answered"],
+        outcomes["not-run"],
+        outcomes["unknown"],
+        max(result.seconds for result in results),
+        max(gaps),
+    ]
+
+
+async def until_unlisted(running: fleet.Fleet, name: str) -> float:
+    """Returns the seconds until no directory lists an entry."""
+    started = time.monotonic()
+
+    async def one(entry: fleet.EntryProcess) -> None:
+        while entry.running and time.monotonic() - started < TIMEOUT_S:
+            async with running.client(entry.entry_id, 2.0) as client:
+                answer = await client.call("GET", DIRECTORY)
+            if answer is not None:
+                listed = json.loads(answer.body)["entries"]
+                if name not in {each["entry"] for each in listed}:
+                    return
+            await asyncio.sleep(POLL_S)
+
+    await asyncio.gather(*(one(each) for each in running.entries.values()))
+    return time.monotonic() - started
+
+
+async def main(changes: int, kills: int) -> None:
+    """Runs all measurements."""
+    async with fleet.Fleet() as running:
+        ports = await start(running)
+        await measure_changes(running, ports, changes)
+        await measure_outage(running, ports)
+        await measure_kill(running, kills)
+
+
+if __name__ == "__main__":
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--changes", type=int, default=200)
+    parser.add_argument("--kills", type=int, default=4)
+    arguments = parser.parse_args()
+    asyncio.run(main(arguments.changes, arguments.kills))
--- /dev/null
+++ b/examples/__init__.py
@@ -0,0 +1,1 @@
+"""Documents of the users and a program that embeds the parts."""
--- /dev/null
+++ b/examples/partitions.py
@@ -0,0 +1,64 @@
+"""Workers that share partitions, built from sesamevale's parts.
+
+This program is not a load balancer. Each worker gossips with the others and
+owns the partitions for which it has the highest rendezvous score among the
+workers that are alive. Start several, each with the port of another one:
+
+    python examples/partitions.py --name a --port 7401 --seed 7402
+    python examples/partitions.py --name b --port 7402 --seed 7401
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import random
+import time
+
+from sesamevale import api
+
+HOST = "127.0.0.1"
+PARTITIONS = tuple(f"partition-{number}" for number in range(12))
+
+
+def owned(view: api.Membership) -> list[str]:
+    """Returns the partitions that this worker owns."""
+    alive = [member.entry_id for member in view.usable]
+    own = view.own.entry_id
+    return [
+        partition
+        for partition in PARTITIONS
+        if max(alive, key=lambda name: api.score(partition, name)) == own
+    ]
+
+
+async def work(name: str, port: int, seed: int, seconds: float) -> None:
+    """Takes part for some seconds and prints each change of ownership."""
+    incarnation = time.time_ns() // 1_000_000
+    own = api.Member(
+        name, incarnation, 0, api.Status.ALIVE, "here", HOST, 0, port
+    )
+    view = api.Membership(own, "partitions", api.Timing(), random.Random())
+    view.seed(HOST, seed)
+
+    def report() -> None:
+        print(name, *owned(view), flush=True)
+
+    book = api.Book()
+    async with api.Gossip(view, HOST, port, report, lambda: None, book):
+        await asyncio.sleep(seconds)
+
+
+def main() -> None:
+    """Runs one worker."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--name", required=True)
+    parser.add_argument("--port", type=int, required=True)
+    parser.add_argument("--seed", type=int, required=True)
+    parser.add_argument("--seconds", type=float, default=10.0)
+    given = parser.parse_args()
+    asyncio.run(work(given.name, given.port, given.seed, given.seconds))
+
+
+if __name__ == "__main__":
+    main()
--- a/src/sesamevale/entry.py
+++ b/src/sesamevale/entry.py
@@ -161,6 +161,14 @@
         self._register = await self._stack.enter_async_context(task)
         view = fronts.View(self._own, None, {}, (), {})
         self._front = fronts.Front(view, self._register, self._relay_to_issuer)
+        self._callers = caller_server.CallerServer(
+            settings.callers.host,
+            settings.callers.port,
+            self._front,
+            self._register,
+            self._book,
+            document_models.default_limits(),
+        )
         self._book.add_source(
             lambda: status.gauges(self._front, self._register)
         )
@@ -274,7 +282,6 @@
 
     async def _open_servers(self) -> None:
         settings = self._settings
-        limits = document_models.default_limits()
         await self._stack.enter_async_context(
             relay_server.RelayServer(
                 settings.peers_listen.host,
@@ -285,16 +292,7 @@
                 self._book,
             )
         )
-        self._callers = await self._stack.enter_async_context(
-            caller_server.CallerServer(
-                settings.callers.host,
-                settings.callers.port,
-                self._front,
-                self._register,
-                self._book,
-                limits,
-            )
-        )
+        await self._stack.enter_async_context(self._callers)
         await self._stack.enter_async_context(
             prober.Prober(self._front, self._book)
         )
@@ -392,9 +390,11 @@
     def _unreachable(self, entry_id: str) -> None:
         self._gossip.send(gossip.Unreachable(entry_id))
 
-    def _count_platform_call(self, path: str) -> None:
-        self._book.count("platform_calls")
-        self._book.count("platform_calls" + path.replace("/", "_"))
+    def _count_platform_call(self, path: str, size: int) -> None:
+        self._book.count("platform_bytes", size)
+        if path:
+            self._book.count("platform_calls")
+            self._book.count("platform_calls" + path.replace("/", "_"))
 
     async def _announce_forever(self) -> None:
         """Tells the gossip task what to announce about this entry."""
--- a/src/sesamevale/platform/client.py
+++ b/src/sesamevale/platform/client.py
@@ -92,11 +92,12 @@
 
     Args:
         address: Where the service listens.
-        on_call: Called with the path of each request, for counting.
+        on_call: Called for each request with its path and the bytes of its
+            body and answer, for counting.
     """
 
     def __init__(
-        self, address: Address, on_call: Callable[[str], None]
+        self, address: Address, on_call: Callable[[str, int], None]
     ) -> None:
         super().__init__("platform-client")
         self._address = address
@@ -211,10 +212,13 @@
             request = await self._inbox.get()
             if request.reply.done():
                 continue
-            self._on_call(request.path)
             answer = await self._perform(request)
+            size = len(request.content)
             if isinstance(answer, Unavailable):
                 self._drop()
+            else:
+                size += len(answer)
+            self._on_call(request.path, size)
             if not request.reply.done():
                 request.reply.set_result(answer)
 
--- a/src/sesamevale/platform/watching.py
+++ b/src/sesamevale/platform/watching.py
@@ -54,7 +54,8 @@
         address: Where the service listens.
         prefix: Prefix of the keys.
         report: Receives the messages.
-        on_call: Called with the path of each request, for counting.
+        on_call: Called with the path and the bytes of each request and with
+            the bytes of each message, for counting.
         rng: Source of randomness for pauses.
     """
 
@@ -64,7 +65,7 @@
         address: client.Address,
         prefix: str,
         report: Callable[[Snapshot | KeyChanged], None],
-        on_call: Callable[[str], None],
+        on_call: Callable[[str, int], None],
         rng: random.Random,
     ) -> None:
         self._platform = platform
@@ -111,7 +112,7 @@
         )
         if stream is None:
             return
-        self._on_call(WATCH_PATH)
+        self._on_call(WATCH_PATH, 0)
         http = h11.Connection(h11.CLIENT)
         prefix = self._prefix.encode()
         body = {
@@ -142,6 +143,7 @@
                 http.receive_data(await stream.read())
             elif isinstance(event, h11.Data):
                 buffer += event.data
+                self._on_call("", len(event.data))
                 if not self._take_lines(buffer):
                     return
             elif not isinstance(event, h11.Response):
--- a/tests/standins/upstream.py
+++ b/tests/standins/upstream.py
@@ -34,6 +34,7 @@
         self.mode = "serve"
         self.cut_share = 0.0
         self.shed_over = True
+        self.copy_left = True
         self.random = random.Random(seed)
         self.gate = asyncio.Semaphore(slots)
         self.in_flight = 0
@@ -112,6 +113,8 @@
             self.runs[action] += 1
         run = self.runs[action] if action else 0
         await asyncio.sleep(self._work_seconds(request))
+        if self.mode == "broken":
+            return http_server.Reply(500, b"broken")
         if self.mode == "cut" or self.random.random() < self.cut_share:
             return http_server.Reply(200, b"x" * 100, cut_after=10)
         nested = await self._nested(request)
@@ -160,7 +163,7 @@
         )
         reply = http_server.Reply(status, body)
         left = answer_headers.get("sesamevale-retries-left")
-        if left is not None:
+        if left is not None and self.copy_left:
             reply.headers["sesamevale-retries-left"] = left
         return reply
 
--- /dev/null
+++ b/tests/system/test_embedding.py
@@ -0,0 +1,30 @@
+"""The example that embeds the coordination parts in another program."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+
+from examples import partitions
+from tests.builders import fleet
+
+
+def start(name: str, port: int, seed: int) -> subprocess.Popen:
+    command = [
+        sys.executable,
+        str(fleet.ROOT / "examples/partitions.py"),
+        f"--name={name}",
+        f"--port={port}",
+        f"--seed={seed}",
+        "--seconds=5",
+    ]
+    return subprocess.Popen(command, stdout=subprocess.PIPE, text=True)
+
+
+def test_two_workers_share_all_partitions():
+    ports = fleet.free_ports(2)
+    workers = [start("a", *ports), start("b", *reversed(ports))]
+    outputs = [worker.communicate(timeout=60)[0] for worker in workers]
+    last = [output.strip().splitlines()[-1].split()[1:] for output in outputs]
+    assert sorted(last[0] + last[1]) == sorted(partitions.PARTITIONS)
+    assert last[0] and last[1]
