--- a/bench/baseline_entry.py
+++ b/bench/baseline_entry.py
@@ -14,6 +14,7 @@
 from sesamevale import daemon
 from sesamevale import outcomes
 from sesamevale.dispatching import coordinator
+from sesamevale.policy import call_state
 from sesamevale.policy import dispatch
 from sesamevale.policy import effects
 from sesamevale.policy import homes
@@ -36,7 +37,7 @@
         return []
 
     def _place(
-        self, state: dispatch._CallState, now: float
+        self, state: call_state.CallState, now: float
     ) -> list[effects.Effect]:
         names = [name for name in sorted(self._mine) if self._usable(name, now)]
         untried = [name for name in names if name not in state.tried] or names
--- a/bench/routing.py
+++ b/bench/routing.py
@@ -192,7 +192,11 @@
             for port in first:
                 await fleet.control(port, mode="drain")
         if condition.kill:
-            running.entries["e0"].kill()
+            status = await running.entries["e0"].status()
+            assert status is not None
+            service = next(iter(self._user.upstreams))
+            homes = status["services"][service]["homes"]
+            running.entries[homes[0] if homes else "e0"].kill()
 
     async def _counters(self, running: fleet.Fleet) -> dict[str, float]:
         found: dict[str, float] = {"over_slots": 0}
--- a/src/sesamevale/api.py
+++ b/src/sesamevale/api.py
@@ -19,10 +19,10 @@
 from sesamevale.policy.following import Manifest
 from sesamevale.policy.leases import LeaseHolder
 from sesamevale.policy.leases import LeaseState
-from sesamevale.policy.membership import Member
 from sesamevale.policy.membership import Membership
-from sesamevale.policy.membership import Status
 from sesamevale.policy.membership import Timing
+from sesamevale.policy.membership_types import Member
+from sesamevale.policy.membership_types import Status
 from sesamevale.policy.probing import ProbeBudget
 from sesamevale.policy.register import Register
 from sesamevale.policy.rendezvous import score
--- a/src/sesamevale/dispatching/at_most_once.py
+++ b/src/sesamevale/dispatching/at_most_once.py
@@ -45,7 +45,9 @@
     """Make sure that an action will not run, if it has not begun."""
 
     identity: identity.Identity
-    reply: asyncio.Future[register.Barred | register.Running | register.Replay]
+    reply: asyncio.Future[
+        register.Barred | register.CannotBar | register.Replay
+    ]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/sesamevale/dispatching/coordinator.py
+++ b/src/sesamevale/dispatching/coordinator.py
@@ -15,7 +15,7 @@
 from sesamevale.dispatching import front as fronts
 from sesamevale.policy import dispatch
 from sesamevale.policy import homes
-from sesamevale.policy import membership
+from sesamevale.policy import membership_types
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -42,8 +42,8 @@
         members: All known members by identifier.
     """
 
-    own: membership.Member
-    members: dict[str, membership.Member]
+    own: membership_types.Member
+    members: dict[str, membership_types.Member]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -64,7 +64,7 @@
 class PeersReported:
     """Loads that other entries announced, by entry."""
 
-    loads: dict[str, tuple[membership.ServiceLoad, ...]]
+    loads: dict[str, tuple[membership_types.ServiceLoad, ...]]
 
 
 Message = MembersChanged | DocumentInForce | VmsLeaving | PeersReported
@@ -93,7 +93,7 @@
         self._stopping: set[asyncio.Task[None]] = set()
         self._started = False
         own = front.view.own
-        self._members: dict[str, membership.Member] = {own.entry_id: own}
+        self._members: dict[str, membership_types.Member] = {own.entry_id: own}
 
     async def __aexit__(self, *exc_info: object) -> None:
         await super().__aexit__(*exc_info)
@@ -106,20 +106,20 @@
 
     def _refresh(
         self,
-        own: membership.Member,
-        members: dict[str, membership.Member],
+        own: membership_types.Member,
+        members: dict[str, membership_types.Member],
         environment: documents.Environment | None,
     ) -> None:
         """Computes the view and the homes anew."""
         usable = tuple(
             member
             for _, member in sorted(members.items())
-            if member.status is membership.Status.ALIVE
+            if member.status is membership_types.Status.ALIVE
         )
         live = {
             name: member.incarnation
             for name, member in members.items()
-            if member.status is not membership.Status.DEAD
+            if member.status is not membership_types.Status.DEAD
         }
         home_maps: dict[str, homes.HomeMap] = {}
         if environment is not None:
@@ -135,7 +135,7 @@
             home_maps=home_maps,
             usable=usable,
             live=live,
-            draining=own.status >= membership.Status.LEAVING,
+            draining=own.status >= membership_types.Status.LEAVING,
             revision=old.revision + 1,
         )
         self._front.set_view(view)
--- a/src/sesamevale/dispatching/dispatcher.py
+++ b/src/sesamevale/dispatching/dispatcher.py
@@ -12,6 +12,7 @@
 from sesamevale import outcomes
 from sesamevale.dispatching import exchanges
 from sesamevale.policy import attempts
+from sesamevale.policy import call_state
 from sesamevale.policy import dispatch
 from sesamevale.policy import effects
 from sesamevale.upstreams import connection
@@ -273,7 +274,7 @@
     call = message.call
     rule = call.rule
     task._calls[call.call_id] = call
-    facts = dispatch.CallFacts(
+    facts = call_state.CallFacts(
         call.call_id,
         call.caller,
         rule.priority,
--- a/src/sesamevale/dispatching/front.py
+++ b/src/sesamevale/dispatching/front.py
@@ -17,7 +17,7 @@
 
     from sesamevale import documents
     from sesamevale.policy import homes
-    from sesamevale.policy import membership
+    from sesamevale.policy import membership_types
 
 __all__ = ["Front", "View"]
 
@@ -36,10 +36,10 @@
         revision: Number of the directory; grows with each change.
     """
 
-    own: membership.Member
+    own: membership_types.Member
     environment: documents.Environment | None
     home_maps: dict[str, homes.HomeMap]
-    usable: tuple[membership.Member, ...]
+    usable: tuple[membership_types.Member, ...]
     live: dict[str, int]
     draining: bool = False
     revision: int = 0
--- a/src/sesamevale/entries/codec.py
+++ b/src/sesamevale/entries/codec.py
@@ -12,7 +12,7 @@
 
 from sesamevale.entries.wire import ttypes as wire
 from sesamevale.policy import attempts
-from sesamevale.policy import membership
+from sesamevale.policy import membership_types
 
 if TYPE_CHECKING:
     from sesamevale import sockets
@@ -92,12 +92,12 @@
         return taken
 
 
-def encode_datagram(message: membership.Message) -> bytes:
+def encode_datagram(message: membership_types.Message) -> bytes:
     """Returns a gossip message as one datagram."""
     return TSerialization.serialize(_to_wire(message), _FACTORY)
 
 
-def decode_datagram(content: bytes) -> membership.Message | None:
+def decode_datagram(content: bytes) -> membership_types.Message | None:
     """Reads a gossip message; None if it is malformed."""
     try:
         datagram = TSerialization.deserialize(
@@ -108,8 +108,8 @@
         return None
 
 
-def _to_wire(message: membership.Message) -> wire.Datagram:
-    if isinstance(message, membership.PingRequest):
+def _to_wire(message: membership_types.Message) -> wire.Datagram:
+    if isinstance(message, membership_types.PingRequest):
         request = wire.PingRequest(
             message.sequence,
             message.sender,
@@ -125,15 +125,15 @@
         "environment": message.environment,
         "loads": [_load_to_wire(each) for each in message.loads],
     }
-    if isinstance(message, membership.Ping):
+    if isinstance(message, membership_types.Ping):
         return wire.Datagram(ping=wire.Ping(**fields))
     return wire.Datagram(ack=wire.Ack(**fields))
 
 
-def _from_wire(datagram: wire.Datagram) -> membership.Message | None:
+def _from_wire(datagram: wire.Datagram) -> membership_types.Message | None:
     request = datagram.ping_request
     if request is not None:
-        return membership.PingRequest(
+        return membership_types.PingRequest(
             int(request.sequence),
             str(request.sender),
             str(request.subject),
@@ -142,7 +142,7 @@
     received = datagram.ping or datagram.ack
     if received is None:
         return None
-    kind = membership.Ping if datagram.ping else membership.Ack
+    kind = membership_types.Ping if datagram.ping else membership_types.Ack
     return kind(
         int(received.sequence),
         str(received.sender),
@@ -153,7 +153,7 @@
     )
 
 
-def _member_to_wire(member: membership.Member) -> wire.MemberState:
+def _member_to_wire(member: membership_types.Member) -> wire.MemberState:
     return wire.MemberState(
         member.entry_id,
         member.incarnation,
@@ -166,12 +166,12 @@
     )
 
 
-def _member_from_wire(state: wire.MemberState) -> membership.Member:
-    return membership.Member(
+def _member_from_wire(state: wire.MemberState) -> membership_types.Member:
+    return membership_types.Member(
         str(state.entry_id),
         int(state.incarnation),
         int(state.refutation),
-        membership.Status(state.status),
+        membership_types.Status(state.status),
         str(state.data_center),
         str(state.host),
         int(state.caller_port),
@@ -179,14 +179,14 @@
     )
 
 
-def _load_to_wire(load: membership.ServiceLoad) -> wire.ServiceLoad:
+def _load_to_wire(load: membership_types.ServiceLoad) -> wire.ServiceLoad:
     return wire.ServiceLoad(
         load.service, load.load.free_slots, load.load.queued
     )
 
 
-def _load_from_wire(load: wire.ServiceLoad) -> membership.ServiceLoad:
-    return membership.ServiceLoad(
+def _load_from_wire(load: wire.ServiceLoad) -> membership_types.ServiceLoad:
+    return membership_types.ServiceLoad(
         str(load.service_name),
         attempts.PeerLoad(int(load.free_slots), int(load.queued)),
     )
--- a/src/sesamevale/entries/gossip.py
+++ b/src/sesamevale/entries/gossip.py
@@ -13,6 +13,7 @@
 from sesamevale import messaging
 from sesamevale.entries import codec
 from sesamevale.policy import membership
+from sesamevale.policy import membership_types
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -38,7 +39,7 @@
     """What this entry tells the others about itself."""
 
     revision: int
-    loads: tuple[membership.ServiceLoad, ...]
+    loads: tuple[membership_types.ServiceLoad, ...]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -129,7 +130,7 @@
         self._transport: asyncio.DatagramTransport | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._version = -1
-        self._statuses: dict[str, membership.Status] = {}
+        self._statuses: dict[str, membership_types.Status] = {}
 
     @property
     def view(self) -> membership.Membership:
@@ -163,7 +164,7 @@
         self.send(_Tick())
         self._timer = self._loop.call_later(TICK_S, self._tick)
 
-    def _transmit(self, sends: list[membership.Send]) -> None:
+    def _transmit(self, sends: list[membership_types.Send]) -> None:
         for send in sends:
             data = codec.encode_datagram(send.message)
             self._book.count("gossip_datagrams_sent")
@@ -179,45 +180,45 @@
 
 
 @functools.singledispatch
-def _receive(message: Message, task: Gossip) -> list[membership.Send]:
+def _receive(message: Message, task: Gossip) -> list[membership_types.Send]:
     raise TypeError(f"no rule for {type(message).__name__}")
 
 
 @_receive.register
-def _(message: Announce, task: Gossip) -> list[membership.Send]:
+def _(message: Announce, task: Gossip) -> list[membership_types.Send]:
     task._view.set_revision(message.revision)
     task._view.set_loads(message.loads)
     return []
 
 
 @_receive.register
-def _(message: Join, task: Gossip) -> list[membership.Send]:
+def _(message: Join, task: Gossip) -> list[membership_types.Send]:
     return task._view.join()
 
 
 @_receive.register
-def _(message: Leave, task: Gossip) -> list[membership.Send]:
+def _(message: Leave, task: Gossip) -> list[membership_types.Send]:
     return task._view.leave()
 
 
 @_receive.register
-def _(message: Depart, task: Gossip) -> list[membership.Send]:
+def _(message: Depart, task: Gossip) -> list[membership_types.Send]:
     return task._view.depart()
 
 
 @_receive.register
-def _(message: Seed, task: Gossip) -> list[membership.Send]:
+def _(message: Seed, task: Gossip) -> list[membership_types.Send]:
     task._view.seed(message.host, message.port)
     return []
 
 
 @_receive.register
-def _(message: Unreachable, task: Gossip) -> list[membership.Send]:
+def _(message: Unreachable, task: Gossip) -> list[membership_types.Send]:
     return task._view.unreachable(message.entry_id, task._loop.time())
 
 
 @_receive.register
-def _(message: _Received, task: Gossip) -> list[membership.Send]:
+def _(message: _Received, task: Gossip) -> list[membership_types.Send]:
     task._book.count("gossip_datagrams_received")
     task._book.count("gossip_bytes_received", len(message.data))
     decoded = codec.decode_datagram(message.data)
@@ -230,5 +231,5 @@
 
 
 @_receive.register
-def _(message: _Tick, task: Gossip) -> list[membership.Send]:
+def _(message: _Tick, task: Gossip) -> list[membership_types.Send]:
     return task._view.tick(task._loop.time())
--- a/src/sesamevale/entries/issuer_relay.py
+++ b/src/sesamevale/entries/issuer_relay.py
@@ -26,7 +26,7 @@
     from collections.abc import Callable
 
     from sesamevale import documents
-    from sesamevale.policy import membership
+    from sesamevale.policy import membership_types
 
 __all__ = ["relay"]
 
@@ -51,7 +51,7 @@
 async def relay(
     call: calls.Call,
     service: documents.Service,
-    issuer: membership.Member,
+    issuer: membership_types.Member,
     on_unreachable: Callable[[str], None],
 ) -> None:
     """Relays a call; its outcome arrives on its answer channel.
@@ -84,7 +84,7 @@
 
 async def _conclude(
     call: calls.Call,
-    issuer: membership.Member,
+    issuer: membership_types.Member,
     result: attempts.Result,
     bar_time: float,
 ) -> None:
@@ -111,7 +111,7 @@
 
 
 async def _bar(
-    call: calls.Call, issuer: membership.Member, timeout_s: float
+    call: calls.Call, issuer: membership_types.Member, timeout_s: float
 ) -> outcomes.Outcome:
     """Asks the issuer to bar the call's action."""
     unknown = outcomes.Unknown(outcomes.Reason.PEER_LOST)
--- a/src/sesamevale/entries/peer_documents.py
+++ b/src/sesamevale/entries/peer_documents.py
@@ -14,7 +14,7 @@
 
 if TYPE_CHECKING:
     from sesamevale.policy import following
-    from sesamevale.policy import membership
+    from sesamevale.policy import membership_types
 
 __all__ = ["Answer", "answer", "ask"]
 
@@ -47,7 +47,7 @@
 
 
 async def ask(
-    member: membership.Member, above_revision: int, known: frozenset[str]
+    member: membership_types.Member, above_revision: int, known: frozenset[str]
 ) -> document_task.PeerDocument | None:
     """Asks an entry for its document; None if it has no newer one."""
     stream = await sockets.connect(member.host, member.peer_port, TIMEOUT_S)
--- a/src/sesamevale/entries/relay_client.py
+++ b/src/sesamevale/entries/relay_client.py
@@ -19,7 +19,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from sesamevale.policy import membership
+    from sesamevale.policy import membership_types
 
 __all__ = ["RelayConnection"]
 
@@ -37,7 +37,7 @@
 
     def __init__(
         self,
-        member: membership.Member,
+        member: membership_types.Member,
         on_unreachable: Callable[[str], None],
         *,
         issuer: bool = False,
--- a/src/sesamevale/entries/relay_server.py
+++ b/src/sesamevale/entries/relay_server.py
@@ -291,7 +291,7 @@
         ) == (own.entry_id, own.incarnation):
             loop = asyncio.get_running_loop()
             reply: asyncio.Future[
-                register.Barred | register.Running | register.Replay
+                register.Barred | register.CannotBar | register.Replay
             ] = loop.create_future()
             self._actions.send(at_most_once.Bar(parsed, reply))
             barred = _barred_to_wire(await reply)
@@ -299,7 +299,7 @@
 
 
 def _barred_to_wire(
-    result: register.Barred | register.Running | register.Replay,
+    result: register.Barred | register.CannotBar | register.Replay,
 ) -> wire.Barred:
     if isinstance(result, register.Barred):
         return wire.Barred(barred=True)
--- a/src/sesamevale/entry.py
+++ b/src/sesamevale/entry.py
@@ -36,6 +36,7 @@
 from sesamevale.platform import watching
 from sesamevale.policy import following
 from sesamevale.policy import membership
+from sesamevale.policy import membership_types
 from sesamevale.policy import register
 from sesamevale.upstreams import prober
 
@@ -67,11 +68,11 @@
         self._rng = random.Random()
         self._book = metrics.Book()
         self._jobs: set[asyncio.Task[None]] = set()
-        own = membership.Member(
+        own = membership_types.Member(
             settings.entry_id,
             _new_incarnation(self._rng),
             0,
-            membership.Status.JOINING,
+            membership_types.Status.JOINING,
             settings.data_center,
             settings.callers.host,
             settings.callers.port,
@@ -404,11 +405,11 @@
             self._gossip.send(gossip.Announce(revision, loads))
             await asyncio.sleep(ANNOUNCE_INTERVAL_S)
 
-    def _shared_loads(self) -> tuple[membership.ServiceLoad, ...]:
+    def _shared_loads(self) -> tuple[membership_types.ServiceLoad, ...]:
         """Loads of the services whose upstreams several entries own."""
         now = time.monotonic()
         return tuple(
-            membership.ServiceLoad(name, task.decisions.load(now))
+            membership_types.ServiceLoad(name, task.decisions.load(now))
             for name, task in self._front.dispatchers.items()
             if task.service.homes > 1 and task.decisions.owned
         )
--- a/src/sesamevale/policy/directory.py
+++ b/src/sesamevale/policy/directory.py
@@ -9,7 +9,7 @@
     from collections.abc import Iterable
 
     from sesamevale.policy import homes
-    from sesamevale.policy import membership
+    from sesamevale.policy import membership_types
 
 __all__ = ["DirectoryEntry", "build"]
 
@@ -37,7 +37,7 @@
 
 
 def build(
-    members: Iterable[membership.Member], home_map: homes.HomeMap | None
+    members: Iterable[membership_types.Member], home_map: homes.HomeMap | None
 ) -> list[DirectoryEntry]:
     """Lists the entries for callers, best first.
 
--- a/src/sesamevale/policy/dispatch.py
+++ b/src/sesamevale/policy/dispatch.py
@@ -7,13 +7,13 @@
 
 from __future__ import annotations
 
-import dataclasses
 import functools
 import itertools
 from typing import TYPE_CHECKING
 
 from sesamevale import outcomes
 from sesamevale.policy import attempts
+from sesamevale.policy import call_state
 from sesamevale.policy import effects
 from sesamevale.policy import hedging
 from sesamevale.policy import peers
@@ -24,77 +24,13 @@
     from sesamevale import documents
     from sesamevale.policy import homes
 
-__all__ = ["CallFacts", "Counts", "Dispatch"]
+__all__ = ["Dispatch"]
 
 INITIAL_SERVICE_SECONDS = 0.01
 SERVICE_SMOOTHING = 0.05
 TIMELY_SERVICE_TIMES = 1.5
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class CallFacts:
-    """What decisions need to know of a call.
-
-    Attributes:
-        call_id: Number of the call.
-        caller: Address that shares of the queue are counted by.
-        priority: Rank; 0 leaves the queue first.
-        deadline: Monotonic time in seconds.
-        repeatable: Whether the call may run more than once.
-        replayable: Whether its body is at hand for another attempt.
-        hedge: Whether its rule allows hedges.
-        retries: Retries that it and all it causes may use.
-        hops: Entries that it may still be relayed to.
-    """
-
-    call_id: int
-    caller: str
-    priority: int
-    deadline: float
-    repeatable: bool
-    replayable: bool
-    hedge: bool
-    retries: int
-    hops: int
-
-
-@dataclasses.dataclass(slots=True)
-class Counts:
-    """Counters of one dispatch; they only grow."""
-
-    submitted: int = 0
-    bound: int = 0
-    relayed: int = 0
-    queued: int = 0
-    hedged: int = 0
-    hedge_wins: int = 0
-    retried: int = 0
-    shed_by_upstream: int = 0
-    refused: int = 0
-    unknown: int = 0
-
-
-@dataclasses.dataclass(slots=True)
-class _Attempt:
-    attempt_id: int
-    call_id: int
-    upstream: str | None
-    entry_id: str | None
-    started: float
-    hedge: bool = False
-
-
-@dataclasses.dataclass(slots=True)
-class _CallState:
-    facts: CallFacts
-    retries: int
-    attempts: dict[int, _Attempt] = dataclasses.field(default_factory=dict)
-    tried: set[str] = dataclasses.field(default_factory=set)
-    hedged: bool = False
-    decided: bool = False
-    may_have_run: bool = False
-
-
 class Dispatch:
     """State of one service at one entry.
 
@@ -120,15 +56,15 @@
         self._hedger = hedging.Hedger(service.hedge_share)
         self._peers = peers.PeerLoads()
         self._mine: frozenset[str] = frozenset()
-        self._calls: dict[int, _CallState] = {}
-        self._attempts: dict[int, _Attempt] = {}
+        self._calls: dict[int, call_state.CallState] = {}
+        self._attempts: dict[int, call_state.AttemptState] = {}
         self._attempt_ids = itertools.count(1)
         self._service_seconds = INITIAL_SERVICE_SECONDS
         self._slots_wake: float | None = None
-        self._counts = Counts()
+        self._counts = call_state.Counts()
 
     @property
-    def counts(self) -> Counts:
+    def counts(self) -> call_state.Counts:
         """Counters since the start."""
         return self._counts
 
@@ -210,12 +146,14 @@
         self._peers.reported(entry_id, load)
         return self._spill_queue(now)
 
-    def submit(self, facts: CallFacts, now: float) -> list[effects.Effect]:
+    def submit(
+        self, facts: call_state.CallFacts, now: float
+    ) -> list[effects.Effect]:
         """Takes a new call."""
         self._counts.submitted += 1
         if facts.hedge:
             self._hedger.call_started()
-        state = _CallState(facts, facts.retries)
+        state = call_state.CallState(facts, facts.retries)
         self._calls[facts.call_id] = state
         wake = effects.WakeAt(
             effects.WakeKind.DEADLINE, facts.deadline, facts.call_id
@@ -269,7 +207,9 @@
     def _candidates(self) -> frozenset[str] | list[str]:
         return self._mine or list(self._pool.states)
 
-    def _place(self, state: _CallState, now: float) -> list[effects.Effect]:
+    def _place(
+        self, state: call_state.CallState, now: float
+    ) -> list[effects.Effect]:
         """Binds, relays, queues or refuses a call."""
         if not self._service.upstreams:
             return self._refuse(state, outcomes.Reason.NO_UPSTREAM)
@@ -290,14 +230,14 @@
             return self._refuse(state, outcomes.Reason.OVERLOADED)
         return self._enqueue(state, now)
 
-    def _choose(self, state: _CallState, now: float) -> str | None:
+    def _choose(self, state: call_state.CallState, now: float) -> str | None:
         candidates = self._candidates()
         chosen = self._pool.choose(candidates, state.tried, now)
         if chosen is None and state.tried.issuperset(candidates):
             chosen = self._pool.choose(candidates, (), now)
         return None if chosen is None else chosen.upstream.name
 
-    def _timely(self, state: _CallState, now: float) -> bool:
+    def _timely(self, state: call_state.CallState, now: float) -> bool:
         """Whether the deadline can probably be met from the queue."""
         remaining = state.facts.deadline - now
         slots = self._pool.allowed_slots(self._candidates(), now)
@@ -306,7 +246,7 @@
         return wait + TIMELY_SERVICE_TIMES * self._service_seconds < remaining
 
     def _bind(
-        self, state: _CallState, upstream: str, now: float
+        self, state: call_state.CallState, upstream: str, now: float
     ) -> list[effects.Effect]:
         facts = state.facts
         attempt = self._new_attempt(state, now, upstream=upstream)
@@ -330,7 +270,7 @@
         ]
 
     def _relay(
-        self, state: _CallState, entry_id: str, now: float
+        self, state: call_state.CallState, entry_id: str, now: float
     ) -> list[effects.Effect]:
         attempt = self._new_attempt(state, now, entry_id=entry_id)
         self._peers.sent(entry_id)
@@ -346,13 +286,13 @@
 
     def _new_attempt(
         self,
-        state: _CallState,
+        state: call_state.CallState,
         now: float,
         *,
         upstream: str | None = None,
         entry_id: str | None = None,
-    ) -> _Attempt:
-        attempt = _Attempt(
+    ) -> call_state.AttemptState:
+        attempt = call_state.AttemptState(
             next(self._attempt_ids),
             state.facts.call_id,
             upstream,
@@ -364,7 +304,9 @@
         self._attempts[attempt.attempt_id] = attempt
         return attempt
 
-    def _enqueue(self, state: _CallState, now: float) -> list[effects.Effect]:
+    def _enqueue(
+        self, state: call_state.CallState, now: float
+    ) -> list[effects.Effect]:
         facts = state.facts
         waiting = queueing.Waiting(facts.call_id, facts.priority, facts.caller)
         done: list[effects.Effect] = []
@@ -392,7 +334,7 @@
         return done
 
     def _bind_waiting(
-        self, state: _CallState, now: float
+        self, state: call_state.CallState, now: float
     ) -> list[effects.Effect]:
         remaining = state.facts.deadline - now
         if remaining < TIMELY_SERVICE_TIMES * self._service_seconds:
@@ -439,12 +381,14 @@
             done += self._relay(state, entry_id, now)
         return done
 
-    def _requeue_first(self, state: _CallState) -> None:
+    def _requeue_first(self, state: call_state.CallState) -> None:
         facts = state.facts
         waiting = queueing.Waiting(facts.call_id, facts.priority, facts.caller)
         self._queue.push(waiting, front=True)
 
-    def _hedge(self, state: _CallState, now: float) -> list[effects.Effect]:
+    def _hedge(
+        self, state: call_state.CallState, now: float
+    ) -> list[effects.Effect]:
         """Starts a second attempt if an idle slot and the budget allow it."""
         if state.hedged or len(state.attempts) != 1 or len(self._queue):
             return []
@@ -458,7 +402,9 @@
         state.attempts[last].hedge = True
         return done
 
-    def _expire(self, state: _CallState, now: float) -> list[effects.Effect]:
+    def _expire(
+        self, state: call_state.CallState, now: float
+    ) -> list[effects.Effect]:
         self._queue.remove(state.facts.call_id)
         if not state.attempts:
             return self._refuse(state, outcomes.Reason.DEADLINE)
@@ -467,7 +413,7 @@
         conclude = effects.Conclude(state.facts.call_id, outcome)
         return [conclude, *self._drop(state)]
 
-    def _drop(self, state: _CallState) -> list[effects.Effect]:
+    def _drop(self, state: call_state.CallState) -> list[effects.Effect]:
         """Forgets a call and cancels its attempts."""
         self._calls.pop(state.facts.call_id, None)
         state.decided = True
@@ -475,7 +421,7 @@
 
     def _refuse(
         self,
-        state: _CallState,
+        state: call_state.CallState,
         reason: outcomes.Reason,
         retry_after_ms: int = 0,
     ) -> list[effects.Effect]:
@@ -495,7 +441,7 @@
 
     def _not_run(
         self,
-        state: _CallState | None,
+        state: call_state.CallState | None,
         reason: outcomes.Reason,
         retry_after_ms: int,
         now: float,
@@ -513,7 +459,7 @@
 
     def _may_have_run(
         self,
-        state: _CallState | None,
+        state: call_state.CallState | None,
         reason: outcomes.Reason,
         now: float,
         *,
@@ -537,7 +483,7 @@
         return [effects.Conclude(facts.call_id, outcome), *done]
 
     def _account_nested_retries(
-        self, state: _CallState, retries_left: int | None
+        self, state: call_state.CallState, retries_left: int | None
     ) -> None:
         """Counts the retries that layers behind the upstream have used.
 
@@ -557,8 +503,8 @@
 def _settle(
     result: attempts.Result,
     dispatch: Dispatch,
-    attempt: _Attempt,
-    state: _CallState | None,
+    attempt: call_state.AttemptState,
+    state: call_state.CallState | None,
     now: float,
 ) -> list[effects.Effect]:
     raise TypeError(f"no rule for {type(result).__name__}")
@@ -568,8 +514,8 @@
 def _(
     result: attempts.Completed,
     dispatch: Dispatch,
-    attempt: _Attempt,
-    state: _CallState | None,
+    attempt: call_state.AttemptState,
+    state: call_state.CallState | None,
     now: float,
 ) -> list[effects.Effect]:
     if attempt.upstream is not None:
@@ -593,8 +539,8 @@
 def _(
     result: attempts.Held,
     dispatch: Dispatch,
-    attempt: _Attempt,
-    state: _CallState | None,
+    attempt: call_state.AttemptState,
+    state: call_state.CallState | None,
     now: float,
 ) -> list[effects.Effect]:
     if attempt.upstream is not None:
@@ -618,8 +564,8 @@
 def _(
     result: attempts.ShedByUpstream,
     dispatch: Dispatch,
-    attempt: _Attempt,
-    state: _CallState | None,
+    attempt: call_state.AttemptState,
+    state: call_state.CallState | None,
     now: float,
 ) -> list[effects.Effect]:
     dispatch._counts.shed_by_upstream += 1
@@ -635,8 +581,8 @@
 def _(
     result: attempts.NotSent,
     dispatch: Dispatch,
-    attempt: _Attempt,
-    state: _CallState | None,
+    attempt: call_state.AttemptState,
+    state: call_state.CallState | None,
     now: float,
 ) -> list[effects.Effect]:
     if attempt.upstream is not None:
@@ -653,8 +599,8 @@
 def _(
     result: attempts.Lost,
     dispatch: Dispatch,
-    attempt: _Attempt,
-    state: _CallState | None,
+    attempt: call_state.AttemptState,
+    state: call_state.CallState | None,
     now: float,
 ) -> list[effects.Effect]:
     if attempt.upstream is not None:
@@ -673,8 +619,8 @@
 def _(
     result: attempts.PeerRefused,
     dispatch: Dispatch,
-    attempt: _Attempt,
-    state: _CallState | None,
+    attempt: call_state.AttemptState,
+    state: call_state.CallState | None,
     now: float,
 ) -> list[effects.Effect]:
     if attempt.entry_id is not None:
@@ -688,8 +634,8 @@
 def _(
     result: attempts.PeerUnknown,
     dispatch: Dispatch,
-    attempt: _Attempt,
-    state: _CallState | None,
+    attempt: call_state.AttemptState,
+    state: call_state.CallState | None,
     now: float,
 ) -> list[effects.Effect]:
     return dispatch._may_have_run(
@@ -701,8 +647,8 @@
 def _(
     result: attempts.Aborted,
     dispatch: Dispatch,
-    attempt: _Attempt,
-    state: _CallState | None,
+    attempt: call_state.AttemptState,
+    state: call_state.CallState | None,
     now: float,
 ) -> list[effects.Effect]:
     if attempt.upstream is not None:
--- a/src/sesamevale/policy/hedging.py
+++ b/src/sesamevale/policy/hedging.py
@@ -60,7 +60,8 @@
         source = self._recent
         if self._previous.get_total_count() > source.get_total_count():
             source = self._previous
-        percentile = 100.0 * (1.0 - self._share)
+        share_of_attempts = self._share / (1.0 + self._share)
+        percentile = 100.0 * (1.0 - share_of_attempts)
         self._delay = source.get_value_at_percentile(percentile) / 1e6
 
 
--- a/src/sesamevale/policy/membership.py
+++ b/src/sesamevale/policy/membership.py
@@ -11,28 +11,16 @@
 from __future__ import annotations
 
 import dataclasses
-import enum
 import functools
 import math
 from typing import TYPE_CHECKING
 
-from sesamevale.policy import attempts
+from sesamevale.policy import membership_types
 
 if TYPE_CHECKING:
     import random
 
-__all__ = [
-    "Ack",
-    "Member",
-    "Membership",
-    "Message",
-    "Ping",
-    "PingRequest",
-    "Send",
-    "ServiceLoad",
-    "Status",
-    "Timing",
-]
+__all__ = ["Membership", "Timing"]
 
 UPDATES_PER_MESSAGE = 8
 ROTATING_PER_MESSAGE = 2
@@ -41,100 +29,6 @@
 IMMEDIATE_NOTICES = 3
 
 
-class Status(enum.IntEnum):
-    """State of a member; a higher one wins within one incarnation."""
-
-    JOINING = 0
-    ALIVE = 1
-    SUSPECT = 2
-    LEAVING = 3
-    DEAD = 4
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Member:
-    """What is known of one entry.
-
-    Attributes:
-        entry_id: Identifier, unique among the entries.
-        incarnation: Number of the process; a restart gets a higher one.
-        refutation: Grows when the entry refutes a suspicion.
-        status: State of the member.
-        data_center: Data centre that the entry is in.
-        host: IP address.
-        caller_port: TCP port for callers.
-        peer_port: UDP and TCP port for other entries.
-    """
-
-    entry_id: str
-    incarnation: int
-    refutation: int
-    status: Status
-    data_center: str
-    host: str
-    caller_port: int
-    peer_port: int
-
-    @property
-    def precedence(self) -> tuple[int, int, int]:
-        """News with a higher precedence replaces older news."""
-        return self.incarnation, self.refutation, int(self.status)
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class ServiceLoad:
-    """Load of one service at the sender."""
-
-    service: str
-    load: attempts.PeerLoad
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Ping:
-    """Asks for an acknowledgement and carries news."""
-
-    sequence: int
-    sender: str
-    environment: str
-    revision: int
-    updates: tuple[Member, ...]
-    loads: tuple[ServiceLoad, ...] = ()
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Ack:
-    """Acknowledges a ping and carries news."""
-
-    sequence: int
-    sender: str
-    environment: str
-    revision: int
-    updates: tuple[Member, ...]
-    loads: tuple[ServiceLoad, ...] = ()
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class PingRequest:
-    """Asks the receiver to ping another entry for the sender."""
-
-    sequence: int
-    sender: str
-    subject: str
-    environment: str
-
-
-Message = Ping | Ack | PingRequest
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Send:
-    """Send a message to an address."""
-
-    host: str
-    port: int
-    message: Message
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Timing:
     """Intervals of the protocol in seconds."""
@@ -172,7 +66,7 @@
 
     def __init__(
         self,
-        own: Member,
+        own: membership_types.Member,
         environment: str,
         timing: Timing,
         rng: random.Random,
@@ -181,7 +75,7 @@
         self._environment = environment
         self._timing = timing
         self._rng = rng
-        self._members: dict[str, Member] = {own.entry_id: own}
+        self._members: dict[str, membership_types.Member] = {own.entry_id: own}
         self._seeds: dict[tuple[str, int], None] = {}
         self._probes: dict[int, _Probe] = {}
         self._forwarded: dict[int, _Forwarded] = {}
@@ -197,11 +91,11 @@
         self._last_tick: float | None = None
         self._version = 0
         self._revision = 0
-        self._loads: tuple[ServiceLoad, ...] = ()
-        self._reports: dict[str, tuple[ServiceLoad, ...]] = {}
+        self._loads: tuple[membership_types.ServiceLoad, ...] = ()
+        self._reports: dict[str, tuple[membership_types.ServiceLoad, ...]] = {}
 
     @property
-    def own(self) -> Member:
+    def own(self) -> membership_types.Member:
         """This entry as others should see it."""
         return self._own
 
@@ -211,7 +105,7 @@
         return self._version
 
     @property
-    def members(self) -> dict[str, Member]:
+    def members(self) -> dict[str, membership_types.Member]:
         """All known members by identifier, dead ones included."""
         return dict(self._members)
 
@@ -221,24 +115,26 @@
         return dict(self._revisions)
 
     @property
-    def usable(self) -> list[Member]:
+    def usable(self) -> list[membership_types.Member]:
         """Members that are alive and neither suspected nor leaving."""
         return [
             member
             for member in self._members.values()
-            if member.status is Status.ALIVE
+            if member.status is membership_types.Status.ALIVE
         ]
 
     @property
-    def reachable(self) -> dict[str, Member]:
+    def reachable(self) -> dict[str, membership_types.Member]:
         """Members that may answer, suspected and leaving ones included."""
         return {
             name: member
             for name, member in self._members.items()
-            if member.status is not Status.DEAD
+            if member.status is not membership_types.Status.DEAD
         }
 
-    def take_reports(self) -> dict[str, tuple[ServiceLoad, ...]]:
+    def take_reports(
+        self,
+    ) -> dict[str, tuple[membership_types.ServiceLoad, ...]]:
         """Returns the load reports heard since the last call."""
         reports = self._reports
         self._reports = {}
@@ -248,7 +144,9 @@
         """Sets the document revision that this entry announces."""
         self._revision = revision
 
-    def set_loads(self, loads: tuple[ServiceLoad, ...]) -> None:
+    def set_loads(
+        self, loads: tuple[membership_types.ServiceLoad, ...]
+    ) -> None:
         """Sets the loads that this entry announces."""
         self._loads = loads
 
@@ -257,39 +155,48 @@
         if (host, port) != (self._own.host, self._own.peer_port):
             self._seeds[host, port] = None
 
-    def join(self) -> list[Send]:
+    def join(self) -> list[membership_types.Send]:
         """Announces that this entry can serve calls."""
-        if self._own.status is not Status.JOINING:
+        if self._own.status is not membership_types.Status.JOINING:
             return []
-        self._renew_own(Status.ALIVE)
+        self._renew_own(membership_types.Status.ALIVE)
         return self._notify_some()
 
-    def leave(self) -> list[Send]:
+    def leave(self) -> list[membership_types.Send]:
         """Announces that this entry is draining."""
-        self._renew_own(Status.LEAVING)
+        self._renew_own(membership_types.Status.LEAVING)
         return self._notify_some()
 
-    def depart(self) -> list[Send]:
+    def depart(self) -> list[membership_types.Send]:
         """Announces to all that this entry answers nothing any more."""
-        self._renew_own(Status.DEAD)
+        self._renew_own(membership_types.Status.DEAD)
         return [
             self._ping(member, self._next_sequence())
             for member in self._members.values()
             if member.entry_id != self._own.entry_id
-            and member.status is not Status.DEAD
+            and member.status is not membership_types.Status.DEAD
         ]
 
-    def unreachable(self, entry_id: str, now: float) -> list[Send]:
+    def unreachable(
+        self, entry_id: str, now: float
+    ) -> list[membership_types.Send]:
         """Takes direct evidence that an entry does not accept connections."""
         member = self._members.get(entry_id)
-        if member is None or member.status in (Status.SUSPECT, Status.DEAD):
+        if member is None or member.status in (
+            membership_types.Status.SUSPECT,
+            membership_types.Status.DEAD,
+        ):
             return []
-        leaving = member.status is Status.LEAVING
-        status = Status.DEAD if leaving else Status.SUSPECT
+        leaving = member.status is membership_types.Status.LEAVING
+        status = (
+            membership_types.Status.DEAD
+            if leaving
+            else membership_types.Status.SUSPECT
+        )
         self._accept(dataclasses.replace(member, status=status), now)
         return self._notify_some()
 
-    def tick(self, now: float) -> list[Send]:
+    def tick(self, now: float) -> list[membership_types.Send]:
         """Advances the protocol; call several times a period."""
         if self._paused(now):
             self._probes.clear()
@@ -308,7 +215,9 @@
             sends += self._ping_dead(now)
         return sends
 
-    def receive(self, message: Message, now: float) -> list[Send]:
+    def receive(
+        self, message: membership_types.Message, now: float
+    ) -> list[membership_types.Send]:
         """Handles a message from another entry."""
         if message.environment != self._environment:
             return []
@@ -320,14 +229,16 @@
             return False
         return now - self._last_tick > 2 * self._timing.period_s
 
-    def _take_news(self, message: Ping | Ack, now: float) -> None:
+    def _take_news(
+        self, message: membership_types.Ping | membership_types.Ack, now: float
+    ) -> None:
         for update in message.updates:
             self._accept(update, now)
         self._revisions[message.sender] = message.revision
         if message.loads:
             self._reports[message.sender] = message.loads
 
-    def _accept(self, update: Member, now: float) -> None:
+    def _accept(self, update: membership_types.Member, now: float) -> None:
         """Takes news of a member if it is newer than what is known."""
         if update.entry_id == self._own.entry_id:
             self._refute(update)
@@ -335,25 +246,25 @@
         known = self._members.get(update.entry_id)
         if known is not None and update.precedence <= known.precedence:
             return
-        if known is None and update.status is Status.DEAD:
+        if known is None and update.status is membership_types.Status.DEAD:
             return
         self._members[update.entry_id] = update
         self._retransmits[update.entry_id] = 0
         self._note_status(update, now)
         self._version += 1
 
-    def _note_status(self, member: Member, now: float) -> None:
+    def _note_status(self, member: membership_types.Member, now: float) -> None:
         entry_id = member.entry_id
         self._suspected_at.pop(entry_id, None)
         self._dead_at.pop(entry_id, None)
-        if member.status is Status.SUSPECT:
+        if member.status is membership_types.Status.SUSPECT:
             self._suspected_at[entry_id] = now
-        elif member.status is Status.DEAD:
+        elif member.status is membership_types.Status.DEAD:
             self._dead_at[entry_id] = now
             self._revisions.pop(entry_id, None)
         self._seeds.pop((member.host, member.peer_port), None)
 
-    def _refute(self, update: Member) -> None:
+    def _refute(self, update: membership_types.Member) -> None:
         own = self._own
         if update.precedence <= own.precedence:
             return
@@ -363,7 +274,7 @@
         self._own = dataclasses.replace(own, refutation=refutation)
         self._announce_own()
 
-    def _renew_own(self, status: Status) -> None:
+    def _renew_own(self, status: membership_types.Status) -> None:
         refutation = self._own.refutation + 1
         self._own = dataclasses.replace(
             self._own, status=status, refutation=refutation
@@ -375,8 +286,8 @@
         self._retransmits[self._own.entry_id] = 0
         self._version += 1
 
-    def _expire_probes(self, now: float) -> list[Send]:
-        sends: list[Send] = []
+    def _expire_probes(self, now: float) -> list[membership_types.Send]:
+        sends: list[membership_types.Send] = []
         late = [
             (sequence, probe)
             for sequence, probe in self._probes.items()
@@ -392,7 +303,7 @@
 
     def _probe_indirectly(
         self, sequence: int, probe: _Probe, now: float
-    ) -> list[Send]:
+    ) -> list[membership_types.Send]:
         probe.indirect = True
         probe.deadline = now + self._timing.indirect_timeout_s
         helpers = [
@@ -401,11 +312,11 @@
             if member.entry_id not in (probe.subject, self._own.entry_id)
         ]
         count = min(INDIRECT_PROBES, len(helpers))
-        request = PingRequest(
+        request = membership_types.PingRequest(
             sequence, self._own.entry_id, probe.subject, self._environment
         )
         return [
-            Send(member.host, member.peer_port, request)
+            membership_types.Send(member.host, member.peer_port, request)
             for member in self._rng.sample(helpers, count)
         ]
 
@@ -414,7 +325,9 @@
         for entry_id, since in list(self._suspected_at.items()):
             if since <= limit:
                 member = self._members[entry_id]
-                dead = dataclasses.replace(member, status=Status.DEAD)
+                dead = dataclasses.replace(
+                    member, status=membership_types.Status.DEAD
+                )
                 self._accept(dead, now)
         forget = now - self._timing.dead_memory_s
         for entry_id, since in list(self._dead_at.items()):
@@ -422,7 +335,7 @@
                 del self._dead_at[entry_id]
                 del self._members[entry_id]
 
-    def _probe_next(self, now: float) -> list[Send]:
+    def _probe_next(self, now: float) -> list[membership_types.Send]:
         subject = self._next_subject()
         if subject is None:
             return []
@@ -431,12 +344,15 @@
         self._probes[sequence] = _Probe(subject.entry_id, deadline)
         return [self._ping(subject, sequence)]
 
-    def _next_subject(self) -> Member | None:
+    def _next_subject(self) -> membership_types.Member | None:
         """Returns the next member in a random order that is then renewed."""
         for _ in range(2):
             while self._order:
                 member = self._members.get(self._order.pop())
-                if member is not None and member.status is not Status.DEAD:
+                if (
+                    member is not None
+                    and member.status is not membership_types.Status.DEAD
+                ):
                     return member
             self._order = [
                 name for name in self._members if name != self._own.entry_id
@@ -444,26 +360,28 @@
             self._rng.shuffle(self._order)
         return None
 
-    def _ping_seeds(self, now: float) -> list[Send]:
+    def _ping_seeds(self, now: float) -> list[membership_types.Send]:
         return [
-            Send(host, port, self._ping_message(self._next_sequence()))
+            membership_types.Send(
+                host, port, self._ping_message(self._next_sequence())
+            )
             for host, port in self._seeds
         ]
 
-    def _ping_dead(self, now: float) -> list[Send]:
+    def _ping_dead(self, now: float) -> list[membership_types.Send]:
         if not self._dead_at:
             return []
         entry_id = self._rng.choice(sorted(self._dead_at))
         member = self._members[entry_id]
         return [self._ping(member, self._next_sequence())]
 
-    def _notify_some(self) -> list[Send]:
+    def _notify_some(self) -> list[membership_types.Send]:
         """Pings a few members at once, so that news does not wait."""
         others = [
             member
             for member in self._members.values()
             if member.entry_id != self._own.entry_id
-            and member.status is not Status.DEAD
+            and member.status is not membership_types.Status.DEAD
         ]
         count = min(IMMEDIATE_NOTICES, len(others))
         return [
@@ -471,14 +389,16 @@
             for member in self._rng.sample(others, count)
         ]
 
-    def _ping(self, subject: Member, sequence: int) -> Send:
+    def _ping(
+        self, subject: membership_types.Member, sequence: int
+    ) -> membership_types.Send:
         message = self._ping_message(sequence, subject)
-        return Send(subject.host, subject.peer_port, message)
+        return membership_types.Send(subject.host, subject.peer_port, message)
 
     def _ping_message(
-        self, sequence: int, subject: Member | None = None
-    ) -> Ping:
-        return Ping(
+        self, sequence: int, subject: membership_types.Member | None = None
+    ) -> membership_types.Ping:
+        return membership_types.Ping(
             sequence,
             self._own.entry_id,
             self._environment,
@@ -487,10 +407,17 @@
             self._loads,
         )
 
-    def _news(self, subject: Member | None) -> tuple[Member, ...]:
+    def _news(
+        self, subject: membership_types.Member | None
+    ) -> tuple[membership_types.Member, ...]:
         """Chooses the news for one message, least often told first."""
-        chosen: dict[str, Member] = {self._own.entry_id: self._own}
-        if subject is not None and subject.status is not Status.ALIVE:
+        chosen: dict[str, membership_types.Member] = {
+            self._own.entry_id: self._own
+        }
+        if (
+            subject is not None
+            and subject.status is not membership_types.Status.ALIVE
+        ):
             chosen[subject.entry_id] = subject
         limit = RETRANSMIT_FACTOR * math.ceil(math.log2(len(self._members) + 1))
         for entry_id in sorted(
@@ -516,17 +443,21 @@
 
 
 @functools.singledispatch
-def _receive(message: Message, view: Membership, now: float) -> list[Send]:
+def _receive(
+    message: membership_types.Message, view: Membership, now: float
+) -> list[membership_types.Send]:
     raise TypeError(f"no rule for {type(message).__name__}")
 
 
 @_receive.register
-def _(message: Ping, view: Membership, now: float) -> list[Send]:
+def _(
+    message: membership_types.Ping, view: Membership, now: float
+) -> list[membership_types.Send]:
     view._take_news(message, now)
     sender = view._members.get(message.sender)
     if sender is None:
         return []
-    ack = Ack(
+    ack = membership_types.Ack(
         message.sequence,
         view._own.entry_id,
         view._environment,
@@ -534,11 +465,13 @@
         view._news(sender),
         view._loads,
     )
-    return [Send(sender.host, sender.peer_port, ack)]
+    return [membership_types.Send(sender.host, sender.peer_port, ack)]
 
 
 @_receive.register
-def _(message: Ack, view: Membership, now: float) -> list[Send]:
+def _(
+    message: membership_types.Ack, view: Membership, now: float
+) -> list[membership_types.Send]:
     view._take_news(message, now)
     view._probes.pop(message.sequence, None)
     forwarded = view._forwarded.pop(message.sequence, None)
@@ -554,11 +487,13 @@
         revision=view._revision,
         loads=(),
     )
-    return [Send(requester.host, requester.peer_port, ack)]
+    return [membership_types.Send(requester.host, requester.peer_port, ack)]
 
 
 @_receive.register
-def _(message: PingRequest, view: Membership, now: float) -> list[Send]:
+def _(
+    message: membership_types.PingRequest, view: Membership, now: float
+) -> list[membership_types.Send]:
     subject = view._members.get(message.subject)
     if subject is None:
         return []
--- a/src/sesamevale/policy/register.py
+++ b/src/sesamevale/policy/register.py
@@ -17,13 +17,13 @@
 
 __all__ = [
     "Barred",
+    "CannotBar",
     "Decision",
     "Join",
     "Refuse",
     "Register",
     "Replay",
     "Run",
-    "Running",
 ]
 
 KEPT_ANSWER_BYTES = 64 * 1024
@@ -59,8 +59,8 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Running:
-    """The action is running and cannot be barred."""
+class CannotBar:
+    """The action is running, or may have run and been forgotten."""
 
 
 Decision = Run | Join | Replay | Refuse
@@ -139,18 +139,19 @@
 
     def bar(
         self, identity: identities.Identity, now_s: float
-    ) -> Barred | Running | Replay:
+    ) -> Barred | CannotBar | Replay:
         """Makes sure that an action will not run, if it has not begun."""
         key = str(identity)
         action = self._actions.get(key)
         if action is None:
-            if now_s < identity.ticket.expires_s:
-                self._add(key, identity.ticket.expires_s, "")
-                reason = outcomes.Reason.BARRED
-                self._actions[key].outcome = outcomes.NotRun(reason)
+            if now_s >= identity.ticket.expires_s:
+                return CannotBar()
+            self._add(key, identity.ticket.expires_s, "")
+            reason = outcomes.Reason.BARRED
+            self._actions[key].outcome = outcomes.NotRun(reason)
             return Barred()
         if action.outcome is None:
-            return Running()
+            return CannotBar()
         if isinstance(action.outcome, outcomes.NotRun):
             return Barred()
         return Replay(action.outcome)
--- a/tests/builders/facts.py
+++ b/tests/builders/facts.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-from sesamevale.policy import dispatch
+from sesamevale.policy import call_state
 from sesamevale.policy import following
 from sesamevale.policy import identity
-from sesamevale.policy import membership
+from sesamevale.policy import membership_types
 
 
-def call_facts(call_id: int, **changes: object) -> dispatch.CallFacts:
+def call_facts(call_id: int, **changes: object) -> call_state.CallFacts:
     values = {
         "call_id": call_id,
         "caller": "10.0.0.1",
@@ -20,16 +20,16 @@
         "retries": 2,
         "hops": 0,
     }
-    return dispatch.CallFacts(**(values | changes))
+    return call_state.CallFacts(**(values | changes))
 
 
 def member(
     entry_id: str,
     incarnation: int = 1,
-    status: membership.Status = membership.Status.ALIVE,
+    status: membership_types.Status = membership_types.Status.ALIVE,
     port: int = 7000,
-) -> membership.Member:
-    return membership.Member(
+) -> membership_types.Member:
+    return membership_types.Member(
         entry_id, incarnation, 0, status, "rhondda", entry_id, port, port
     )
 
--- a/tests/entries/test_codec.py
+++ b/tests/entries/test_codec.py
@@ -7,7 +7,7 @@
 
 from sesamevale.entries import codec
 from sesamevale.policy import attempts
-from sesamevale.policy import membership
+from sesamevale.policy import membership_types
 from tests.builders import facts
 
 NAMES = st.text(max_size=20)
@@ -16,16 +16,16 @@
     facts.member,
     entry_id=NAMES,
     incarnation=NUMBERS,
-    status=st.sampled_from(membership.Status),
+    status=st.sampled_from(membership_types.Status),
     port=st.integers(0, 65535),
 )
 LOADS = st.builds(
-    membership.ServiceLoad,
+    membership_types.ServiceLoad,
     NAMES,
     st.builds(attempts.PeerLoad, st.integers(0, 1000), st.integers(0, 1000)),
 )
 PINGS = st.builds(
-    membership.Ping,
+    membership_types.Ping,
     NUMBERS,
     NAMES,
     NAMES,
@@ -33,7 +33,7 @@
     st.lists(MEMBERS, max_size=4).map(tuple),
     st.lists(LOADS, max_size=3).map(tuple),
 )
-REQUESTS = st.builds(membership.PingRequest, NUMBERS, NAMES, NAMES, NAMES)
+REQUESTS = st.builds(membership_types.PingRequest, NUMBERS, NAMES, NAMES, NAMES)
 
 
 @hypothesis.given(PINGS | REQUESTS)
--- a/tests/policy/test_dispatch_machine.py
+++ b/tests/policy/test_dispatch_machine.py
@@ -9,6 +9,7 @@
 
 from sesamevale import outcomes
 from sesamevale.policy import attempts
+from sesamevale.policy import call_state
 from sesamevale.policy import dispatch
 from sesamevale.policy import effects
 from tests.builders import documents
@@ -23,7 +24,7 @@
     """What happened to each call, counted at the upstreams."""
 
     def __init__(self) -> None:
-        self.facts: dict[int, dispatch.CallFacts] = {}
+        self.facts: dict[int, call_state.CallFacts] = {}
         self.sent: dict[int, int] = {}
         self.may_have_run: dict[int, int] = {}
         self.ended: dict[int, str] = {}
@@ -207,12 +208,12 @@
     def teardown(self) -> None:
         """Every call has ended once its deadline has passed."""
         self.pass_time(100.0)
+        for call_id in self.oracle.facts:
+            assert call_id in self.oracle.ended, "no outcome by its deadline"
         for _ in range(1000):
             if not self.running:
                 break
             self.end_attempt(0, "done", 0.01)
-        for call_id in self.oracle.facts:
-            assert call_id in self.oracle.ended, "no outcome by its deadline"
         assert self.dispatch.active == 0
         assert self.dispatch.queued == 0
 
--- a/tests/policy/test_leases_machine.py
+++ b/tests/policy/test_leases_machine.py
@@ -76,5 +76,17 @@
             assert self.now + self.holder.remaining(self.now) <= until
 
 
+def test_a_renewal_counts_from_before_it_was_sent():
+    holder = leases.LeaseHolder(TTL_S)
+    grant = holder.poll(0.0)
+    assert isinstance(grant, leases.Grant)
+    holder.granted(grant.request_id, 7)
+    sent_at = 4.0
+    renewal = holder.poll(sent_at)
+    assert isinstance(renewal, leases.Renew)
+    holder.renewed(renewal.request_id)
+    assert holder.state(sent_at + TTL_S) is leases.LeaseState.LAPSED
+
+
 TestLease = LeaseMachine.TestCase
 TestLease.settings = machines.machine_settings(300, 40)
--- a/tests/policy/test_membership_machine.py
+++ b/tests/policy/test_membership_machine.py
@@ -10,6 +10,7 @@
 from hypothesis import strategies as st
 
 from sesamevale.policy import membership
+from sesamevale.policy import membership_types
 from tests.builders import facts
 from tests.builders import machines
 
@@ -42,7 +43,7 @@
             view.seed(seed, 7000)
         self.views[name] = view
 
-    def transmit(self, source: str, sends: list[membership.Send]) -> None:
+    def transmit(self, source: str, sends: list[membership_types.Send]) -> None:
         for send in sends:
             if (source, send.host) in self.cuts:
                 continue
@@ -128,7 +129,7 @@
             return
         for name, view in self.network.views.items():
             assert view.own.entry_id == name
-            assert view.own.status is membership.Status.ALIVE
+            assert view.own.status is membership_types.Status.ALIVE
 
     def teardown(self) -> None:
         """Without faults all views agree on who is alive."""
@@ -179,7 +180,7 @@
     for _ in range(100):
         network.run(0.1)
         for view in network.views.values():
-            assert membership.Status.DEAD not in {
+            assert membership_types.Status.DEAD not in {
                 member.status for member in view.members.values()
             }
 
@@ -200,11 +201,11 @@
     view.unreachable("e3", network.now)
     woken_at = network.now + 10.0
     view.tick(woken_at)
-    assert view.members["e3"].status is membership.Status.SUSPECT
+    assert view.members["e3"].status is membership_types.Status.SUSPECT
     ripe_after = round(TIMING.suspicion_s / 0.1) + 1
     for step in range(1, ripe_after + 1):
         view.tick(woken_at + step * 0.1)
-    assert view.members["e3"].status is membership.Status.DEAD
+    assert view.members["e3"].status is membership_types.Status.DEAD
 
 
 def test_other_environment_is_ignored():
--- a/tests/policy/test_parts.py
+++ b/tests/policy/test_parts.py
@@ -151,8 +151,8 @@
     for step in steps:
         now += step
         for budget in budgets:
-            while budget.take(now):
-                taken += 1
+            for _ in range(100):
+                taken += budget.take(now)
     assert taken <= rate * now * entries / 8 + entries
 
 
@@ -244,6 +244,19 @@
     assert state.allowed(1.0) == 4
 
 
+def test_a_leaving_upstream_gets_nothing_new():
+    service = documents.plain_service(upstreams=3, slots=2)
+    states = pool.Pool(service.upstreams, 0.0)
+    states.leaving("till-0", 0.0)
+    states.list_leaving(frozenset({"till-1"}))
+    for step in range(6):
+        chosen = states.choose(states.states, (), step * 0.1)
+        if chosen is not None:
+            assert chosen.upstream.name == "till-2"
+            states.bound("till-2", step * 0.1)
+    assert states.states["till-2"].in_flight == 2
+
+
 def test_identity_survives_a_round_trip():
     ticket = identity.Ticket("entry-1", 12, 99, "0123456789abcdef")
     whole = identity.Identity(ticket, "charge.1")
--- a/tests/policy/test_register_machine.py
+++ b/tests/policy/test_register_machine.py
@@ -16,6 +16,7 @@
 from sesamevale import outcomes
 from sesamevale.policy import identity
 from sesamevale.policy import register
+from tests.builders import facts
 from tests.builders import machines
 
 WINDOW_S = 100
@@ -180,5 +181,42 @@
             entry.actions.expire(self.now_s)
 
 
+def after_one_run() -> AtMostOnceMachine:
+    machine = AtMostOnceMachine()
+    machine.new_action("e1")
+    machine.call(pick=0, at=0)
+    machine.upstream_ends("e1", "answer")
+    assert sum(machine.runs.values()) == 1
+    return machine
+
+
+def test_a_restarted_issuer_runs_nothing_of_its_predecessor():
+    machine = after_one_run()
+    machine.replace("e1", ran=False)
+    machine.call(pick=0, at=0)
+    machine.call(pick=0, at=1)
+    machine.upstream_ends("e1", "answer")
+    assert sum(machine.runs.values()) == 1
+
+
+def test_a_forgotten_action_does_not_run_again():
+    machine = after_one_run()
+    machine.pass_time(WINDOW_S + 1.0)
+    machine.call(pick=0, at=0)
+    machine.upstream_ends("e1", "answer")
+    assert sum(machine.runs.values()) == 1
+
+
+def test_a_forgotten_action_cannot_be_barred():
+    actions = register.Register(WINDOW_S, 10, 1000)
+    action = facts.action(expires_s=100)
+    assert actions.submit(action, "print", 50.0) == register.Run()
+    answer = outcomes.Answered(outcomes.Answer(200, (), b"paid"))
+    actions.settle(str(action), answer)
+    assert actions.bar(action, 99.0) == register.Replay(answer)
+    assert actions.expire(100.0) == 1
+    assert actions.bar(action, 100.0) == register.CannotBar()
+
+
 TestAtMostOnce = AtMostOnceMachine.TestCase
 TestAtMostOnce.settings = machines.machine_settings(200, 40)
--- a/tests/test_mutants.py
+++ b/tests/test_mutants.py
@@ -12,6 +12,7 @@
 from sesamevale.policy import leases
 from sesamevale.policy import membership
 from sesamevale.policy import pool
+from sesamevale.policy import probing
 from sesamevale.policy import queueing
 from sesamevale.policy import register
 from sesamevale.upstreams import connection
@@ -187,11 +188,31 @@
     monkeypatch.setattr(pool, "EJECTED_SHARE_MAX", 1.0)
 
 
+def probe_without_budget(monkeypatch) -> None:
+    monkeypatch.setattr(probing.ProbeBudget, "take", lambda self, now: True)
+
+
+def ignore_leaving(monkeypatch) -> None:
+    monkeypatch.setattr(pool.Pool, "leaving", lambda self, name, now: None)
+
+
+def ignore_deadlines(monkeypatch) -> None:
+    monkeypatch.setattr(
+        dispatch.Dispatch, "_expire", lambda self, state, now: []
+    )
+
+
 MUTANTS = [
     (forget_actions, run_at_most_once),
     (bar_without_tombstone, run_at_most_once),
-    (ignore_incarnation, run_at_most_once),
-    (ignore_expiry, run_at_most_once),
+    (
+        ignore_incarnation,
+        test_register_machine.test_a_restarted_issuer_runs_nothing_of_its_predecessor,
+    ),
+    (
+        ignore_expiry,
+        test_register_machine.test_a_forgotten_action_does_not_run_again,
+    ),
     (forget_earlier_attempts, run_dispatch),
     (renew_retry_budget, run_dispatch),
     (retry_everything, run_dispatch),
@@ -203,7 +224,7 @@
     ),
     (
         count_lease_without_margin,
-        lambda: run_machine(test_leases_machine.LeaseMachine),
+        test_leases_machine.test_a_renewal_counts_from_before_it_was_sent,
     ),
     (
         suspect_after_a_pause,
@@ -233,6 +254,12 @@
         serve_first_come_first,
         test_parts.test_full_queue_drops_the_greedy_caller_first,
     ),
+    (
+        probe_without_budget,
+        test_parts.test_probe_budgets_of_all_entries_stay_within_the_whole,
+    ),
+    (ignore_leaving, test_parts.test_a_leaving_upstream_gets_nothing_new),
+    (ignore_deadlines, run_dispatch),
     (
         eject_without_floor,
         test_parts.test_at_most_a_third_is_ejected,
