One skeleton for connections and one for servers; a span for each hop

Connections to upstreams and to entries, and the three servers, each had the same skeleton twice or more; they now share LinkTask and ConnectionServer. The store now takes its clock as an argument, and the machine gives it one.

--- a/src/sesamevale/dispatching/dispatcher.py
+++ b/src/sesamevale/dispatching/dispatcher.py
@@ -10,6 +10,7 @@
 from sesamevale import calls
 from sesamevale import messaging
 from sesamevale import outcomes
+from sesamevale import tracing
 from sesamevale.dispatching import exchanges
 from sesamevale.policy import attempts
 from sesamevale.policy import call_state
@@ -367,6 +368,7 @@
 def _(effect: effects.Bind, task: Dispatcher) -> None:
     upstream = task._decisions.pool.states[effect.upstream].upstream
     call = task._calls[effect.call_id]
+    tracing.record_wait(call)
     link = task._take_link(upstream, repeatable=call.rule.repeatable)
     task._start(
         effect.attempt_id,
--- /dev/null
+++ b/src/sesamevale/dispatching/links.py
@@ -0,0 +1,128 @@
+"""What connections to upstreams and to other entries have in common."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+from sesamevale import calls
+from sesamevale import messaging
+from sesamevale import outcomes
+from sesamevale import sockets
+from sesamevale import tracing
+from sesamevale.dispatching import exchanges
+from sesamevale.policy import attempts
+
+__all__ = ["LinkTask"]
+
+
+class LinkTask:
+    """Task that owns one socket and carries one exchange after the other.
+
+    The task runs until the connection is closed. A connection whose exchange
+    did not end cleanly is closed and never used again.
+
+    Args:
+        name: Name of the other side, for traces.
+        host: IP address of the other side.
+        port: TCP port of the other side.
+        connect_timeout_s: Longest time to connect, in seconds.
+    """
+
+    def __init__(
+        self, name: str, host: str, port: int, connect_timeout_s: float
+    ) -> None:
+        self._name = name
+        self._host = host
+        self._port = port
+        self._connect_timeout_s = connect_timeout_s
+        self._inbox: messaging.Inbox[exchanges.Exchange | None] = (
+            messaging.Inbox()
+        )
+        self._stream: sockets.ByteStream | None = None
+        self._aborted = False
+        self._idle_since = time.monotonic()
+        self._task = asyncio.create_task(self._run())
+
+    @property
+    def open(self) -> bool:
+        """Whether the connection can carry another exchange."""
+        if self._aborted or self._task.done():
+            return False
+        return self._stream is None or not self._stream.closed
+
+    @property
+    def idle_since(self) -> float:
+        """Monotonic time in seconds at which the last exchange ended."""
+        return self._idle_since
+
+    def send(self, message: exchanges.Exchange) -> None:
+        """Starts an exchange; one at a time."""
+        self._inbox.put(message)
+
+    def abort(self) -> None:
+        """Closes the connection; a running exchange ends as aborted."""
+        self._aborted = True
+        self._inbox.put(None)
+        if self._stream is not None:
+            self._stream.abort()
+
+    async def _perform(
+        self, exchange: exchanges.Exchange, started: float
+    ) -> attempts.Result:
+        """Runs one exchange over the open connection."""
+        raise NotImplementedError
+
+    def _keeps_open(self, result: attempts.Result) -> bool:
+        """Whether the connection is still good after a result."""
+        raise NotImplementedError
+
+    async def _run(self) -> None:
+        while True:
+            exchange = await self._inbox.get()
+            if exchange is None:
+                break
+            started = time.monotonic()
+            with tracing.attempt_span(exchange.call, self._name):
+                result = await self._connect_and_perform(exchange, started)
+            self._idle_since = time.monotonic()
+            exchange.call.upstream_seconds += self._idle_since - started
+            if not self._keeps_open(result) or not self.open:
+                self.abort()
+            exchange.reporter.send(
+                exchanges.AttemptEnded(exchange.attempt_id, result, self)
+            )
+        if self._stream is not None:
+            self._stream.abort()
+
+    async def _connect_and_perform(
+        self, exchange: exchanges.Exchange, started: float
+    ) -> attempts.Result:
+        if self._aborted:
+            return attempts.NotSent(outcomes.Reason.CALLER_GONE)
+        if self._stream is None:
+            self._stream = await sockets.connect(
+                self._host, self._port, self._connect_timeout_s
+            )
+        if self._stream is None:
+            return self._not_connected()
+        if self._aborted:
+            return attempts.NotSent(outcomes.Reason.CALLER_GONE)
+        if self._stream.closed:
+            return attempts.NotSent(outcomes.Reason.CONNECT_FAILED)
+        return await self._perform(exchange, started)
+
+    def _not_connected(self) -> attempts.Result:
+        return attempts.NotSent(outcomes.Reason.CONNECT_FAILED)
+
+    def _lost(
+        self, exchange: exchanges.Exchange, reason: outcomes.Reason
+    ) -> attempts.Result:
+        """Returns the result of an exchange that was sent and cut off."""
+        if self._aborted:
+            return attempts.Aborted()
+        answer = exchange.call.answer
+        passed = answer.claimed and answer.claim(exchange.attempt_id)
+        if passed:
+            answer.put(calls.Failed(outcomes.Unknown(reason)))
+        return attempts.Lost(passed)
--- a/src/sesamevale/entries/relay_client.py
+++ b/src/sesamevale/entries/relay_client.py
@@ -2,16 +2,13 @@
 
 from __future__ import annotations
 
-import asyncio
 import time
 from typing import TYPE_CHECKING
 
 from sesamevale import calls
-from sesamevale import messaging
 from sesamevale import outcomes
-from sesamevale import sockets
-from sesamevale import tracing
 from sesamevale.dispatching import exchanges
+from sesamevale.dispatching import links
 from sesamevale.entries import codec
 from sesamevale.entries.wire import ttypes as wire
 from sesamevale.policy import attempts
@@ -26,7 +23,7 @@
 CONNECT_TIMEOUT_S = 0.3
 
 
-class RelayConnection:
+class RelayConnection(links.LinkTask):
     """Sends calls to another entry and passes the answers on.
 
     Args:
@@ -42,74 +39,25 @@
         *,
         issuer: bool = False,
     ) -> None:
+        super().__init__(
+            member.entry_id, member.host, member.peer_port, CONNECT_TIMEOUT_S
+        )
         self._member = member
         self._on_unreachable = on_unreachable
         self._issuer = issuer
-        self._inbox: messaging.Inbox[exchanges.Exchange | None] = (
-            messaging.Inbox()
-        )
-        self._stream: sockets.ByteStream | None = None
         self._frames: codec.FrameStream | None = None
-        self._aborted = False
-        self._idle_since = time.monotonic()
-        self._task = asyncio.create_task(self._run())
-
-    @property
-    def open(self) -> bool:
-        """Whether the connection can carry another exchange."""
-        if self._aborted or self._task.done():
-            return False
-        return self._stream is None or not self._stream.closed
-
-    @property
-    def idle_since(self) -> float:
-        """Monotonic time in seconds at which the last exchange ended."""
-        return self._idle_since
-
-    def send(self, message: exchanges.Exchange) -> None:
-        """Starts an exchange; one at a time."""
-        self._inbox.put(message)
-
-    def abort(self) -> None:
-        """Closes the connection; a running exchange ends as aborted."""
-        self._aborted = True
-        self._inbox.put(None)
-        if self._stream is not None:
-            self._stream.abort()
-
-    async def _run(self) -> None:
-        while True:
-            exchange = await self._inbox.get()
-            if exchange is None:
-                break
-            started = time.monotonic()
-            with tracing.attempt_span(exchange.call, self._member.entry_id):
-                result = await self._perform(exchange, started)
-            self._idle_since = time.monotonic()
-            exchange.call.upstream_seconds += self._idle_since - started
-            reusable = (attempts.Completed, attempts.PeerRefused)
-            if not isinstance(result, reusable):
-                self.abort()
-            exchange.reporter.send(
-                exchanges.AttemptEnded(exchange.attempt_id, result, self)
-            )
-        if self._stream is not None:
-            self._stream.abort()
+
+    def _keeps_open(self, result: attempts.Result) -> bool:
+        return isinstance(result, attempts.Completed | attempts.PeerRefused)
+
+    def _not_connected(self) -> attempts.Result:
+        self._on_unreachable(self._member.entry_id)
+        return attempts.NotSent(outcomes.Reason.PEER_LOST)
 
     async def _perform(
         self, exchange: exchanges.Exchange, started: float
     ) -> attempts.Result:
-        if self._aborted:
-            return attempts.NotSent(outcomes.Reason.CALLER_GONE)
-        if self._stream is None:
-            self._stream = await sockets.connect(
-                self._member.host, self._member.peer_port, CONNECT_TIMEOUT_S
-            )
-        if self._stream is None:
-            self._on_unreachable(self._member.entry_id)
-            return attempts.NotSent(outcomes.Reason.PEER_LOST)
-        if self._aborted or self._stream.closed:
-            return attempts.NotSent(outcomes.Reason.PEER_LOST)
+        assert self._stream is not None
         if self._frames is None:
             self._frames = codec.FrameStream(self._stream)
         self._frames.write(self._head(exchange))
@@ -160,13 +108,13 @@
         assert self._frames is not None
         frame = await self._frames.read()
         if frame is None:
-            return self._lost(exchange)
+            return self._lost(exchange, outcomes.Reason.PEER_LOST)
         failed = frame.answer_failed
         if failed is not None:
             return _failure(failed)
         head = frame.answer_head
         if head is None:
-            return self._lost(exchange)
+            return self._lost(exchange, outcomes.Reason.PEER_LOST)
         answer = exchange.call.answer
         if not answer.claim(exchange.attempt_id):
             self.abort()
@@ -178,7 +126,7 @@
         while not last:
             part = await self._next_part()
             if part is None:
-                return self._lost(exchange)
+                return self._lost(exchange, outcomes.Reason.PEER_LOST)
             answer.put(calls.AnswerData(part.data))
             await answer.drained()
             last = part.last
@@ -192,16 +140,6 @@
         frame = await self._frames.read()
         return None if frame is None else frame.body_part
 
-    def _lost(self, exchange: exchanges.Exchange) -> attempts.Result:
-        if self._aborted:
-            return attempts.Aborted()
-        answer = exchange.call.answer
-        passed = answer.claimed and answer.claim(exchange.attempt_id)
-        if passed:
-            failed = outcomes.Unknown(outcomes.Reason.PEER_LOST)
-            answer.put(calls.Failed(failed))
-        return attempts.Lost(passed)
-
 
 def _headers_to_wire(headers: calls.Headers) -> list[wire.Header]:
     return [wire.Header(name, value) for name, value in headers]
--- a/src/sesamevale/entries/relay_server.py
+++ b/src/sesamevale/entries/relay_server.py
@@ -3,14 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import time
-from typing import Self
 from typing import TYPE_CHECKING
 
 from sesamevale import calls
 from sesamevale import outcomes
-from sesamevale import sockets
+from sesamevale import servers
+from sesamevale import tracing
 from sesamevale.dispatching import at_most_once
 from sesamevale.entries import codec
 from sesamevale.entries.wire import ttypes as wire
@@ -23,14 +22,13 @@
 
     from sesamevale import documents
     from sesamevale import metrics
+    from sesamevale import sockets
     from sesamevale.dispatching import front as fronts
 
 __all__ = ["RelayServer"]
 
-DocumentSource = "Callable[[int, frozenset[str]], wire.DocumentAnswer]"
 
-
-class RelayServer:
+class RelayServer(servers.ConnectionServer):
     """Listens for other entries while its context is open.
 
     Args:
@@ -51,32 +49,17 @@
         documents: Callable[[int, frozenset[str]], wire.DocumentAnswer],
         book: metrics.Book,
     ) -> None:
-        self._host = host
-        self._port = port
+        super().__init__(host, port)
         self._front = front
         self._actions = actions
         self._documents = documents
         self._book = book
-        self._tasks: set[asyncio.Task[None]] = set()
-        self._stack = contextlib.AsyncExitStack()
-
-    async def __aenter__(self) -> Self:
-        context = sockets.listen(self._host, self._port, self._accepted)
-        await self._stack.enter_async_context(context)
-        return self
-
-    async def __aexit__(self, *exc_info: object) -> None:
-        await self._stack.aclose()
-        for task in list(self._tasks):
-            task.cancel()
 
-    def _accepted(self, stream: sockets.ByteStream) -> None:
+    async def _serve(self, stream: sockets.ByteStream) -> None:
         serving = _PeerConnection(
             stream, self._front, self._actions, self._documents, self._book
         )
-        task = asyncio.create_task(serving.run())
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        await serving.run()
 
 
 class _PeerConnection:
@@ -132,6 +115,8 @@
             self._send_failed(outcomes.NotRun(outcomes.Reason.NO_RULE), "")
             return
         call = self._new_call(head, rule)
+        span = tracing.start_call("relayed", head.traceparent)
+        call.traceparent = span.traceparent
         body_task = None
         if call.stream is not None:
             body_task = asyncio.create_task(self._read_stream(call.stream))
@@ -141,6 +126,7 @@
                 return
             await self._pass_answer(call)
         finally:
+            span.end("served")
             self._stream.on_lost(None)
             if body_task is not None:
                 body_task.cancel()
--- a/src/sesamevale/operators/admin_server.py
+++ b/src/sesamevale/operators/admin_server.py
@@ -3,18 +3,18 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import dataclasses
-from typing import Self
 from typing import TYPE_CHECKING
 
 import h11
 
-from sesamevale import sockets
+from sesamevale import servers
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from sesamevale import sockets
+
 __all__ = ["AdminServer", "Page"]
 
 REQUEST_TIMEOUT_S = 10.0
@@ -30,7 +30,7 @@
     body: bytes
 
 
-class AdminServer:
+class AdminServer(servers.ConnectionServer):
     """Serves pages to operators while its context is open.
 
     Args:
@@ -42,26 +42,8 @@
     def __init__(
         self, host: str, port: int, pages: dict[str, Callable[[], Page]]
     ) -> None:
-        self._host = host
-        self._port = port
+        super().__init__(host, port)
         self._pages = pages
-        self._tasks: set[asyncio.Task[None]] = set()
-        self._stack = contextlib.AsyncExitStack()
-
-    async def __aenter__(self) -> Self:
-        context = sockets.listen(self._host, self._port, self._accepted)
-        await self._stack.enter_async_context(context)
-        return self
-
-    async def __aexit__(self, *exc_info: object) -> None:
-        await self._stack.aclose()
-        for task in list(self._tasks):
-            task.cancel()
-
-    def _accepted(self, stream: sockets.ByteStream) -> None:
-        task = asyncio.create_task(self._serve(stream))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
 
     async def _serve(self, stream: sockets.ByteStream) -> None:
         """Serves one request and closes the connection."""
--- a/src/sesamevale/platform/store.py
+++ b/src/sesamevale/platform/store.py
@@ -5,12 +5,16 @@
 import dataclasses
 import time
 import uuid
+from typing import TYPE_CHECKING
 
 from sesamevale.platform import client
 from sesamevale.platform import keys
 from sesamevale.platform import manifests
 from sesamevale.policy import following
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 __all__ = [
     "Accepted",
     "Conflict",
@@ -83,13 +87,18 @@
     Args:
         platform: Client of the service.
         environment: Name of the environment.
+        clock: Source of the time in seconds since the epoch.
     """
 
     def __init__(
-        self, platform: client.PlatformClient, environment: str
+        self,
+        platform: client.PlatformClient,
+        environment: str,
+        clock: Callable[[], float] = time.time,
     ) -> None:
         self._platform = platform
         self._environment = environment
+        self._clock = clock
 
     async def head(self) -> Head | client.Unavailable:
         """Reads the manifest in force."""
@@ -137,7 +146,7 @@
             base: Manifest that the change was made from.
             author: Who submits the change.
         """
-        now_s = int(time.time())
+        now_s = int(self._clock())
         named = {
             name: manifests.digest_of(content)
             for name, content in parts.items()
--- /dev/null
+++ b/src/sesamevale/servers.py
@@ -0,0 +1,58 @@
+"""What all TCP servers of an entry have in common."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from typing import Self
+
+from sesamevale import sockets
+
+__all__ = ["ConnectionServer"]
+
+
+class ConnectionServer:
+    """Listens while its context is open; one task for each connection.
+
+    Args:
+        host: IP address to listen on.
+        port: TCP port to listen on; 0 picks a free one.
+    """
+
+    def __init__(self, host: str, port: int) -> None:
+        self._host = host
+        self._port = port
+        self._stack = contextlib.AsyncExitStack()
+        self._server: asyncio.Server | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    @property
+    def port(self) -> int:
+        """TCP port that is listened on."""
+        if self._server is None:
+            return self._port
+        return self._server.sockets[0].getsockname()[1]
+
+    async def __aenter__(self) -> Self:
+        context = sockets.listen(self._host, self._port, self._accepted)
+        self._server = await self._stack.enter_async_context(context)
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        await self._stack.aclose()
+        for task in list(self._tasks):
+            task.cancel()
+
+    def stop_accepting(self) -> None:
+        """Refuses new connections; open ones go on."""
+        if self._server is not None:
+            self._server.close()
+
+    async def _serve(self, stream: sockets.ByteStream) -> None:
+        """Serves one connection until it ends."""
+        raise NotImplementedError
+
+    def _accepted(self, stream: sockets.ByteStream) -> None:
+        task = asyncio.create_task(self._serve(stream))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
--- a/src/sesamevale/tracing.py
+++ b/src/sesamevale/tracing.py
@@ -5,8 +5,10 @@
 import contextlib
 import random
 import re
+import time
 from typing import TYPE_CHECKING
 
+from opentelemetry import context as context_api
 from opentelemetry import trace
 from opentelemetry.sdk import resources
 from opentelemetry.sdk import trace as trace_sdk
@@ -24,6 +26,7 @@
     "attempt_span",
     "configure",
     "console_exporter",
+    "record_wait",
     "start_call",
 ]
 
@@ -105,21 +108,39 @@
 @contextlib.contextmanager
 def attempt_span(call: calls.Call, target: str) -> Iterator[None]:
     """Covers one attempt with a span if the call is sampled."""
-    matched = None
-    if call.traceparent is not None and _sample_share > 0.0:
-        matched = TRACEPARENT.fullmatch(call.traceparent)
-    if matched is None or not int(matched[3], 16) & SAMPLED_FLAG:
+    context = _sampled_context(call)
+    if context is None:
         yield
         return
-    context = trace.set_span_in_context(
-        trace.NonRecordingSpan(_parent(matched))
-    )
     with _tracer.start_as_current_span(
         "attempt", context=context, attributes={"sesamevale.target": target}
     ):
         yield
 
 
+def record_wait(call: calls.Call) -> None:
+    """Covers the time that a sampled call has waited with a span."""
+    context = _sampled_context(call)
+    if context is None:
+        return
+    now_ns = time.time_ns()
+    waited_ns = int((time.monotonic() - call.arrived) * 1e9)
+    span = _tracer.start_span(
+        "queue", context=context, start_time=now_ns - waited_ns
+    )
+    span.end(now_ns)
+
+
+def _sampled_context(call: calls.Call) -> context_api.Context | None:
+    """Returns the context of a call's span; None if it is not sampled."""
+    if call.traceparent is None or _sample_share <= 0.0:
+        return None
+    matched = TRACEPARENT.fullmatch(call.traceparent)
+    if matched is None or not int(matched[3], 16) & SAMPLED_FLAG:
+        return None
+    return trace.set_span_in_context(trace.NonRecordingSpan(_parent(matched)))
+
+
 def _parent(matched: re.Match[bytes]) -> trace.SpanContext:
     return trace.SpanContext(
         trace_id=int(matched[1], 16),
--- a/src/sesamevale/upstreams/connection.py
+++ b/src/sesamevale/upstreams/connection.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import contextlib
 import time
 from typing import TYPE_CHECKING
@@ -11,11 +10,10 @@
 
 from sesamevale import calls
 from sesamevale import http1
-from sesamevale import messaging
 from sesamevale import outcomes
 from sesamevale import sockets
-from sesamevale import tracing
 from sesamevale.dispatching import exchanges
+from sesamevale.dispatching import links
 from sesamevale.policy import attempts
 
 if TYPE_CHECKING:
@@ -28,99 +26,40 @@
 SERVER_ERROR = 500
 
 
-class UpstreamConnection:
+class UpstreamConnection(links.LinkTask):
     """Sends calls to an upstream, one after the other.
 
-    The task runs until the connection is closed. A connection whose exchange
-    did not end cleanly is closed and never used again.
-
     Args:
         upstream: The upstream.
     """
 
     def __init__(self, upstream: documents.Upstream) -> None:
-        self._upstream = upstream
-        self._inbox: messaging.Inbox[exchanges.Exchange | None] = (
-            messaging.Inbox()
+        super().__init__(
+            upstream.name, upstream.host, upstream.port, CONNECT_TIMEOUT_S
         )
-        self._stream: sockets.ByteStream | None = None
         self._http = h11.Connection(h11.CLIENT)
-        self._aborted = False
-        self._sent = False
-        self._idle_since = time.monotonic()
-        self._task = asyncio.create_task(self._run())
 
     @property
     def open(self) -> bool:
         """Whether the connection can carry another exchange."""
-        if self._aborted or self._task.done():
-            return False
-        if self._stream is None:
-            return True
-        return not self._stream.closed and self._http.our_state is h11.IDLE
-
-    @property
-    def idle_since(self) -> float:
-        """Monotonic time in seconds at which the last exchange ended."""
-        return self._idle_since
-
-    def send(self, message: exchanges.Exchange) -> None:
-        """Starts an exchange; one at a time."""
-        self._inbox.put(message)
+        return super().open and self._http.our_state is h11.IDLE
 
-    def abort(self) -> None:
-        """Closes the connection; a running exchange ends as aborted."""
-        self._aborted = True
-        self._inbox.put(None)
-        if self._stream is not None:
-            self._stream.abort()
-
-    async def _run(self) -> None:
-        while True:
-            exchange = await self._inbox.get()
-            if exchange is None:
-                break
-            started = time.monotonic()
-            with tracing.attempt_span(exchange.call, self._upstream.name):
-                result = await self._perform(exchange, started)
-            self._idle_since = time.monotonic()
-            exchange.call.upstream_seconds += self._idle_since - started
-            if isinstance(result, attempts.NotSent) or not self.open:
-                self.abort()
-            exchange.reporter.send(
-                exchanges.AttemptEnded(exchange.attempt_id, result, self)
-            )
-        if self._stream is not None:
-            self._stream.abort()
+    def _keeps_open(self, result: attempts.Result) -> bool:
+        return not isinstance(result, attempts.NotSent)
 
     async def _perform(
         self, exchange: exchanges.Exchange, started: float
     ) -> attempts.Result:
-        """Runs one exchange and says how it ended."""
-        if self._aborted:
-            return attempts.NotSent(outcomes.Reason.CALLER_GONE)
-        if not await self._connect():
-            return attempts.NotSent(outcomes.Reason.CONNECT_FAILED)
-        if self._aborted or self._stream is None:
-            return attempts.NotSent(outcomes.Reason.CALLER_GONE)
         try:
             await self._send_request(exchange)
             result = await self._read_answer(exchange, started)
         except (h11.RemoteProtocolError, h11.LocalProtocolError):
-            result = self._lost(exchange)
+            result = self._lost(exchange, outcomes.Reason.CUT)
         if self._http.our_state is h11.DONE:
             with contextlib.suppress(h11.LocalProtocolError):
                 self._http.start_next_cycle()
         return result
 
-    async def _connect(self) -> bool:
-        if self._stream is not None:
-            return not self._stream.closed
-        self._stream = await sockets.connect(
-            self._upstream.host, self._upstream.port, CONNECT_TIMEOUT_S
-        )
-        return self._stream is not None
-
     async def _send_request(self, exchange: exchanges.Exchange) -> None:
         call = exchange.call
         stream = self._stream
@@ -173,7 +112,7 @@
         while isinstance(response, h11.InformationalResponse):
             response = await self._next_event()
         if not isinstance(response, h11.Response):
-            return self._lost(exchange)
+            return self._lost(exchange, outcomes.Reason.CUT)
         headers = tuple(response.headers)
         leaving = self._is_leaving(exchange, headers)
         if _is_shed(exchange.service.shed, response.status_code, headers):
@@ -230,7 +169,7 @@
         """Reads a server error whole, so that a retry can replace it."""
         body = await self._read_body()
         if body is None:
-            return self._lost(exchange)
+            return self._lost(exchange, outcomes.Reason.CUT)
         kept = http1.forwarded(response.headers, frozenset())
         answer = outcomes.Answer(response.status_code, kept, body)
         left = http1.integer(tuple(response.headers), http1.Field.RETRIES_LEFT)
@@ -264,16 +203,6 @@
         assert self._stream is not None
         self._http.receive_data(await self._stream.read())
 
-    def _lost(self, exchange: exchanges.Exchange) -> attempts.Result:
-        if self._aborted:
-            return attempts.Aborted()
-        answer = exchange.call.answer
-        passed = answer.claimed and answer.claim(exchange.attempt_id)
-        if passed:
-            failed = outcomes.Unknown(outcomes.Reason.CUT)
-            answer.put(calls.Failed(failed))
-        return attempts.Lost(passed)
-
     def _is_leaving(
         self, exchange: exchanges.Exchange, headers: calls.Headers
     ) -> bool:
--- a/tests/features/steps/fleet_steps.py
+++ b/tests/features/steps/fleet_steps.py
@@ -29,7 +29,13 @@
     return documents.document(services, **settings)
 
 
-async def start_fleet(context, entries: int, upstreams: int, slots: int):
+async def start_fleet(
+    context,
+    entries: int,
+    upstreams: int,
+    slots: int,
+    extra: list[str] | None = None,
+):
     context.slots = slots
     context.service_options = {}
     context.ports = {name: fleet.free_ports(upstreams) for name in SERVICES}
@@ -38,7 +44,7 @@
     await context.fleet.start_upstreams(ports, slots, mean_ms=5.0)
     await context.fleet.submit(build_document(context))
     for number in range(1, entries + 1):
-        context.fleet.start_entry(f"e{number}", "test")
+        context.fleet.start_entry(f"e{number}", "test", extra=extra)
     await context.fleet.wait_ready()
 
 
--- a/tests/policy/test_acceptance_machine.py
+++ b/tests/policy/test_acceptance_machine.py
@@ -27,7 +27,9 @@
     def __init__(self) -> None:
         super().__init__()
         self.platform = platform.FaultyPlatform()
-        self.documents = store.DocumentStore(self.platform, "test")
+        self.documents = store.DocumentStore(
+            self.platform, "test", clock=lambda: 1000.0
+        )
         self.bases: list[store.Head] = [store.Head(None, 0)]
         self.outcomes: list[store.SubmitOutcome] = []
         self.count = 0
