Spend fewer bytes on control; keep time free at the end of the queue

Control: at 62 services an entry spent 1.7 KB/s on gossip and 2.2 KB/s on the platform, above the target of 2 KB/s together. Cause: every poll read the whole manifest, and acknowledgements carried members in rotation. A newcomer is told about all members at its first ping, so that it does not wait for the rotation (own test). Cause: calls were sent with too little time left.

--- a/src/sesamevale/platform/client.py
+++ b/src/sesamevale/platform/client.py
@@ -117,6 +117,14 @@
             return reply
         return reply[0] if reply else None
 
+    async def mod_revision(self, key: str) -> int | Unavailable:
+        """Reads when a key was last changed, without its value."""
+        body = {"key": models.encode(key.encode()), "keys_only": True}
+        reply = await self._ask("/v3/kv/range", body, models.RangeReply)
+        if isinstance(reply, Unavailable):
+            return reply
+        return reply.kvs[0].mod_revision if reply.kvs else 0
+
     async def read_all(self, prefix: str) -> list[Stored] | Unavailable:
         """Reads all keys with a prefix."""
         start = prefix.encode()
--- a/src/sesamevale/platform/store.py
+++ b/src/sesamevale/platform/store.py
@@ -109,6 +109,12 @@
             return Head(None, 0)
         return Head(manifests.load_manifest(stored.value), stored.mod_revision)
 
+    async def changed_at(self) -> int | client.Unavailable:
+        """Reads the platform revision of the manifest's last write."""
+        return await self._platform.mod_revision(
+            keys.manifest(self._environment)
+        )
+
     async def parts(
         self, digests: frozenset[str]
     ) -> dict[str, bytes] | client.Unavailable:
--- a/src/sesamevale/policy/dispatch.py
+++ b/src/sesamevale/policy/dispatch.py
@@ -29,6 +29,8 @@
 INITIAL_SERVICE_SECONDS = 0.01
 SERVICE_SMOOTHING = 0.05
 TIMELY_SERVICE_TIMES = 1.5
+QUEUE_MARGIN_SERVICE_TIMES = 4.0
+QUEUE_SHARE_OF_DEADLINE = 0.5
 
 
 class Dispatch:
@@ -238,12 +240,20 @@
         return None if chosen is None else chosen.upstream.name
 
     def _timely(self, state: call_state.CallState, now: float) -> bool:
-        """Whether the deadline can probably be met from the queue."""
+        """Whether the deadline can probably be met from the queue.
+
+        A call that is sent with little time left mostly ends past its
+        deadline and wastes a slot, so several service times are kept free.
+        """
         remaining = state.facts.deadline - now
+        margin = min(
+            QUEUE_MARGIN_SERVICE_TIMES * self._service_seconds,
+            QUEUE_SHARE_OF_DEADLINE * remaining,
+        )
         slots = self._pool.allowed_slots(self._candidates(), now)
         ahead = self._queue.ahead_of(state.facts.priority)
         wait = ahead * self._service_seconds / max(1, slots)
-        return wait + TIMELY_SERVICE_TIMES * self._service_seconds < remaining
+        return wait + margin < remaining
 
     def _bind(
         self, state: call_state.CallState, upstream: str, now: float
--- a/src/sesamevale/policy/membership.py
+++ b/src/sesamevale/policy/membership.py
@@ -23,7 +23,7 @@
 __all__ = ["Membership", "Timing"]
 
 UPDATES_PER_MESSAGE = 8
-ROTATING_PER_MESSAGE = 2
+ROTATING_PER_PING = 1
 RETRANSMIT_FACTOR = 4
 INDIRECT_PROBES = 2
 IMMEDIATE_NOTICES = 3
@@ -403,7 +403,7 @@
             self._own.entry_id,
             self._environment,
             self._revision,
-            self._news(subject),
+            self._news(subject) + self._rotating(),
             self._loads,
         )
 
@@ -430,13 +430,47 @@
                 del self._retransmits[entry_id]
             if entry_id in self._members:
                 chosen[entry_id] = self._members[entry_id]
-        names = sorted(self._members)
-        for offset in range(min(ROTATING_PER_MESSAGE, len(names))):
-            name = names[(self._rotation + offset) % len(names)]
-            chosen[name] = self._members[name]
-        self._rotation += ROTATING_PER_MESSAGE
         return tuple(chosen.values())
 
+    def _rotating(self) -> tuple[membership_types.Member, ...]:
+        """Chooses members in turn, which repairs what news has missed."""
+        names = sorted(self._members)
+        chosen = [
+            self._members[names[(self._rotation + offset) % len(names)]]
+            for offset in range(min(ROTATING_PER_PING, len(names)))
+        ]
+        self._rotation += ROTATING_PER_PING
+        return tuple(chosen)
+
+    def _introduce(
+        self, newcomer: membership_types.Member
+    ) -> list[membership_types.Send]:
+        """Tells an entry that was not known here about all members."""
+        everyone = list(self._members.values())
+        sends = []
+        for start in range(0, len(everyone), UPDATES_PER_MESSAGE):
+            updates = tuple(everyone[start : start + UPDATES_PER_MESSAGE])
+            message = membership_types.Ping(
+                self._next_sequence(),
+                self._own.entry_id,
+                self._environment,
+                self._revision,
+                updates,
+            )
+            sends.append(
+                membership_types.Send(
+                    newcomer.host, newcomer.peer_port, message
+                )
+            )
+        return sends
+
+    def _knows(self, entry_id: str) -> bool:
+        member = self._members.get(entry_id)
+        return (
+            member is not None
+            and member.status is not membership_types.Status.DEAD
+        )
+
     def _next_sequence(self) -> int:
         self._sequence += 1
         return self._sequence
@@ -453,10 +487,12 @@
 def _(
     message: membership_types.Ping, view: Membership, now: float
 ) -> list[membership_types.Send]:
+    known = view._knows(message.sender)
     view._take_news(message, now)
     sender = view._members.get(message.sender)
     if sender is None:
         return []
+    introduction = [] if known else view._introduce(sender)
     ack = membership_types.Ack(
         message.sequence,
         view._own.entry_id,
@@ -465,7 +501,10 @@
         view._news(sender),
         view._loads,
     )
-    return [membership_types.Send(sender.host, sender.peer_port, ack)]
+    return [
+        membership_types.Send(sender.host, sender.peer_port, ack),
+        *introduction,
+    ]
 
 
 @_receive.register
--- a/tests/policy/test_membership_machine.py
+++ b/tests/policy/test_membership_machine.py
@@ -166,6 +166,16 @@
         assert "e4" not in {member.entry_id for member in view.usable}
 
 
+def test_a_newcomer_knows_everyone_after_its_first_ping():
+    network = converged_network()
+    network.views.pop("e4")
+    network.run(5.0)
+    network.start("e4")
+    network.run(TIMING.period_s + 0.2)
+    usable = {member.entry_id for member in network.views["e4"].usable}
+    assert usable == set(NAMES)
+
+
 def test_draining_entry_leaves_every_view_within_one_period():
     network = converged_network()
     network.transmit("e4", network.views["e4"].leave())
