Fuzz actions over real processes; an entry past its lease registers again

Random actions, repeats, kills with restart, SIGSTOP and SIGCONT and upstream faults on three real entries; the oracle counts runs at the upstreams. An entry whose register forgets is found out by the same test. A body that stops coming is cut off with 408; by the code it would have held its connection for good before (the scenario was written with the fix and not run without it).

--- a/src/sesamevale/callers/connection.py
+++ b/src/sesamevale/callers/connection.py
@@ -63,6 +63,7 @@
         self._caller = stream.peer_host
         self._head = framing.HeadScanner()
         self._busy = False
+        self._reading_body = False
         self._expires = time.monotonic() + limits.idle_ms / 1000
         self._body_task: asyncio.Task[None] | None = None
 
@@ -98,7 +99,7 @@
 
     def expire(self) -> None:
         """Ends a connection whose caller was silent for too long."""
-        if self._head.partial and not self._busy:
+        if self._head.partial or self._reading_body:
             self._stream.write(framing.REQUEST_TIMEOUT)
         self._stream.close()
 
@@ -261,7 +262,7 @@
 
     async def _run_call(self, call: calls.Call) -> tuple[str, str]:
         """Runs a call and passes its answer on; returns how it ended."""
-        if not await self._read_body(call):
+        if not await self._read_body_in_time(call):
             self._refuse(outcomes.Reason.BAD_REQUEST, status=413)
             return "not-run", str(outcomes.Reason.BAD_REQUEST)
         if self._stream.closed:
@@ -310,6 +311,16 @@
                 self._stream.abort()
                 return "unknown", str(message.outcome.reason)
 
+    async def _read_body_in_time(self, call: calls.Call) -> bool:
+        """Reads the body; a caller that stops sending is cut off."""
+        self._expires = time.monotonic() + self._limits.idle_ms / 1000
+        self._reading_body = True
+        try:
+            return await self._read_body(call)
+        finally:
+            self._reading_body = False
+            self._expires = math.inf
+
     async def _read_body(self, call: calls.Call) -> bool:
         """Reads the body or starts to stream it; False if it is too long."""
         body = bytearray()
--- a/tests/features/bad_input.feature
+++ b/tests/features/bad_input.feature
@@ -35,6 +35,12 @@
     Then the connection is closed after status 408
     And no upstream has been called
 
+  Scenario: A body that stops coming
+    Given a fleet of 1 entries with short limits
+    When the bytes POST /till/x HTTP/1.1\r\nhost: x\r\ncontent-length: 10\r\n\r\nabc are sent to e1
+    Then the connection is closed after status 408
+    And no upstream has been called
+
   Scenario: More connections than one address may have
     Given a fleet of 1 entries with short limits
     Then the connection after the first 4 is refused by e1
--- a/tests/features/membership.feature
+++ b/tests/features/membership.feature
@@ -44,6 +44,16 @@
     Then the directory of e1 lists 3 entries
     And the next 5 calls of /till/x through e2 are answered
 
+  Scenario: An entry that was frozen past its lease registers again
+    Given a fleet of 2 entries
+    Then the platform lists e2 as registered
+    When entry e2 is frozen
+    Then the platform lists e2 as gone
+    When entry e2 is thawed
+    Then the platform lists e2 as registered
+    And the directory of e1 lists 2 entries
+    And the next 5 calls of /till/x through e2 are answered
+
   Scenario: All entries are replaced one by one under load
     Given a fleet of 3 entries
     When all entries are replaced one by one while calls go on
--- a/tests/features/steps/fleet_steps.py
+++ b/tests/features/steps/fleet_steps.py
@@ -237,7 +237,11 @@
 @given("a fleet of {entries:d} entries with short limits")
 def given_short_limits(context, entries):
     context.run(start_fleet(context, entries, 3, 2))
-    limits = {"header_read_ms": 300, "connections_per_address": 4}
+    limits = {
+        "header_read_ms": 300,
+        "idle_ms": 500,
+        "connections_per_address": 4,
+    }
 
     async def change() -> None:
         model = build_document(context, limits=limits)
@@ -246,3 +250,14 @@
 
     context.run(change())
     all_have_revision(context)
+
+
+@then("the platform lists {name:S} as {state:S}")
+def platform_lists(context, name, state):
+    key = f"sesamevale/test/entries/{name}"
+
+    async def listed() -> bool:
+        found = await fleet.stats(context.fleet.platform_port)
+        return (key in found["keys"]) == (state == "registered")
+
+    context.run(fleet.wait_until(listed, 2 * WAIT_S))
--- /dev/null
+++ b/tests/policy/test_slot_bound.py
@@ -0,0 +1,50 @@
+"""The bound on slots while entries disagree about homes."""
+
+from __future__ import annotations
+
+import collections
+
+import hypothesis
+from hypothesis import strategies as st
+
+from sesamevale.policy import attempts
+from sesamevale.policy import dispatch
+from sesamevale.policy import effects
+from sesamevale.policy import homes
+from tests.builders import documents
+from tests.builders import facts
+
+SLOTS = 2
+SERVICE = documents.plain_service(upstreams=3, slots=SLOTS, queue_limit=50)
+
+
+def believer(entry_id: str) -> dispatch.Dispatch:
+    """Returns the state of an entry that believes it owns everything."""
+    owners = {each.name: entry_id for each in SERVICE.upstreams}
+    decisions = dispatch.Dispatch(SERVICE, entry_id, 0.0)
+    decisions.set_homes(homes.HomeMap(owners), 0.0)
+    return decisions
+
+
+@hypothesis.given(
+    entries=st.integers(1, 4),
+    steps=st.lists(
+        st.tuples(st.integers(0, 3), st.booleans()), min_size=1, max_size=80
+    ),
+)
+def test_each_believer_adds_at_most_its_slots(entries, steps):
+    believers = [believer(f"e{number}") for number in range(entries)]
+    running: list[tuple[int, effects.Bind]] = []
+    for call_id, (pick, ends) in enumerate(steps, 1):
+        index = pick % entries
+        if ends and running:
+            owner, bind = running.pop(0)
+            done = attempts.Completed(0.01)
+            wanted = believers[owner].attempt_ended(bind.attempt_id, done, 0.0)
+            index = owner
+        else:
+            wanted = believers[index].submit(facts.call_facts(call_id), 0.0)
+        binds = [each for each in wanted if isinstance(each, effects.Bind)]
+        running += [(index, bind) for bind in binds]
+        used = collections.Counter(bind.upstream for _, bind in running)
+        assert all(count <= SLOTS * entries for count in used.values())
--- /dev/null
+++ b/tests/system/test_fleet_fuzz.py
@@ -0,0 +1,158 @@
+"""Random faults on real processes; an oracle counts runs at the upstreams."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import dataclasses
+import random
+import uuid
+
+import pytest
+
+from tests.builders import documents
+from tests.builders import fleet
+from tests.standins import http_client
+
+STEPS = 30
+ENTRIES = ("e1", "e2", "e3")
+CALL_TIMEOUT_S = 8.0
+MODES = ("serve", "serve", "serve", "cut", "shed")
+
+
+@dataclasses.dataclass(slots=True)
+class Told:
+    """What callers were told about one action."""
+
+    bodies: set[bytes] = dataclasses.field(default_factory=set)
+    not_run: bool = False
+
+
+class FleetFuzz:
+    """One fleet with random actions, repeats, kills, freezes and faults."""
+
+    def __init__(self, running: fleet.Fleet, seed: int, module: str) -> None:
+        self.running = running
+        self.module = module
+        self.rng = random.Random(seed)
+        self.ports = fleet.free_ports(3)
+        self.told: dict[str, Told] = collections.defaultdict(Told)
+        self.identities: list[str] = []
+        self.frozen: set[str] = set()
+        self.tasks: list[asyncio.Task] = []
+
+    async def start(self) -> None:
+        await self.running.start_platform()
+        await self.running.start_upstreams(self.ports, 2, 30.0)
+        rules = [documents.write_rule("till", deadline_ms=1500)]
+        service = documents.service("till", self.ports, 2, rules)
+        await self.running.submit(documents.document({"till": service}))
+        for name in ENTRIES:
+            self.running.start_entry(name, "test", module=self.module)
+        await self.running.wait_ready()
+
+    async def run(self) -> None:
+        steps = (
+            self.new_action,
+            self.new_action,
+            self.repeat,
+            self.repeat,
+            self.repeat,
+            self.replace,
+            self.freeze_or_thaw,
+            self.change_upstream,
+        )
+        for _ in range(STEPS):
+            await self.rng.choice(steps)()
+            await asyncio.sleep(self.rng.uniform(0.0, 0.2))
+        for name in list(self.frozen):
+            self.running.entries[name].thaw()
+        await asyncio.gather(*self.tasks)
+
+    async def new_action(self) -> None:
+        name = self.rng.choice(ENTRIES)
+        if name in self.frozen:
+            return
+        async with self.running.client(name, 1.0) as client:
+            path = "/.well-known/sesamevale/directory"
+            answer = await client.call("GET", path)
+        if answer is None:
+            return
+        ticket = answer.body.decode().split('"ticket": "')[1].split('"')[0]
+        self.identities.append(f"{ticket}~{uuid.uuid4().hex}")
+        self.send(self.identities[-1])
+
+    async def repeat(self) -> None:
+        if self.identities:
+            self.send(self.rng.choice(self.identities[-5:]))
+
+    def send(self, identity: str) -> None:
+        name = self.rng.choice(ENTRIES)
+        self.tasks.append(asyncio.ensure_future(self.call(name, identity)))
+
+    async def call(self, name: str, identity: str) -> None:
+        headers = {"idempotency-key": identity, "x-action": identity}
+        async with self.running.client(name, CALL_TIMEOUT_S) as client:
+            answer = await client.call("POST", "/till/x", headers, b"1 EUR")
+        if answer is not None:
+            self.take(identity, answer)
+
+    def take(self, identity: str, answer: http_client.Answer) -> None:
+        told = self.told[identity]
+        outcome = answer.headers.get("sesamevale-outcome")
+        if outcome is None:
+            told.bodies.add(answer.body)
+        elif outcome == "not-run":
+            told.not_run = True
+
+    async def replace(self) -> None:
+        name = self.rng.choice(ENTRIES)
+        self.frozen.discard(name)
+        old = self.running.entries[name]
+        old.kill()
+        ports = [old.caller_port, old.peer_port, old.admin_port]
+        self.running.start_entry(name, "test", ports=ports, module=self.module)
+
+    async def freeze_or_thaw(self) -> None:
+        name = self.rng.choice(ENTRIES)
+        entry = self.running.entries[name]
+        if name in self.frozen:
+            self.frozen.discard(name)
+            entry.thaw()
+        elif not self.frozen:
+            self.frozen.add(name)
+            entry.freeze()
+
+    async def change_upstream(self) -> None:
+        port = self.rng.choice(self.ports)
+        await fleet.control(port, mode=self.rng.choice(MODES))
+
+    async def check(self) -> None:
+        runs: collections.Counter = collections.Counter()
+        for port in self.ports:
+            runs.update(await fleet.stats(port, "/_runs"))
+        assert self.identities
+        for identity in self.identities:
+            told = self.told[identity]
+            assert runs[identity] <= 1, "two runs"
+            assert not (told.not_run and runs[identity]), "run after not run"
+            assert len(told.bodies) <= 1, "another answer for a repeat"
+            assert not (told.not_run and told.bodies)
+
+
+async def fuzz(seed: int, module: str = "sesamevale.daemon") -> None:
+    async with fleet.Fleet() as running:
+        machine = FleetFuzz(running, seed, module)
+        await machine.start()
+        await machine.run()
+        await machine.check()
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3, 4])
+def test_actions_run_at_most_once_through_random_faults(seed):
+    asyncio.run(fuzz(seed))
+
+
+def test_entries_that_forget_actions_are_found_out():
+    with pytest.raises(AssertionError, match="two runs"):
+        asyncio.run(fuzz(1, "tests.standins.forgetful_entry"))
