--- a/src/sesamevale/entry.py
+++ b/src/sesamevale/entry.py
@@ -11,8 +11,10 @@
 
 from absl import logging
 
+from sesamevale import calls
 from sesamevale import document_models
 from sesamevale import metrics
+from sesamevale import outcomes
 from sesamevale import tracing
 from sesamevale.callers import server as caller_server
 from sesamevale.dispatching import at_most_once
@@ -41,7 +43,6 @@
 from sesamevale.upstreams import prober
 
 if TYPE_CHECKING:
-    from sesamevale import calls
     from sesamevale import documents
     from sesamevale import settings as checked_settings
     from sesamevale.dispatching import exchanges
@@ -380,10 +381,14 @@
         return relay_client.RelayConnection(member, self._unreachable)
 
     def _relay_to_issuer(self, call: calls.Call, entry_id: str) -> None:
-        member = self._gossip.view.members[entry_id]
+        member = self._gossip.view.members.get(entry_id)
         environment = self._front.view.environment
         assert environment is not None
-        service = environment.services[call.service]
+        service = environment.services.get(call.service)
+        if member is None or service is None:
+            gone = outcomes.Unknown(outcomes.Reason.ISSUER_GONE)
+            call.answer.put(calls.Failed(gone))
+            return
         self._start(
             issuer_relay.relay(call, service, member, self._unreachable)
         )
