--- a/src/sesamevale/policy/membership_types.py
+++ b/src/sesamevale/policy/membership_types.py
@@ -11,6 +11,7 @@
     "Ack",
     "Member",
     "Message",
+    "News",
     "Ping",
     "PingRequest",
     "Send",
@@ -68,8 +69,17 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Ping:
-    """Asks for an acknowledgement and carries news."""
+class News:
+    """What every ping and acknowledgement carries.
+
+    Attributes:
+        sequence: Number of the ping, repeated by its acknowledgement.
+        sender: Entry that sends the message.
+        environment: Environment that the sender serves.
+        revision: Document revision in force at the sender.
+        updates: News of members.
+        loads: Loads of services that the sender shares with other homes.
+    """
 
     sequence: int
     sender: str
@@ -80,15 +90,13 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Ack:
-    """Acknowledges a ping and carries news."""
+class Ping(News):
+    """Asks for an acknowledgement and carries news."""
 
-    sequence: int
-    sender: str
-    environment: str
-    revision: int
-    updates: tuple[Member, ...]
-    loads: tuple[ServiceLoad, ...] = ()
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ack(News):
+    """Acknowledges a ping and carries news."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
