--- a/examples/partitions.py
+++ b/examples/partitions.py
@@ -45,7 +45,7 @@
         print(name, *owned(view), flush=True)
 
     book = api.Book()
-    async with api.Gossip(view, HOST, port, report, lambda: None, tuple, book):
+    async with api.Gossip(view, HOST, port, report, lambda: None, book):
         await asyncio.sleep(seconds)
 
 
--- a/src/sesamevale/entries/gossip.py
+++ b/src/sesamevale/entries/gossip.py
@@ -22,7 +22,6 @@
 
 __all__ = [
     "Announce",
-    "AskLoads",
     "Depart",
     "Gossip",
     "Join",
@@ -37,16 +36,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Announce:
-    """Document revision that this entry tells the others."""
+    """What this entry tells the others about itself."""
 
     revision: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class AskLoads:
-    """Calls wait here: ask other homes for their loads now."""
-
-    entry_ids: frozenset[str]
+    loads: tuple[membership_types.ServiceLoad, ...]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -90,15 +83,7 @@
 
 
 Message = (
-    Announce
-    | AskLoads
-    | Join
-    | Leave
-    | Depart
-    | Seed
-    | Unreachable
-    | _Received
-    | _Tick
+    Announce | Join | Leave | Depart | Seed | Unreachable | _Received | _Tick
 )
 
 
@@ -122,7 +107,6 @@
         port: UDP port; the same as the TCP port for other entries.
         on_change: Called after each change of a member's state.
         on_news: Called after each message, for revisions and loads.
-        loads: Returns the loads that this entry tells the others.
         book: Measurements.
     """
 
@@ -133,7 +117,6 @@
         port: int,
         on_change: Callable[[], None],
         on_news: Callable[[], None],
-        loads: Callable[[], tuple[membership_types.ServiceLoad, ...]],
         book: metrics.Book,
     ) -> None:
         super().__init__("gossip")
@@ -142,7 +125,6 @@
         self._port = port
         self._on_change = on_change
         self._on_news = on_news
-        self._loads = loads
         self._book = book
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.DatagramTransport | None = None
@@ -172,7 +154,6 @@
 
     def receive(self, message: Message) -> None:
         """Implements ``messaging.Actor``."""
-        self._view.set_loads(self._loads())
         self._transmit(_receive(message, self))
         if self._view.version != self._version:
             self._version = self._view.version
@@ -206,14 +187,10 @@
 @_receive.register
 def _(message: Announce, task: Gossip) -> list[membership_types.Send]:
     task._view.set_revision(message.revision)
+    task._view.set_loads(message.loads)
     return []
 
 
-@_receive.register
-def _(message: AskLoads, task: Gossip) -> list[membership_types.Send]:
-    return task._view.ask_loads(message.entry_ids)
-
-
 @_receive.register
 def _(message: Join, task: Gossip) -> list[membership_types.Send]:
     return task._view.join()
--- a/src/sesamevale/entry.py
+++ b/src/sesamevale/entry.py
@@ -49,7 +49,7 @@
 
 __all__ = ["Entry"]
 
-ANNOUNCE_INTERVAL_S = 0.05
+ANNOUNCE_INTERVAL_S = 0.2
 DRAIN_STEP_S = 0.05
 DEPART_LINGER_S = 0.3
 INCARNATION_RANDOM_BITS = 10
@@ -194,7 +194,6 @@
             settings.peers_listen.port,
             self._members_changed,
             self._news_heard,
-            self._shared_loads,
             self._book,
         )
         self._gossip = await self._stack.enter_async_context(task)
@@ -407,23 +406,10 @@
         """Tells the gossip task what to announce about this entry."""
         while True:
             revision = self._documents.follower.revision
-            self._gossip.send(gossip.Announce(revision))
-            asked = self._homes_to_ask()
-            if asked:
-                self._gossip.send(gossip.AskLoads(asked))
+            loads = self._shared_loads()
+            self._gossip.send(gossip.Announce(revision, loads))
             await asyncio.sleep(ANNOUNCE_INTERVAL_S)
 
-    def _homes_to_ask(self) -> frozenset[str]:
-        """Other homes of the services whose calls wait at this home."""
-        home_maps = self._front.view.home_maps
-        return frozenset(
-            home
-            for name, task in self._front.dispatchers.items()
-            if task.decisions.owned and task.decisions.queued
-            for home in home_maps[name].entries
-            if home != self._own.entry_id
-        )
-
     def _shared_loads(self) -> tuple[membership_types.ServiceLoad, ...]:
         """Loads of the services whose upstreams several entries own."""
         now = time.monotonic()
--- a/src/sesamevale/policy/membership.py
+++ b/src/sesamevale/policy/membership.py
@@ -155,16 +155,6 @@
         if (host, port) != (self._own.host, self._own.peer_port):
             self._seeds[host, port] = None
 
-    def ask_loads(
-        self, entry_ids: frozenset[str]
-    ) -> list[membership_types.Send]:
-        """Pings entries now; their acknowledgements carry their loads."""
-        return [
-            self._ping(member, self._next_sequence())
-            for name, member in self._members.items()
-            if name in entry_ids and name != self._own.entry_id
-        ]
-
     def join(self) -> list[membership_types.Send]:
         """Announces that this entry can serve calls."""
         if self._own.status is not membership_types.Status.JOINING:
