--- a/tests/features/steps/load_steps.py
+++ b/tests/features/steps/load_steps.py
@@ -126,3 +126,19 @@
         assert set(ends) == {("answered", "")}, (service, ends)
         assert not any(result.crossed for result in results)
         assert not any(result.cut for result in results)
+
+
+@when("a slow call goes through {name:S} while it is told to stop twice")
+def slow_call_while_stopping(context, name):
+    async def run() -> None:
+        path = "/roundsheet/x"
+        work = call_steps.call(context, name, "GET", path)
+        task = asyncio.ensure_future(work)
+        await asyncio.sleep(0.3)
+        entry = context.fleet.entries[name]
+        entry.signal(signal.SIGTERM)
+        await asyncio.sleep(0.1)
+        entry.signal(signal.SIGTERM)
+        await task
+
+    context.run(run())
--- a/tests/features/whole_path.feature
+++ b/tests/features/whole_path.feature
@@ -35,6 +35,8 @@
       | 10      | whole              |
       | 40000   | chunked            |
       | 60000   | after 100-continue |
+      | 500000  | chunked            |
+      | 3000000 | whole              |
 
   Scenario: Long answers stream whole through every entry
     Given a fleet of 3 entries
@@ -50,3 +52,10 @@
     When DELETE /till/x is called through e1
     Then the answer has status 404
     And the answer says not-run because of no_rule
+
+  Scenario: A second SIGTERM cuts no call
+    Given a fleet of 2 entries
+    When the upstreams of roundsheet change to {"slow": 200, "sigma": 0.01}
+    And a slow call goes through e1 while it is told to stop twice
+    Then the answer has status 200
+    And entry e1 has stopped with exit code 0
