--- a/src/sesamevale/outcomes.py
+++ b/src/sesamevale/outcomes.py
@@ -24,8 +24,6 @@
     CONNECT_FAILED = "connect_failed"
     CUT = "cut"
     DEADLINE = "deadline"
-    DRAINING = "draining"
-    HOP_LIMIT = "hop_limit"
     IDENTITY_EXPIRED = "identity_expired"
     IDENTITY_MISMATCH = "identity_mismatch"
     IDENTITY_REQUIRED = "identity_required"
--- a/src/sesamevale/platform/document_task.py
+++ b/src/sesamevale/platform/document_task.py
@@ -16,7 +16,6 @@
 from sesamevale import document_models
 from sesamevale import messaging
 from sesamevale.platform import client
-from sesamevale.platform import keys
 from sesamevale.platform import manifests
 from sesamevale.platform import watching
 from sesamevale.policy import following
@@ -312,8 +311,3 @@
         task._restoring = True
         with contextlib.suppress(RuntimeError):
             task._start(task._restore(effect))
-
-
-def manifest_key(environment: str) -> str:
-    """Key that the watch of a document task is set on."""
-    return keys.manifest(environment)
--- a/src/sesamevale/sockets.py
+++ b/src/sesamevale/sockets.py
@@ -114,10 +114,6 @@
             self._transport.resume_reading()
         return data
 
-    def unread(self, data: bytes) -> None:
-        """Puts bytes back in front of what has arrived."""
-        self._received[:0] = data
-
     def write(self, data: bytes) -> None:
         """Sends bytes; nothing happens once the connection is lost."""
         if self._transport is not None and not self._lost:
