Blame no upstream for a cancelled connect; retry what is not in force

An attempt that was cancelled while it connected counted as a refused connection and ejected its upstream, a hedge's loser for instance. Only a failed connection counts now. Ruled out: the watch, which reports each change once.

--- a/src/sesamevale/platform/document_task.py
+++ b/src/sesamevale/platform/document_task.py
@@ -122,6 +122,7 @@
         self._rng = rng
         self._asking: set[str] = set()
         self._read_at = 0
+        self._read_revision = 0
         self._restoring = False
         self._fetching = False
         self._jobs: set[asyncio.Task[None]] = set()
@@ -176,15 +177,17 @@
             self.send(_Poll())
 
     async def _read_manifest(self) -> None:
-        """Reads the manifest if it has changed since the last reading."""
+        """Reads the manifest unless the one last read is in force."""
         assert self._store is not None
         changed_at = await self._store.changed_at()
-        if changed_at == self._read_at:
+        in_force = self._follower.revision == self._read_revision
+        if in_force and changed_at == self._read_at:
             return
         head = await self._store.head()
         if isinstance(head, client.Unavailable) or head.manifest is None:
             return
         self._read_at = head.mod_revision
+        self._read_revision = head.revision
         self.send(ManifestSeen(head.manifest, following.Source.PLATFORM))
 
     async def _fetch(self, digests: frozenset[str]) -> None:
--- a/src/sesamevale/policy/dispatch.py
+++ b/src/sesamevale/policy/dispatch.py
@@ -596,7 +596,8 @@
     now: float,
 ) -> list[effects.Effect]:
     if attempt.upstream is not None:
-        dispatch._pool.failed(attempt.upstream, now, severe=True)
+        if result.reason is outcomes.Reason.CONNECT_FAILED:
+            dispatch._pool.failed(attempt.upstream, now, severe=True)
         return dispatch._not_run(state, result.reason, 0, now)
     if state is None or state.attempts:
         return []
--- a/tests/builders/platform.py
+++ b/tests/builders/platform.py
@@ -26,6 +26,12 @@
             return client.Unavailable(sent=True)
         return self.keys.get(key)
 
+    async def mod_revision(self, key: str):
+        stored = await self.get(key)
+        if isinstance(stored, client.Unavailable):
+            return stored
+        return stored.mod_revision if stored is not None else 0
+
     async def read_all(self, prefix: str):
         if self._next_fault() != "ok":
             return client.Unavailable(sent=True)
--- /dev/null
+++ b/tests/platform/test_document_task.py
@@ -0,0 +1,51 @@
+"""Reading the manifest again: only what is in force is passed over."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+from sesamevale import metrics
+from sesamevale.platform import document_task
+from sesamevale.platform import store
+from sesamevale.policy import following
+from tests.builders import facts
+from tests.builders import platform
+
+
+async def reads(in_force: int, accepted: int) -> int:
+    """Returns how many of two polls pass the platform's manifest on."""
+    documents = store.DocumentStore(platform.FaultyPlatform(), "test")
+    base = store.Head(None, 0)
+    await documents.commit(facts.manifest(accepted), base)
+    follower = following.DocumentFollower("test")
+    if in_force:
+        manifest = facts.manifest(in_force)
+        follower.manifest_seen(manifest, following.Source.FILE)
+        contents = dict.fromkeys(manifest.digests, b"")
+        follower.parts_received(contents, following.Source.FILE)
+    task = document_task.DocumentTask(
+        follower,
+        documents,
+        lambda *_: asyncio.sleep(0),
+        lambda _: None,
+        metrics.Book(),
+        random.Random(1),
+    )
+    seen: list[object] = []
+    task.send = seen.append
+    await task._read_manifest()
+    await task._read_manifest()
+    return len(seen)
+
+
+def test_a_manifest_in_force_is_read_once():
+    assert asyncio.run(reads(in_force=5, accepted=5)) == 1
+
+
+def test_an_older_manifest_is_reported_until_it_is_restored():
+    assert asyncio.run(reads(in_force=9, accepted=5)) == 2
+
+
+def test_a_manifest_that_is_not_in_force_yet_is_reported_again():
+    assert asyncio.run(reads(in_force=0, accepted=5)) == 2
--- a/tests/policy/test_slot_bound.py
+++ b/tests/policy/test_slot_bound.py
@@ -7,6 +7,7 @@
 import hypothesis
 from hypothesis import strategies as st
 
+from sesamevale import outcomes
 from sesamevale.policy import attempts
 from sesamevale.policy import dispatch
 from sesamevale.policy import effects
@@ -48,3 +49,14 @@
         running += [(index, bind) for bind in binds]
         used = collections.Counter(bind.upstream for _, bind in running)
         assert all(count <= SLOTS * entries for count in used.values())
+
+
+def test_an_attempt_that_was_cancelled_unsent_blames_nobody():
+    decisions = believer("e1")
+    wanted = decisions.submit(facts.call_facts(1), 0.0)
+    bind = next(each for each in wanted if isinstance(each, effects.Bind))
+    cancelled = attempts.NotSent(outcomes.Reason.CALLER_GONE)
+    decisions.attempt_ended(bind.attempt_id, cancelled, 0.0)
+    state = decisions.pool.states[bind.upstream]
+    assert state.failures == 0
+    assert state.ejections == 0
