--- a/bench/recovery.py
+++ b/bench/recovery.py
@@ -12,7 +12,7 @@
 
 from bench import measuring
 from demo import callers
-from sesamevale.platform import store
+from sesamevale.etcd import store
 from tests.builders import documents
 from tests.builders import fleet
 
--- /dev/null
+++ b/deploy/start.py
@@ -0,0 +1,13 @@
+"""Starts the daemon on the users' platform from a checkout."""
+
+from __future__ import annotations
+
+import pathlib
+import sys
+
+ROOT = pathlib.Path(__file__).resolve().parents[1]
+sys.path[0] = str(ROOT / "src")
+
+from sesamevale.platform import daemon  # noqa: E402
+
+daemon.main()
--- a/src/sesamevale/callers/answers.py
+++ b/src/sesamevale/callers/answers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import math
 
 from sesamevale import calls
 from sesamevale import http1
@@ -14,6 +15,7 @@
 
 STATUS_BY_REASON = {
     Reason.BAD_REQUEST: 400,
+    Reason.NO_ROUTE: 404,
     Reason.NO_RULE: 404,
     Reason.IDENTITY_REQUIRED: 428,
     Reason.IDENTITY_MISMATCH: 422,
@@ -34,6 +36,7 @@
     Reason.NO_RULE: "destination_not_found",
     Reason.NO_UPSTREAM: "destination_unavailable",
     Reason.PEER_LOST: "connection_terminated",
+    Reason.NO_ROUTE: "destination_not_found",
     Reason.SHED: "destination_unavailable",
 }
 DEFAULT_PROXY_ERROR = "proxy_internal_response"
@@ -45,13 +48,17 @@
 
 
 def for_outcome(
-    outcome: outcomes.NotRun | outcomes.Unknown, entry_id: str
+    outcome: outcomes.NotRun | outcomes.Unknown,
+    entry_id: str,
+    *,
+    fractions: bool = False,
 ) -> tuple[calls.AnswerHead, bytes]:
     """Returns the answer that tells a caller about a call without one.
 
     Args:
         outcome: What is known about the call.
         entry_id: Identifier of this entry.
+        fractions: Whether callers take fractions of a second to wait.
     """
     name = outcome_name(outcome)
     reason = outcome.reason
@@ -66,8 +73,9 @@
         (http1.Field.RETRIES_LEFT, b"0"),
     ]
     if isinstance(outcome, outcomes.NotRun) and outcome.retry_after_ms > 0:
-        seconds = -(-outcome.retry_after_ms // 1000)
-        headers.append((http1.Field.RETRY_AFTER, b"%d" % seconds))
+        seconds = outcome.retry_after_ms / 1000
+        text = f"{seconds:g}" if fractions else f"{math.ceil(seconds)}"
+        headers.append((http1.Field.RETRY_AFTER, text.encode()))
     return calls.AnswerHead(_status(outcome), tuple(headers)), body
 
 
--- /dev/null
+++ b/src/sesamevale/callers/gateway_connection.py
@@ -0,0 +1,340 @@
+"""Connection of one caller of the gateway: a task that owns one socket."""
+
+from __future__ import annotations
+
+import contextlib
+import dataclasses
+import math
+import time
+from typing import TYPE_CHECKING
+
+import h11
+
+from sesamevale import calls
+from sesamevale import http1
+from sesamevale import outcomes
+from sesamevale import tracing
+from sesamevale.callers import answers
+from sesamevale.callers import http_connection
+from sesamevale.forwarding import requests
+
+if TYPE_CHECKING:
+    from sesamevale import event_log
+    from sesamevale import metrics
+    from sesamevale import routes
+    from sesamevale import sockets
+    from sesamevale.forwarding import front as fronts
+
+__all__ = ["GatewayConnection"]
+
+# Part of the latency objective after which a refused caller may come back;
+# upstreams change between calm and busy within that time.
+RETRY_AFTER_SHARE = 0.25
+# Time for a caller to come back that cannot be served before more is known.
+UNREADY_RETRY_AFTER_MS = 300
+NO_BODY_STATUSES = (204, 304)
+PAYLOAD_TOO_LARGE = 413
+
+Reason = outcomes.Reason
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Ended:
+    """How a request ended, for the log and the metrics."""
+
+    outcome: str
+    reason: str
+    status: int
+
+
+class GatewayConnection(http_connection.HttpConnection):
+    """Serves the requests of one caller, one after the other.
+
+    Args:
+        stream: The accepted connection.
+        front: Where requests are handed to.
+        entry_id: Identifier of this entry.
+        limits: Limits towards callers.
+        events: Where decisions are logged.
+        book: Measurements.
+    """
+
+    def __init__(
+        self,
+        stream: sockets.ByteStream,
+        front: fronts.Front,
+        entry_id: str,
+        limits: routes.CallerLimits,
+        events: event_log.EventLog,
+        book: metrics.Book,
+    ) -> None:
+        super().__init__(stream, limits)
+        self._front = front
+        self._dialect = front.dialect
+        self._entry_id = entry_id
+        self._events = events
+        self._book = book
+        self._status = 0
+
+    async def _serve(self, request: h11.Request) -> None:
+        self._front.request_entered()
+        arrived = time.monotonic()
+        try:
+            headers = tuple(request.headers)
+            body = await self._read_body(headers)
+            if body is None:
+                return
+            await self._answer(request, headers, body, arrived)
+        finally:
+            self._front.request_left()
+
+    async def _read_body(self, headers: calls.Headers) -> bytes | None:
+        """Reads the whole body; None if it is too long or cut."""
+        declared = self._declared_length
+        limit = self._http_limits.body_bytes
+        body = bytearray()
+        self._expires = time.monotonic() + self._http_limits.idle_timeout_s
+        self._reading_body = True
+        try:
+            while declared is None or declared <= limit:
+                event = await self._next_body_event()
+                if isinstance(event, h11.EndOfMessage):
+                    return bytes(body)
+                if not isinstance(event, h11.Data):
+                    return None
+                body += event.data
+                if len(body) > limit:
+                    break
+        finally:
+            self._reading_body = False
+            self._expires = math.inf
+        refused = outcomes.NotRun(Reason.BAD_REQUEST)
+        self._send_failure(refused, PAYLOAD_TOO_LARGE)
+        self._log(headers, None, _Ended("not-run", "too_large", 413), 0.0)
+        return None
+
+    async def _answer(
+        self,
+        head: h11.Request,
+        headers: calls.Headers,
+        body: bytes,
+        arrived: float,
+    ) -> None:
+        host = http1.find(headers, b"host") or b""
+        target = head.target.decode("ascii", "replace")
+        route = self._front.find_route(host.decode("ascii", "replace"), target)
+        if route is None:
+            self._refuse_unrouted(headers)
+            return
+        span = tracing.start_call(
+            "request", http1.find(headers, http1.Field.TRACEPARENT)
+        )
+        request = self._new_request(head, headers, route, body, arrived)
+        request.traceparent = span.traceparent
+        ended = _Ended("aborted", str(Reason.CALLER_GONE), 0)
+        try:
+            ended = await self._forward(request)
+        finally:
+            span.end(ended.outcome)
+            total_s = time.monotonic() - arrived
+            added_s = total_s - request.upstream_seconds
+            self._book.call_ended(
+                request.service, ended.outcome, ended.reason, total_s, added_s
+            )
+            self._log(headers, request, ended, total_s)
+
+    def _refuse_unrouted(self, headers: calls.Headers) -> None:
+        """Answers a request that no route is known for."""
+        now = time.monotonic()
+        view = self._front.view
+        if view.configuration is None:
+            reason = Reason.NO_CONFIGURATION
+        elif self._front.is_confirmed(now):
+            reason = Reason.NO_ROUTE
+        else:
+            reason = Reason.NO_CONFIGURATION
+        refused = outcomes.NotRun(reason, UNREADY_RETRY_AFTER_MS)
+        self._send_failure(refused)
+        self._book.count(f"refused_{reason}")
+        ended = _Ended("not-run", str(reason), self._status)
+        self._log(headers, None, ended, 0.0)
+
+    def _new_request(
+        self,
+        head: h11.Request,
+        headers: calls.Headers,
+        route: routes.Route,
+        body: bytes,
+        arrived: float,
+    ) -> requests.Request:
+        dialect = self._dialect
+        asked_ms = http1.integer(headers, dialect.deadline_ms)
+        caller_deadline = math.inf
+        if asked_ms is not None:
+            caller_deadline = arrived + asked_ms / 1000
+        has_body = any(
+            name in (http1.Field.CONTENT_LENGTH, http1.Field.TRANSFER_ENCODING)
+            for name, _ in headers
+        )
+        dropped = frozenset(
+            (
+                dialect.deadline_ms,
+                dialect.expected_upstream,
+                http1.Field.CONTENT_LENGTH,
+            )
+        )
+        configuration = self._front.view.configuration
+        assert configuration is not None
+        return requests.Request(
+            number=self._front.next_number(),
+            request_id=http1.find(headers, dialect.request_id) or b"",
+            route=route,
+            service=self._front.choose_service(route),
+            version=configuration.version,
+            method=bytes(head.method),
+            target=bytes(head.target),
+            headers=http1.forwarded(headers, dropped),
+            body=body if has_body else None,
+            arrived=arrived,
+            deadline=min(arrived + route.timeout_s, caller_deadline),
+            caller_deadline=caller_deadline,
+            answer=calls.AnswerChannel(),
+        )
+
+    async def _forward(self, request: requests.Request) -> _Ended:
+        """Forwards a request and passes its answer on."""
+        if self._stream.closed:
+            return _Ended("aborted", str(Reason.CALLER_GONE), 0)
+        self._stream.on_lost(lambda: self._caller_lost(request))
+        try:
+            if not self._front.submit(request):
+                refused = outcomes.NotRun(Reason.NO_UPSTREAM)
+                request.answer.put(calls.Failed(refused))
+            return await self._pass_answer(request)
+        finally:
+            self._stream.on_lost(None)
+
+    def _caller_lost(self, request: requests.Request) -> None:
+        self._front.caller_gone(request)
+        gone = outcomes.Unknown(Reason.CALLER_GONE)
+        request.answer.put(calls.Failed(gone))
+
+    async def _pass_answer(self, request: requests.Request) -> _Ended:
+        first = await request.answer.get()
+        if isinstance(first, calls.Failed):
+            return self._end_without_answer(request, first.outcome)
+        assert isinstance(first, calls.AnswerHead)
+        body = bytearray()
+        message = await request.answer.get()
+        while isinstance(message, calls.AnswerData):
+            body += message.data
+            if not request.answer.pending():
+                break
+            message = await request.answer.get()
+        if isinstance(message, calls.AnswerEnd):
+            self._send_whole(first, bytes(body), request.method)
+            return _Ended("answered", f"{first.status // 100}xx", first.status)
+        return await self._stream_answer(request, first, bytes(body))
+
+    async def _stream_answer(
+        self, request: requests.Request, head: calls.AnswerHead, begun: bytes
+    ) -> _Ended:
+        """Passes a long answer on as it arrives."""
+        data = self._encode_head(head.status, head.headers)
+        data += self._http.send(h11.Data(data=begun)) or b""
+        while True:
+            self._stream.write(data)
+            await self._stream.drained()
+            message = await request.answer.get()
+            if isinstance(message, calls.AnswerData):
+                data = self._http.send(h11.Data(data=message.data)) or b""
+            elif isinstance(message, calls.AnswerEnd):
+                self._stream.write(self._http.send(h11.EndOfMessage()) or b"")
+                return _Ended(
+                    "answered", f"{head.status // 100}xx", head.status
+                )
+            else:
+                assert isinstance(message, calls.Failed)
+                self._stream.abort()
+                return _Ended("unknown", str(message.outcome.reason), 0)
+
+    def _end_without_answer(
+        self,
+        request: requests.Request,
+        outcome: outcomes.NotRun | outcomes.Unknown,
+    ) -> _Ended:
+        if isinstance(outcome, outcomes.NotRun):
+            wait_s = request.route.objective_s * RETRY_AFTER_SHARE
+            outcome = outcomes.NotRun(outcome.reason, int(wait_s * 1000))
+        self._send_failure(outcome)
+        name = answers.outcome_name(outcome)
+        return _Ended(name, str(outcome.reason), self._status)
+
+    def _send_failure(
+        self,
+        outcome: outcomes.NotRun | outcomes.Unknown,
+        status: int | None = None,
+    ) -> None:
+        if self._http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            self._stream.abort()
+            return
+        head, body = answers.for_outcome(
+            outcome, self._entry_id, fractions=True
+        )
+        dropped = frozenset((http1.Field.CONTENT_LENGTH,))
+        kept = http1.forwarded(head.headers, dropped)
+        head = calls.AnswerHead(status or head.status, kept)
+        self._send_whole(head, body, b"")
+
+    def _send_whole(
+        self, head: calls.AnswerHead, body: bytes, method: bytes
+    ) -> None:
+        headers = head.headers
+        if head.status not in NO_BODY_STATUSES:
+            length = (http1.Field.CONTENT_LENGTH, b"%d" % len(body))
+            headers = (*headers, length)
+        data = self._encode_head(head.status, headers)
+        if body and method != b"HEAD":
+            data += self._http.send(h11.Data(data=body)) or b""
+        data += self._http.send(h11.EndOfMessage()) or b""
+        self._stream.write(data)
+
+    def _encode_head(self, status: int, headers: calls.Headers) -> bytes:
+        self._status = status
+        fields = list(headers)
+        if self._front.view.stopping:
+            fields.append((http1.Field.CONNECTION, b"close"))
+        response = h11.Response(status_code=status, headers=fields)
+        return self._http.send(response) or b""
+
+    def _refuse_malformed(self, error: h11.RemoteProtocolError) -> None:
+        """Answers a request that cannot be read and gives up."""
+        self._book.count("malformed_requests")
+        with contextlib.suppress(h11.LocalProtocolError):
+            self._send_failure(
+                outcomes.NotRun(Reason.BAD_REQUEST), error.error_status_hint
+            )
+
+    def _log(
+        self,
+        headers: calls.Headers,
+        request: requests.Request | None,
+        ended: _Ended,
+        seconds: float,
+    ) -> None:
+        request_id = http1.find(headers, self._dialect.request_id) or b""
+        view = self._front.view
+        configuration = view.configuration
+        fields: dict[str, object] = {
+            "request": request_id.decode("ascii", "replace"),
+            "outcome": ended.outcome,
+            "reason": ended.reason,
+            "status": ended.status,
+            "ms": round(seconds * 1000, 1),
+            "config": configuration.version if configuration else 0,
+            "config_age_s": round(time.monotonic() - view.confirmed_at, 2),
+        }
+        if request is not None:
+            fields["route"] = request.route.name
+            fields["service"] = request.service
+        self._events.decision("request", **fields)
--- a/src/sesamevale/calls.py
+++ b/src/sesamevale/calls.py
@@ -123,7 +123,14 @@
     one whose messages are taken.
     """
 
-    __slots__ = ("_bytes", "_drained", "_messages", "_owner", "_waiter")
+    __slots__ = (
+        "_bytes",
+        "_drained",
+        "_messages",
+        "_next",
+        "_owner",
+        "_waiter",
+    )
 
     def __init__(self) -> None:
         self._messages: collections.deque[AnswerMessage] = collections.deque()
@@ -131,6 +138,7 @@
         self._drained: asyncio.Future[None] | None = None
         self._bytes = 0
         self._owner: int | None = None
+        self._next: AnswerChannel | None = None
 
     @property
     def claimed(self) -> bool:
@@ -151,6 +159,10 @@
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(None)
 
+    def follow(self, other: AnswerChannel) -> None:
+        """Continues with the messages of another channel."""
+        self._next = other
+
     async def drained(self) -> None:
         """Waits until the receiver has caught up."""
         while self._bytes > HIGH_WATER_BYTES:
@@ -160,6 +172,8 @@
     async def get(self) -> AnswerMessage:
         """Returns the next message."""
         while not self._messages:
+            if self._next is not None:
+                return await self._next.get()
             self._waiter = asyncio.get_running_loop().create_future()
             await self._waiter
         message = self._messages.popleft()
@@ -171,6 +185,8 @@
 
     def pending(self) -> bool:
         """Whether a message can be taken without waiting."""
+        if not self._messages and self._next is not None:
+            return self._next.pending()
         return bool(self._messages)
 
 
--- a/src/sesamevale/entries/peer_documents.py
+++ b/src/sesamevale/entries/peer_documents.py
@@ -9,8 +9,8 @@
 from sesamevale import sockets
 from sesamevale.entries import codec
 from sesamevale.entries.wire import ttypes as wire
-from sesamevale.platform import document_task
-from sesamevale.platform import manifests
+from sesamevale.etcd import document_task
+from sesamevale.etcd import manifests
 
 if TYPE_CHECKING:
     from sesamevale.policy import following
--- a/src/sesamevale/entry.py
+++ b/src/sesamevale/entry.py
@@ -13,6 +13,7 @@
 
 from sesamevale import calls
 from sesamevale import document_models
+from sesamevale import incarnations
 from sesamevale import metrics
 from sesamevale import outcomes
 from sesamevale import tracing
@@ -25,17 +26,17 @@
 from sesamevale.entries import peer_documents
 from sesamevale.entries import relay_client
 from sesamevale.entries import relay_server
+from sesamevale.etcd import client
+from sesamevale.etcd import document_task
+from sesamevale.etcd import keys
+from sesamevale.etcd import manifests
+from sesamevale.etcd import registration
+from sesamevale.etcd import store
+from sesamevale.etcd import vm_list
+from sesamevale.etcd import watching
 from sesamevale.operators import admin_server
 from sesamevale.operators import document_files
 from sesamevale.operators import status
-from sesamevale.platform import client
-from sesamevale.platform import document_task
-from sesamevale.platform import keys
-from sesamevale.platform import manifests
-from sesamevale.platform import registration
-from sesamevale.platform import store
-from sesamevale.platform import vm_list
-from sesamevale.platform import watching
 from sesamevale.policy import following
 from sesamevale.policy import membership
 from sesamevale.policy import membership_types
@@ -52,7 +53,6 @@
 ANNOUNCE_INTERVAL_S = 0.2
 DRAIN_STEP_S = 0.05
 DEPART_LINGER_S = 0.3
-INCARNATION_RANDOM_BITS = 10
 MEBIBYTE = 1024 * 1024
 
 
@@ -71,7 +71,7 @@
         self._jobs: set[asyncio.Task[None]] = set()
         own = membership_types.Member(
             settings.entry_id,
-            _new_incarnation(self._rng),
+            incarnations.new(self._rng),
             0,
             membership_types.Status.JOINING,
             settings.data_center,
@@ -310,18 +310,18 @@
             )
         )
 
-    def _health_page(self) -> admin_server.Page:
+    def _health_page(self, query: str) -> admin_server.Page:
         ready = self._front.view.environment is not None
         if ready and not self._front.view.draining:
             return admin_server.Page(200, "text/plain", b"ok\n")
         return admin_server.Page(503, "text/plain", b"not ready\n")
 
-    def _metrics_page(self) -> admin_server.Page:
+    def _metrics_page(self, query: str) -> admin_server.Page:
         content_type = "text/plain; version=0.0.4; charset=utf-8"
         body = metrics.render(self._book)
         return admin_server.Page(200, content_type, body)
 
-    def _status_page(self) -> admin_server.Page:
+    def _status_page(self, query: str) -> admin_server.Page:
         body = status.render(
             self._front,
             self._gossip,
@@ -425,13 +425,6 @@
         job.add_done_callback(self._jobs.discard)
 
 
-def _new_incarnation(rng: random.Random) -> int:
-    """Returns a number that grows with each start and is never used twice."""
-    milliseconds = time.time_ns() // 1_000_000
-    suffix = rng.getrandbits(INCARNATION_RANDOM_BITS)
-    return (milliseconds << INCARNATION_RANDOM_BITS) + suffix
-
-
 def configure_tracing(settings: checked_settings.Settings) -> None:
     """Sets up tracing as the settings say."""
     if settings.trace_export == "none":
--- a/src/sesamevale/platform/client.py
+++ b/src/sesamevale/etcd/client.py
@@ -14,7 +14,7 @@
 
 from sesamevale import messaging
 from sesamevale import sockets
-from sesamevale.platform import models
+from sesamevale.etcd import models
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/src/sesamevale/platform/document_task.py
+++ b/src/sesamevale/etcd/document_task.py
@@ -15,9 +15,9 @@
 
 from sesamevale import document_models
 from sesamevale import messaging
-from sesamevale.platform import client
-from sesamevale.platform import manifests
-from sesamevale.platform import watching
+from sesamevale.etcd import client
+from sesamevale.etcd import manifests
+from sesamevale.etcd import watching
 from sesamevale.policy import following
 
 if TYPE_CHECKING:
@@ -26,7 +26,7 @@
 
     from sesamevale import documents
     from sesamevale import metrics
-    from sesamevale.platform import store as stores
+    from sesamevale.etcd import store as stores
 
 __all__ = [
     "DocumentTask",
--- a/src/sesamevale/platform/vm_list.py
+++ b/src/sesamevale/etcd/vm_list.py
@@ -7,7 +7,7 @@
 
 import pydantic
 
-from sesamevale.platform import watching
+from sesamevale.etcd import watching
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/src/sesamevale/platform/watching.py
+++ b/src/sesamevale/etcd/watching.py
@@ -14,8 +14,8 @@
 import pydantic
 
 from sesamevale import sockets
-from sesamevale.platform import client
-from sesamevale.platform import models
+from sesamevale.etcd import client
+from sesamevale.etcd import models
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- /dev/null
+++ b/src/sesamevale/forwarding/__init__.py
@@ -0,0 +1,3 @@
+"""Tasks that forward requests to upstreams chosen by sampled load."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/sesamevale/forwarding/front.py
@@ -0,0 +1,138 @@
+"""Where requests of callers enter the forwarding of one entry."""
+
+from __future__ import annotations
+
+import dataclasses
+import itertools
+from typing import TYPE_CHECKING
+
+from sesamevale.forwarding import service_task
+from sesamevale.policy import route_matching
+from sesamevale.policy import splits
+
+if TYPE_CHECKING:
+    from sesamevale import http1
+    from sesamevale import routes
+    from sesamevale.forwarding import requests
+    from sesamevale.policy import membership_types
+
+__all__ = ["Front", "View"]
+
+# Age of the configuration up to which a missing route is taken to be removed
+# rather than not heard of yet; a little more than the interval of reads.
+CONFIRMED_S = 1.5
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class View:
+    """What one entry currently knows; replaced as a whole on each change.
+
+    Attributes:
+        configuration: Configuration in force, if there is one.
+        confirmed_at: Monotonic time in seconds at which the store was last
+            seen to hold it.
+        discovered: Whether the upstreams have been read.
+        members: Entries that callers may be sent to.
+        stopping: Whether this entry is leaving.
+    """
+
+    configuration: routes.Configuration | None = None
+    confirmed_at: float = float("-inf")
+    discovered: bool = False
+    members: tuple[membership_types.Member, ...] = ()
+    stopping: bool = False
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether callers may be sent here."""
+        known = self.configuration is not None and self.discovered
+        return known and not self.stopping
+
+
+class Front:
+    """Hands each request to the task of its service.
+
+    Args:
+        dialect: Header fields.
+    """
+
+    def __init__(self, dialect: http1.Dialect) -> None:
+        self._dialect = dialect
+        self._view = View()
+        self._tasks: dict[str, service_task.ServiceTask] = {}
+        self._splitter = splits.Splitter()
+        self._numbers = itertools.count(1)
+        self._active = 0
+
+    @property
+    def dialect(self) -> http1.Dialect:
+        """Header fields."""
+        return self._dialect
+
+    @property
+    def view(self) -> View:
+        """What this entry currently knows."""
+        return self._view
+
+    @property
+    def tasks(self) -> dict[str, service_task.ServiceTask]:
+        """Tasks by service."""
+        return self._tasks
+
+    @property
+    def active(self) -> int:
+        """Requests that have entered here and not ended."""
+        return self._active
+
+    def set_view(self, view: View) -> None:
+        """Replaces what this entry knows."""
+        self._view = view
+        if view.configuration is not None:
+            self._splitter.forget_except(
+                {
+                    route.name
+                    for of_host in view.configuration.routes.values()
+                    for route in of_host
+                }
+            )
+
+    def next_number(self) -> int:
+        """Returns a number that no other request of this process has."""
+        return next(self._numbers)
+
+    def request_entered(self) -> None:
+        """Counts a request as active."""
+        self._active += 1
+
+    def request_left(self) -> None:
+        """Counts a request as ended."""
+        self._active -= 1
+
+    def find_route(self, host: str, target: str) -> routes.Route | None:
+        """Returns the route of a request; None if there is none."""
+        configuration = self._view.configuration
+        if configuration is None:
+            return None
+        return route_matching.find_route(configuration, host, target)
+
+    def is_confirmed(self, now: float) -> bool:
+        """Whether the configuration was in the store a moment ago."""
+        return now - self._view.confirmed_at <= CONFIRMED_S
+
+    def choose_service(self, route: routes.Route) -> str:
+        """Returns the service for the next request of a route."""
+        return self._splitter.choose(route)
+
+    def submit(self, request: requests.Request) -> bool:
+        """Hands a request over; False if its service has no task."""
+        task = self._tasks.get(request.service)
+        if task is None:
+            return False
+        task.send(service_task.Submit(request))
+        return True
+
+    def caller_gone(self, request: requests.Request) -> None:
+        """Tells that nobody waits for an answer any more."""
+        task = self._tasks.get(request.service)
+        if task is not None:
+            task.send(service_task.CallerGone(request.number))
--- /dev/null
+++ b/src/sesamevale/forwarding/requests.py
@@ -0,0 +1,53 @@
+"""Requests of callers on their way through the gateway."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from sesamevale import calls
+    from sesamevale import routes
+
+__all__ = ["Request"]
+
+
+@dataclasses.dataclass(slots=True)
+class Request:
+    """One request of a caller.
+
+    Attributes:
+        number: Number, unique within this process.
+        request_id: Identifier of the caller's attempt; empty if there is
+            none.
+        route: Route that matched.
+        service: Service that the request goes to.
+        version: Version of the configuration that chose the route.
+        method: HTTP method.
+        target: Request target as received.
+        headers: Header fields that are passed on.
+        body: The whole body, or None if the request has none.
+        arrived: Monotonic time of arrival in seconds.
+        deadline: Monotonic time in seconds at which the answer is late.
+        caller_deadline: Monotonic time in seconds until which the caller
+            waits; infinite if it did not say.
+        answer: Where the answer goes.
+        traceparent: W3C trace context, if the request is traced.
+        upstream_seconds: Time spent at upstreams.
+    """
+
+    number: int
+    request_id: bytes
+    route: routes.Route
+    service: str
+    version: int
+    method: bytes
+    target: bytes
+    headers: calls.Headers
+    body: bytes | None
+    arrived: float
+    deadline: float
+    caller_deadline: float
+    answer: calls.AnswerChannel
+    traceparent: bytes | None = None
+    upstream_seconds: float = 0.0
--- /dev/null
+++ b/src/sesamevale/forwarding/service_task.py
@@ -0,0 +1,589 @@
+"""Task that owns one service's upstreams, connections and retry budget."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import functools
+import time
+from typing import TYPE_CHECKING
+
+from sesamevale import calls
+from sesamevale import messaging
+from sesamevale import outcomes
+from sesamevale.policy import forwarding
+from sesamevale.policy import load_sampling
+from sesamevale.policy import retry_budget
+from sesamevale.upstreams import http_link
+from sesamevale.upstreams import link_pool
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from sesamevale import event_log
+    from sesamevale import http1
+    from sesamevale import metrics
+    from sesamevale import routes
+    from sesamevale.forwarding import requests
+
+__all__ = [
+    "CallerGone",
+    "Message",
+    "ServiceTask",
+    "SetEntryCount",
+    "SetService",
+    "SetUpstreams",
+    "Submit",
+]
+
+# Longest wait for the samples of one round. A sample takes the upstream a few
+# milliseconds and a round trip.
+SAMPLE_WAIT_S = 0.025
+# A connection that was used within this time is known to be alive.
+VERIFIED_IDLE_S = 0.1
+SWEEP_INTERVAL_S = 1.0
+# Part of the objective for which a request may wait for an upstream.
+WAIT_SHARE = 0.1
+WAIT_STEP_S = 0.05
+# Time left below which another attempt makes no sense.
+USEFUL_LEFT_S = 0.05
+SERVER_ERROR = 500
+
+Reason = outcomes.Reason
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Submit:
+    """A new request."""
+
+    request: requests.Request
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallerGone:
+    """Nobody waits for the answer of a request any more."""
+
+    number: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SetUpstreams:
+    """Upstreams that may be used from now on."""
+
+    entries: tuple[routes.UpstreamEntry, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SetService:
+    """A new version of the service."""
+
+    service: routes.Service
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SetEntryCount:
+    """Number of entries that share the retry budget."""
+
+    count: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _SampleEnded:
+    candidate: load_sampling.Candidate
+    link: http_link.HttpLink
+    sampled: http_link.Sampled
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _AttemptEnded:
+    number: int
+    attempt: int
+    result: forwarding.Result
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _RoundOver:
+    """The longest wait for the samples of a round has passed."""
+
+    number: int
+    round: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Deadline:
+    number: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Sweep:
+    """Time to close connections that have been idle for long."""
+
+
+Message = (
+    Submit
+    | CallerGone
+    | SetUpstreams
+    | SetService
+    | SetEntryCount
+    | _SampleEnded
+    | _AttemptEnded
+    | _RoundOver
+    | _Deadline
+    | _Sweep
+)
+
+
+@dataclasses.dataclass(slots=True)
+class _Running:
+    """State of one request.
+
+    Attributes:
+        request: The request.
+        progress: What has been learnt of it.
+        tried: Upstreams that it was sent to or could not be sent to.
+        round: Number of rounds of samples so far.
+        looked_near: Whether this data centre was sampled for this attempt.
+        awaited: Upstreams whose samples the round waits for.
+        candidate: Upstream of the current attempt.
+        link: Connection of the current attempt.
+        attempts: Number of attempts so far.
+        orphaned: Whether the caller has left.
+        timer: Deadline.
+    """
+
+    request: requests.Request
+    progress: forwarding.Progress
+    tried: frozenset[str] = frozenset()
+    round: int = 0
+    looked_near: bool = False
+    looked_far: bool = False
+    awaited: set[str] = dataclasses.field(default_factory=set)
+    candidate: load_sampling.Candidate | None = None
+    link: http_link.HttpLink | None = None
+    attempts: int = 0
+    orphaned: bool = False
+    timer: asyncio.TimerHandle | None = None
+
+
+class ServiceTask(messaging.Actor[Message]):
+    """Forwards the requests of one service.
+
+    Args:
+        service: The service.
+        fleet: State that chooses upstreams.
+        budget: Retry budget of this entry for the service.
+        dialect: Header fields.
+        events: Where decisions are logged.
+        book: Measurements.
+        misplaced: Called with the identifier of an upstream whose address
+            answers for another one.
+    """
+
+    def __init__(
+        self,
+        service: routes.Service,
+        fleet: load_sampling.Fleet,
+        budget: retry_budget.RetryBudget,
+        dialect: http1.Dialect,
+        events: event_log.EventLog,
+        book: metrics.Book,
+        misplaced: Callable[[str], None],
+    ) -> None:
+        super().__init__(f"service-{service.name}")
+        self._service = service
+        self._fleet = fleet
+        self._budget = budget
+        self._events = events
+        self._book = book
+        self._misplaced = misplaced
+        self._pool = link_pool.LinkPool(dialect)
+        self._running: dict[int, _Running] = {}
+        self._sampling: set[str] = set()
+        self._reports_load: bool | None = None
+        self._loop = asyncio.get_running_loop()
+        self._sweeper = self._loop.call_later(SWEEP_INTERVAL_S, self._sweep)
+
+    @property
+    def fleet(self) -> load_sampling.Fleet:
+        """Upstreams as this task sees them, for reports."""
+        return self._fleet
+
+    @property
+    def active(self) -> int:
+        """Requests that have not ended."""
+        return len(self._running)
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        self._sweeper.cancel()
+        await super().__aexit__(*exc_info)
+        for running in self._running.values():
+            if running.link is not None:
+                running.link.close()
+            if running.timer is not None:
+                running.timer.cancel()
+        self._pool.close_all()
+
+    def receive(self, message: Message) -> None:
+        """Implements ``messaging.Actor``."""
+        _receive(message, self)
+
+    def _sweep(self) -> None:
+        self.send(_Sweep())
+        self._sweeper = self._loop.call_later(SWEEP_INTERVAL_S, self._sweep)
+
+    def _select(self, running: _Running) -> None:
+        """Begins the choice of an upstream for the next attempt."""
+        running.looked_near = running.looked_far = False
+        self._continue(running)
+
+    def _continue(self, running: _Running) -> None:
+        """Sends the request if the choice is good; else looks further."""
+        now = time.monotonic()
+        best = self._fleet.best(running.tried, now)
+        if best is None:
+            self._apply(running, running.progress.give_up())
+            return
+        if best.is_calm or self._reports_load is False:
+            self._send(running, best)
+            return
+        while not running.looked_far:
+            near = not running.looked_near
+            running.looked_near = True
+            running.looked_far = not near
+            if self._start_round(running, near, now):
+                return
+        self._send(running, best)
+
+    def _start_round(self, running: _Running, near: bool, now: float) -> bool:
+        """Asks some upstreams for their load; False if there are none."""
+        wanted = self._fleet.to_sample(running.tried, near=near, now=now)
+        running.awaited = set()
+        for candidate in wanted:
+            if candidate.is_fresh(now):
+                continue
+            name = candidate.entry.upstream_id
+            running.awaited.add(name)
+            if name not in self._sampling:
+                self._sample(candidate, now)
+        if not running.awaited:
+            return False
+        running.round += 1
+        over = _RoundOver(running.request.number, running.round)
+        self._loop.call_later(SAMPLE_WAIT_S, self.send, over)
+        return True
+
+    def _sample(self, candidate: load_sampling.Candidate, now: float) -> None:
+        entry = candidate.entry
+        link = self._pool.take(entry, float("inf"), now)
+        self._sampling.add(entry.upstream_id)
+        self._book.count("samples")
+
+        def report(sampled: http_link.Sampled) -> None:
+            self.send(_SampleEnded(candidate, link, sampled))
+
+        link.send(http_link.Sample(self._service.health_path, report))
+
+    def _send(self, running: _Running, best: load_sampling.Ranked) -> None:
+        request = running.request
+        now = time.monotonic()
+        candidate = best.candidate
+        entry = candidate.entry
+        running.attempts += 1
+        attempt = running.attempts
+        idle_max_s = VERIFIED_IDLE_S
+        if request.route.repeatable:
+            idle_max_s = float("inf")
+        link = self._pool.take(entry, idle_max_s, now)
+        running.candidate, running.link = candidate, link
+        candidate.started()
+
+        def report(result: forwarding.Result) -> None:
+            self.send(_AttemptEnded(request.number, attempt, result))
+
+        link.send(http_link.Forward(request, report))
+        self._events.decision(
+            "attempt",
+            request=request.request_id.decode("ascii", "replace"),
+            attempt=attempt,
+            service=request.service,
+            upstream=entry.upstream_id,
+            data_center=entry.data_center,
+            expected=round(best.expected, 2),
+            load=_describe(candidate.load),
+            load_fresh=candidate.is_fresh(now),
+            tried=len(running.tried),
+            config=request.version,
+        )
+
+    def _attempt_over(
+        self, running: _Running, result: forwarding.Result
+    ) -> None:
+        """Takes what an attempt says of its upstream."""
+        candidate, link = running.candidate, running.link
+        assert candidate is not None and link is not None
+        running.candidate = running.link = None
+        candidate.ended()
+        name = candidate.entry.upstream_id
+        running.tried |= {name}
+        if isinstance(result, forwarding.Answered) and result.rest is not None:
+            self._pool.release(name)
+        else:
+            self._pool.give_back(name, link)
+        _judge(result, candidate, self)
+
+    def _apply(self, running: _Running, decision: forwarding.Decision) -> None:
+        _apply(decision, self, running)
+
+    def _conclude(
+        self, running: _Running, outcome: outcomes.NotRun | outcomes.Unknown
+    ) -> None:
+        running.request.answer.put(calls.Failed(outcome))
+        self._finish(running)
+
+    def _finish(self, running: _Running) -> None:
+        self._running.pop(running.request.number, None)
+        if running.timer is not None:
+            running.timer.cancel()
+
+    def _stop_attempt(self, running: _Running) -> bool:
+        """Ends the current attempt; True if it may have been sent."""
+        candidate, link = running.candidate, running.link
+        if candidate is None or link is None:
+            return False
+        sent = link.has_sent
+        running.candidate = running.link = None
+        candidate.ended()
+        self._pool.drop(candidate.entry.upstream_id, link)
+        running.attempts += 1
+        return sent
+
+
+def _describe(load: load_sampling.Load | None) -> str:
+    if load is None:
+        return ""
+    return f"{load.running}+{load.waiting}/{load.slots}x{load.slowdown:g}"
+
+
+@functools.singledispatch
+def _receive(message: Message, task: ServiceTask) -> None:
+    raise TypeError(f"no rule for {type(message).__name__}")
+
+
+@_receive.register
+def _(message: Submit, task: ServiceTask) -> None:
+    request = message.request
+    task._budget.note_request(request.arrived)
+    limits = forwarding.Attempt(
+        request.route.repeatable, request.route.upstreams_max
+    )
+    running = _Running(request, forwarding.Progress(limits))
+    task._running[request.number] = running
+    deadline = _Deadline(request.number)
+    running.timer = task._loop.call_at(request.deadline, task.send, deadline)
+    task._select(running)
+
+
+@_receive.register
+def _(message: CallerGone, task: ServiceTask) -> None:
+    running = task._running.get(message.number)
+    if running is None:
+        return
+    link = running.link
+    if (
+        link is not None
+        and link.has_sent
+        and (not running.request.route.repeatable)
+    ):
+        running.orphaned = True
+        return
+    task._stop_attempt(running)
+    task._finish(running)
+
+
+@_receive.register
+def _(message: SetUpstreams, task: ServiceTask) -> None:
+    now = time.monotonic()
+    for name in task._fleet.set_entries(message.entries, now):
+        task._pool.forget(name)
+
+
+@_receive.register
+def _(message: SetService, task: ServiceTask) -> None:
+    task._service = message.service
+
+
+@_receive.register
+def _(message: SetEntryCount, task: ServiceTask) -> None:
+    task._budget.set_entries(message.count, time.monotonic())
+
+
+@_receive.register
+def _(message: _SampleEnded, task: ServiceTask) -> None:
+    now = time.monotonic()
+    candidate, sampled = message.candidate, message.sampled
+    name = candidate.entry.upstream_id
+    task._sampling.discard(name)
+    task._pool.give_back(name, message.link)
+    if not sampled.reached:
+        candidate.unreachable(now)
+    elif not sampled.healthy:
+        candidate.failed(now)
+    if sampled.load is not None:
+        task._reports_load = True
+        task._fleet.sampled(candidate, sampled.load, now)
+    elif sampled.healthy and task._reports_load is None:
+        task._reports_load = False
+    for running in list(task._running.values()):
+        if name not in running.awaited:
+            continue
+        running.awaited.discard(name)
+        best = task._fleet.best(running.tried, now)
+        if not running.awaited or (best is not None and best.is_calm):
+            running.awaited = set()
+            task._continue(running)
+
+
+@_receive.register
+def _(message: _RoundOver, task: ServiceTask) -> None:
+    running = task._running.get(message.number)
+    if running is None or running.round != message.round:
+        return
+    if running.awaited:
+        running.awaited = set()
+        task._continue(running)
+
+
+@_receive.register
+def _(message: _AttemptEnded, task: ServiceTask) -> None:
+    running = task._running.get(message.number)
+    if running is None or running.attempts != message.attempt:
+        return
+    task._attempt_over(running, message.result)
+    if running.orphaned:
+        task._finish(running)
+        return
+    task._apply(running, running.progress.after(message.result))
+
+
+@_receive.register
+def _(message: _Deadline, task: ServiceTask) -> None:
+    running = task._running.get(message.number)
+    if running is None:
+        return
+    candidate = running.candidate
+    if task._stop_attempt(running):
+        assert candidate is not None
+        candidate.failed(time.monotonic())
+        decision = running.progress.after(forwarding.TimedOut())
+    else:
+        running.progress.why = Reason.DEADLINE
+        decision = running.progress.give_up()
+    running.awaited = set()
+    task._apply(running, decision)
+
+
+@_receive.register
+def _(message: _Sweep, task: ServiceTask) -> None:
+    task._pool.close_expired(time.monotonic())
+
+
+@functools.singledispatch
+def _judge(
+    result: forwarding.Result,
+    candidate: load_sampling.Candidate,
+    task: ServiceTask,
+) -> None:
+    raise TypeError(f"no rule for {type(result).__name__}")
+
+
+@_judge.register
+def _(
+    result: forwarding.Answered,
+    candidate: load_sampling.Candidate,
+    task: ServiceTask,
+) -> None:
+    if result.status >= SERVER_ERROR:
+        candidate.failed(time.monotonic())
+    else:
+        candidate.succeeded()
+
+
+@_judge.register
+def _(
+    result: forwarding.Rejected,
+    candidate: load_sampling.Candidate,
+    task: ServiceTask,
+) -> None:
+    task._book.count("attempts_rejected")
+    candidate.failed(time.monotonic())
+    if result.misplaced:
+        task._misplaced(candidate.entry.upstream_id)
+
+
+@_judge.register
+def _(
+    result: forwarding.NotSent,
+    candidate: load_sampling.Candidate,
+    task: ServiceTask,
+) -> None:
+    task._book.count("attempts_not_sent")
+    candidate.unreachable(time.monotonic())
+
+
+@_judge.register
+def _(
+    result: forwarding.Lost,
+    candidate: load_sampling.Candidate,
+    task: ServiceTask,
+) -> None:
+    task._book.count("attempts_lost")
+    candidate.failed(time.monotonic())
+
+
+@functools.singledispatch
+def _apply(
+    decision: forwarding.Decision, task: ServiceTask, running: _Running
+) -> None:
+    raise TypeError(f"no rule for {type(decision).__name__}")
+
+
+@_apply.register
+def _(decision: forwarding.Retry, task: ServiceTask, running: _Running) -> None:
+    now = time.monotonic()
+    progress = running.progress
+    if running.request.deadline - now < USEFUL_LEFT_S:
+        task._apply(running, progress.give_up())
+    elif decision.pays and not task._budget.take(now):
+        task._book.count("retries_over_budget")
+        task._apply(running, progress.give_up())
+    else:
+        task._book.count("retries")
+        task._select(running)
+
+
+@_apply.register
+def _(
+    decision: forwarding.Deliver, task: ServiceTask, running: _Running
+) -> None:
+    found = decision.answer
+    answer = running.request.answer
+    answer.put(calls.AnswerHead(found.status, found.headers))
+    if found.body:
+        answer.put(calls.AnswerData(found.body))
+    if found.rest is None:
+        answer.put(calls.AnswerEnd())
+    else:
+        answer.follow(found.rest)
+    task._finish(running)
+
+
+@_apply.register
+def _(
+    decision: forwarding.Refuse, task: ServiceTask, running: _Running
+) -> None:
+    task._conclude(running, outcomes.NotRun(decision.why))
+
+
+@_apply.register
+def _(decision: forwarding.Fail, task: ServiceTask, running: _Running) -> None:
+    task._conclude(running, outcomes.Unknown(decision.why))
--- /dev/null
+++ b/src/sesamevale/gateway.py
@@ -0,0 +1,438 @@
+"""One entry that forwards requests by a configuration it is given."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import dataclasses
+import functools
+import json
+import random
+import time
+from typing import Self
+from typing import TYPE_CHECKING
+
+from sesamevale import incarnations
+from sesamevale import messaging
+from sesamevale import metrics
+from sesamevale.callers import gateway_server
+from sesamevale.entries import gossip
+from sesamevale.forwarding import front as fronts
+from sesamevale.forwarding import service_task
+from sesamevale.operators import admin_server
+from sesamevale.policy import adoption
+from sesamevale.policy import load_sampling
+from sesamevale.policy import membership
+from sesamevale.policy import membership_types
+from sesamevale.policy import retry_budget
+from sesamevale.policy import roster
+
+if TYPE_CHECKING:
+    from sesamevale import event_log
+    from sesamevale import http1
+    from sesamevale import routes
+    from sesamevale import settings as checked_settings
+
+__all__ = [
+    "Configured",
+    "Discovered",
+    "Gateway",
+    "GatewaySettings",
+    "PeerSeen",
+    "StoreAway",
+]
+
+DRAIN_STEP_S = 0.05
+# Time kept at the end of the grace to end what is still running.
+STOP_MARGIN_S = 0.3
+# A reader of an old directory answer may still connect this much later.
+STRAGGLER_S = 0.5
+# Directory answers are kept up to three times as long as they say.
+DIRECTORY_OVERUSE = 3
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GatewaySettings:
+    """Settings of one gateway entry.
+
+    Attributes:
+        entry_id: Identifier, unique among the entries.
+        data_center: Data centre of this entry.
+        environment: Name of the fleet; entries of others are ignored.
+        callers: Address for callers.
+        entry_port: UDP port for other entries.
+        metrics_port: TCP port for metrics and status.
+        budget: What all entries together may repeat.
+        directory_lifetime_s: How long callers keep a directory answer, in
+            seconds.
+        grace_s: Time from the signal to stop to the end, in seconds.
+    """
+
+    entry_id: str
+    data_center: str
+    environment: str
+    callers: checked_settings.Endpoint
+    entry_port: int
+    metrics_port: int
+    budget: retry_budget.BudgetTerms
+    directory_lifetime_s: float
+    grace_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Configured:
+    """A configuration was read.
+
+    Attributes:
+        configuration: The configuration.
+        read_at: When the read was sent, in monotonic seconds.
+    """
+
+    configuration: routes.Configuration
+    read_at: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Discovered:
+    """All upstreams were read.
+
+    Attributes:
+        entries: The upstreams.
+        read_at: When the read was sent, in monotonic seconds.
+    """
+
+    entries: tuple[routes.UpstreamEntry, ...]
+    read_at: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerSeen:
+    """Another entry may be found at an address."""
+
+    host: str
+    port: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreAway:
+    """The store was lost or is back."""
+
+    away: bool
+    why: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _MembersChanged:
+    """The gossip has news of members."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Misplaced:
+    """The address of an upstream answers for another one."""
+
+    upstream_id: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Stopping:
+    """This entry is leaving."""
+
+
+Message = (
+    Configured
+    | Discovered
+    | PeerSeen
+    | StoreAway
+    | _MembersChanged
+    | _Misplaced
+    | _Stopping
+)
+
+
+class Gateway(messaging.Actor[Message]):
+    """Runs one entry while its context is open.
+
+    Args:
+        settings: Checked settings.
+        dialect: Header fields.
+        events: Where decisions are logged.
+        book: Measurements.
+    """
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        dialect: http1.Dialect,
+        events: event_log.EventLog,
+        book: metrics.Book,
+    ) -> None:
+        super().__init__("gateway")
+        self._settings = settings
+        self._dialect = dialect
+        self._events = events
+        self._book = book
+        self._rng = random.Random()
+        self._stack = contextlib.AsyncExitStack()
+        self._front = fronts.Front(dialect)
+        self._adoption = adoption.Adoption()
+        self._roster = roster.Roster()
+        self._own = membership_types.Member(
+            entry_id=settings.entry_id,
+            incarnation=incarnations.new(self._rng),
+            refutation=0,
+            status=membership_types.Status.JOINING,
+            data_center=settings.data_center,
+            host=settings.callers.host,
+            caller_port=settings.callers.port,
+            peer_port=settings.entry_port,
+        )
+        self._server = gateway_server.GatewayServer(
+            settings.callers.host,
+            settings.callers.port,
+            self._front,
+            settings.entry_id,
+            events,
+            book,
+        )
+        self._gossip = gossip.Gossip(
+            membership.Membership(
+                self._own,
+                settings.environment,
+                membership.Timing(),
+                self._rng,
+            ),
+            settings.callers.host,
+            settings.entry_port,
+            lambda: self.send(_MembersChanged()),
+            lambda: None,
+            book,
+        )
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether callers may be sent here."""
+        return self._front.view.is_ready
+
+    async def __aenter__(self) -> Self:
+        self._book.add_source(self._gauges)
+        await self._stack.enter_async_context(self._gossip)
+        await self._stack.enter_async_context(self._server)
+        await self._stack.enter_async_context(
+            admin_server.AdminServer(
+                self._settings.callers.host,
+                self._settings.metrics_port,
+                {"/metrics": self._metrics_page, "/status": self._status_page},
+            )
+        )
+        return await super().__aenter__()
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        await super().__aexit__(*exc_info)
+        await self._stack.aclose()
+        for task in self._front.tasks.values():
+            await task.__aexit__(*exc_info)
+
+    def receive(self, message: Message) -> None:
+        """Implements ``messaging.Actor``."""
+        _receive(message, self)
+
+    def directory(self, data_center: str) -> list[str]:
+        """Returns the addresses that callers in a data centre should use."""
+        members = self._front.view.members
+        near = [each for each in members if each.data_center == data_center]
+        return [f"{each.host}:{each.caller_port}" for each in near or members]
+
+    async def drain(self) -> None:
+        """Leaves the directory and waits until callers have moved on."""
+        started = time.monotonic()
+        settings = self._settings
+        limit = started + settings.grace_s - STOP_MARGIN_S
+        self._gossip.send(gossip.Leave())
+        self.send(_Stopping())
+        lifetime_s = DIRECTORY_OVERUSE * settings.directory_lifetime_s
+        quiet_from = min(limit, started + lifetime_s + STRAGGLER_S)
+        while time.monotonic() < quiet_from:
+            await asyncio.sleep(DRAIN_STEP_S)
+        self._server.close_idle()
+        while time.monotonic() < limit and self._front.active:
+            await asyncio.sleep(DRAIN_STEP_S)
+            self._server.close_idle()
+        self._gossip.send(gossip.Depart())
+        self._server.stop_accepting()
+        await asyncio.sleep(DRAIN_STEP_S)
+
+    def _show(self, **changes: object) -> None:
+        """Replaces what requests are served by."""
+        view = dataclasses.replace(self._front.view, **changes)  # type: ignore[arg-type]
+        was_ready = self._front.view.is_ready
+        self._front.set_view(view)
+        if view.is_ready and not was_ready:
+            self._gossip.send(gossip.Join())
+            self._events.state("ready", config=self._adoption.version)
+
+    def _apply_services(self, configuration: routes.Configuration) -> None:
+        """Starts a task for each new service and updates the others."""
+        tasks = self._front.tasks
+        for name, service in configuration.services.items():
+            known = tasks.get(name)
+            if known is not None:
+                known.send(service_task.SetService(service))
+                continue
+            task = service_task.ServiceTask(
+                service,
+                load_sampling.Fleet(self._settings.data_center, self._rng),
+                retry_budget.RetryBudget(self._settings.budget),
+                self._dialect,
+                self._events,
+                self._book,
+                lambda upstream_id: self.send(_Misplaced(upstream_id)),
+            )
+            task.start()
+            tasks[name] = task
+        self._apply_upstreams()
+        self._apply_entry_count()
+
+    def _apply_upstreams(self) -> None:
+        for name, task in self._front.tasks.items():
+            entries = self._roster.usable(name)
+            task.send(service_task.SetUpstreams(entries))
+
+    def _apply_entry_count(self) -> None:
+        count = len(self._gossip.view.reachable)
+        for task in self._front.tasks.values():
+            task.send(service_task.SetEntryCount(count))
+
+    def _gauges(self) -> list[metrics.Gauge]:
+        def gauge(name: str, text: str, value: float) -> metrics.Gauge:
+            return metrics.Gauge(f"sesamevale_{name}", text, {}, value)
+
+        view = self._front.view
+        age_s = time.monotonic() - view.confirmed_at
+        return [
+            gauge("ready", "Whether callers may come", float(view.is_ready)),
+            gauge("config_version", "In force", self._adoption.version),
+            gauge("config_age_seconds", "Since confirmed", age_s),
+            gauge("requests_active", "Requests now", self._front.active),
+            gauge("members", "Entries in use", len(view.members)),
+            gauge("log_lines_dropped", "Not written", self._events.dropped),
+        ]
+
+    def _metrics_page(self, query: str) -> admin_server.Page:
+        content_type = "text/plain; version=0.0.4; charset=utf-8"
+        return admin_server.Page(200, content_type, metrics.render(self._book))
+
+    def _status_page(self, query: str) -> admin_server.Page:
+        now = time.monotonic()
+        view = self._front.view
+        last_read = self._roster.last_read
+        content = {
+            "entry": self._settings.entry_id,
+            "ready": view.is_ready,
+            "stopping": view.stopping,
+            "config": self._adoption.version,
+            "config_age_s": self._adoption.age_s(now),
+            "upstreams_age_s": None if last_read is None else now - last_read,
+            "members": [each.entry_id for each in view.members],
+            "services": {
+                name: {
+                    "active": task.active,
+                    "average_slowdown": task.fleet.average_slowdown,
+                    "upstreams": {
+                        upstream_id: {
+                            "data_center": candidate.entry.data_center,
+                            "own": candidate.own,
+                            "ejected": candidate.is_ejected(now),
+                        }
+                        for upstream_id, candidate in (
+                            task.fleet.candidates.items()
+                        )
+                    },
+                }
+                for name, task in self._front.tasks.items()
+            },
+        }
+        body = json.dumps(content, indent=1, default=str).encode()
+        return admin_server.Page(200, "application/json", body)
+
+
+@functools.singledispatch
+def _receive(message: Message, gateway: Gateway) -> None:
+    raise TypeError(f"no rule for {type(message).__name__}")
+
+
+@_receive.register
+def _(message: Configured, gateway: Gateway) -> None:
+    found = message.configuration
+    previous = gateway._adoption.version
+    changed = gateway._adoption.offer(found, message.read_at)
+    if found.version < previous:
+        gateway._events.state(
+            "config_refused", version=found.version, in_force=previous
+        )
+        return
+    gateway._show(
+        configuration=gateway._adoption.current,
+        confirmed_at=message.read_at,
+    )
+    if changed:
+        gateway._events.state(
+            "config_in_force", version=found.version, previous=previous
+        )
+        gateway._apply_services(found)
+
+
+@_receive.register
+def _(message: Discovered, gateway: Gateway) -> None:
+    known = gateway._roster
+    changes = known.observe(message.entries, message.read_at)
+    for change in changes:
+        gateway._events.state(
+            "upstream",
+            upstream=change.upstream_id,
+            service=change.service,
+            change=change.what,
+        )
+    gateway._apply_upstreams()
+    if not gateway._front.view.discovered:
+        gateway._show(discovered=True)
+
+
+@_receive.register
+def _(message: PeerSeen, gateway: Gateway) -> None:
+    gateway._gossip.send(gossip.Seed(message.host, message.port))
+
+
+@_receive.register
+def _(message: StoreAway, gateway: Gateway) -> None:
+    gateway._events.state(
+        "store_lost" if message.away else "store_back", why=message.why
+    )
+
+
+@_receive.register
+def _(message: _MembersChanged, gateway: Gateway) -> None:
+    view = gateway._gossip.view
+    members = tuple(view.usable)
+    gateway._show(members=members)
+    gateway._apply_entry_count()
+    gateway._events.state(
+        "members", usable=sorted(each.entry_id for each in members)
+    )
+
+
+@_receive.register
+def _(message: _Misplaced, gateway: Gateway) -> None:
+    for change in gateway._roster.fence(message.upstream_id):
+        gateway._events.state(
+            "upstream",
+            upstream=change.upstream_id,
+            service=change.service,
+            change=change.what,
+        )
+    gateway._apply_upstreams()
+
+
+@_receive.register
+def _(message: _Stopping, gateway: Gateway) -> None:
+    gateway._events.state("stopping", active=gateway._front.active)
+    gateway._show(stopping=True)
--- a/src/sesamevale/http1.py
+++ b/src/sesamevale/http1.py
@@ -2,14 +2,18 @@
 
 from __future__ import annotations
 
+import dataclasses
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Iterable
 
     from sesamevale import calls
+    from sesamevale.policy import load_sampling
 
 __all__ = [
+    "Dialect",
     "Field",
     "find",
     "forwarded",
@@ -50,6 +54,33 @@
     TRANSFER_ENCODING = b"transfer-encoding"
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Dialect:
+    """Header fields by which callers, entries and upstreams cooperate.
+
+    Names are in lower case.
+
+    Attributes:
+        request_id: Identifier of one attempt of a caller; upstreams echo it.
+        deadline_ms: Milliseconds that the sender will wait.
+        signature: Proof of an upstream that the answer is its own.
+        expected_upstream: Upstream that alone may run the request.
+        not_run: Present if the upstream did not run the request.
+        upstream_id: Upstream that gives the answer.
+        load: Load of the upstream.
+        read_load: Reads the value of ``load``; None if it makes no sense.
+    """
+
+    request_id: bytes
+    deadline_ms: bytes
+    signature: bytes
+    expected_upstream: bytes
+    not_run: bytes
+    upstream_id: bytes
+    load: bytes
+    read_load: Callable[[bytes], load_sampling.Load | None]
+
+
 OWN_FIELDS = frozenset(
     (
         Field.DEADLINE,
--- a/src/sesamevale/operators/admin_server.py
+++ b/src/sesamevale/operators/admin_server.py
@@ -36,11 +36,11 @@
     Args:
         host: IP address to listen on.
         port: TCP port to listen on.
-        pages: Function that makes each page, by path.
+        pages: Function that makes a page from the query, by path.
     """
 
     def __init__(
-        self, host: str, port: int, pages: dict[str, Callable[[], Page]]
+        self, host: str, port: int, pages: dict[str, Callable[[str], Page]]
     ) -> None:
         super().__init__(host, port)
         self._pages = pages
@@ -61,14 +61,15 @@
             stream.close()
 
     def _page(self, request: h11.Request) -> Page:
-        path = request.target.decode("ascii", "replace").partition("?")[0]
+        target = request.target.decode("ascii", "replace")
+        path, _, query = target.partition("?")
         if request.method not in (b"GET", b"HEAD"):
             return Page(405, "text/plain", b"only GET\n")
         make = self._pages.get(path)
         if make is None:
             known = ", ".join(sorted(self._pages))
             return Page(404, "text/plain", f"pages: {known}\n".encode())
-        return make()
+        return make(query)
 
 
 async def _read_request(
--- a/src/sesamevale/operators/commands/common.py
+++ b/src/sesamevale/operators/commands/common.py
@@ -16,10 +16,10 @@
 
 from sesamevale import document_models
 from sesamevale import settings
+from sesamevale.etcd import client
+from sesamevale.etcd import store
 from sesamevale.operators import admin_client
 from sesamevale.operators import document_files
-from sesamevale.platform import client
-from sesamevale.platform import store
 from sesamevale.policy import differences
 from sesamevale.policy import following
 
--- a/src/sesamevale/operators/commands/history.py
+++ b/src/sesamevale/operators/commands/history.py
@@ -7,9 +7,9 @@
 
 import typer
 
+from sesamevale.etcd import client
+from sesamevale.etcd import store
 from sesamevale.operators.commands import common
-from sesamevale.platform import client
-from sesamevale.platform import store
 
 __all__ = ["history"]
 
--- a/src/sesamevale/operators/commands/promote.py
+++ b/src/sesamevale/operators/commands/promote.py
@@ -6,10 +6,10 @@
 
 import typer
 
+from sesamevale.etcd import client
+from sesamevale.etcd import store
 from sesamevale.operators.commands import common
 from sesamevale.operators.commands import submit
-from sesamevale.platform import client
-from sesamevale.platform import store
 from sesamevale.policy import following
 
 __all__ = ["promote"]
--- a/src/sesamevale/operators/commands/submit.py
+++ b/src/sesamevale/operators/commands/submit.py
@@ -9,9 +9,9 @@
 import typer
 
 from sesamevale import document_models
+from sesamevale.etcd import client
+from sesamevale.etcd import store
 from sesamevale.operators.commands import common
-from sesamevale.platform import client
-from sesamevale.platform import store
 from sesamevale.policy import differences
 
 __all__ = ["finish", "submit"]
--- a/src/sesamevale/operators/document_files.py
+++ b/src/sesamevale/operators/document_files.py
@@ -10,7 +10,7 @@
 import pydantic
 
 from sesamevale import document_models
-from sesamevale.platform import manifests
+from sesamevale.etcd import manifests
 from sesamevale.policy import following
 
 __all__ = ["DocumentError", "Fault", "as_manifest", "load", "parse"]
--- a/src/sesamevale/outcomes.py
+++ b/src/sesamevale/outcomes.py
@@ -28,7 +28,10 @@
     IDENTITY_MISMATCH = "identity_mismatch"
     IDENTITY_REQUIRED = "identity_required"
     ISSUER_GONE = "issuer_gone"
+    NO_BUDGET = "no_budget"
+    NO_CONFIGURATION = "no_configuration"
     NO_DOCUMENT = "no_document"
+    NO_ROUTE = "no_route"
     NO_RULE = "no_rule"
     NO_UPSTREAM = "no_upstream"
     NOT_RETAINED = "not_retained"
@@ -36,6 +39,8 @@
     PEER_LOST = "peer_lost"
     REGISTER_FULL = "register_full"
     SHED = "shed"
+    SPOILT = "spoilt"
+    STOPPING = "stopping"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/sesamevale/platform/__init__.py
+++ b/src/sesamevale/platform/__init__.py
@@ -1,3 +1,3 @@
-"""Everything that talks to the platform's key-value service."""
+"""Adapter: translates between the users' platform and the gateway."""
 
 from __future__ import annotations
--- /dev/null
+++ b/src/sesamevale/platform/daemon.py
@@ -0,0 +1,132 @@
+"""The daemon on the users' platform."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import gc
+import signal
+import sys
+from typing import TYPE_CHECKING
+
+from sesamevale import event_log
+from sesamevale import gateway as gateways
+from sesamevale import metrics
+from sesamevale.operators import admin_server
+from sesamevale.platform import fields
+from sesamevale.platform import follower
+from sesamevale.platform import models
+from sesamevale.platform import pages
+from sesamevale.platform import registration
+from sesamevale.platform import settings as deployed_settings
+from sesamevale.platform import store
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+__all__ = ["main"]
+
+EXIT_SETTINGS = 2
+EXIT_START = 3
+GC_THRESHOLD_OBJECTS = 50_000
+
+
+async def _serve(
+    deployed: deployed_settings.Deployed, events: event_log.EventLog
+) -> int:
+    """Runs an entry until SIGTERM or SIGINT; returns the exit code."""
+    loop = asyncio.get_running_loop()
+    stop = asyncio.Event()
+    broken = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    loop.add_signal_handler(signal.SIGHUP, lambda: _reload(events))
+    loop.set_exception_handler(_exception_handler(events, stop, broken))
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(GC_THRESHOLD_OBJECTS, 20, 20)
+    try:
+        async with contextlib.AsyncExitStack() as stack:
+            gateway = await _open(stack, deployed, events)
+            events.state("started", callers=str(deployed.callers))
+            await stop.wait()
+            if not broken.is_set():
+                await gateway.drain()
+    except OSError as error:
+        events.state("start_failed", why=str(error))
+        return EXIT_START
+    events.state("stopped", broken=broken.is_set())
+    return int(broken.is_set())
+
+
+def _exception_handler(
+    events: event_log.EventLog, stop: asyncio.Event, broken: asyncio.Event
+) -> Callable[[asyncio.AbstractEventLoop, dict[str, object]], None]:
+    """Returns a handler that stops the process on a broken invariant."""
+
+    def handle(
+        loop: asyncio.AbstractEventLoop, context: dict[str, object]
+    ) -> None:
+        events.state(
+            "unexpected_error",
+            message=context.get("message"),
+            exception=repr(context.get("exception")),
+        )
+        if context.get("message") == "broken invariant":
+            broken.set()
+            stop.set()
+
+    return handle
+
+
+async def _open(
+    stack: contextlib.AsyncExitStack,
+    deployed: deployed_settings.Deployed,
+    events: event_log.EventLog,
+) -> gateways.Gateway:
+    """Starts everything that one entry consists of."""
+    book = metrics.Book()
+    settings = deployed.for_gateway()
+    gateway = gateways.Gateway(settings, fields.DIALECT, events, book)
+    await stack.enter_async_context(gateway)
+    shown = pages.Pages(gateway, deployed.directory_lifetime_s)
+    for endpoint, path, make in (
+        (deployed.readiness, "/api/readiness", shown.readiness),
+        (deployed.directory, "/api/resolve", shown.resolve),
+    ):
+        server = admin_server.AdminServer(
+            endpoint.host, endpoint.port, {path: make}
+        )
+        await stack.enter_async_context(server)
+    client = store.StoreClient(deployed.store.address, book)
+    await stack.enter_async_context(client)
+    await stack.enter_async_context(follower.Follower(client, gateway, events))
+    address = models.Registration(
+        host=deployed.host, port=deployed.entry_ports[0]
+    )
+    await stack.enter_async_context(
+        registration.Registration(client, deployed.entry_id, address, events)
+    )
+    return gateway
+
+
+def _reload(events: event_log.EventLog) -> None:
+    """Checks the changed settings; they take effect at the next start."""
+    try:
+        deployed_settings.load()
+    except deployed_settings.SettingsError as error:
+        events.state("reload_refused", why=str(error))
+        return
+    events.state("reloaded")
+
+
+def main() -> None:
+    """Runs one entry with the settings that the environment names."""
+    try:
+        deployed = deployed_settings.load()
+        deployed.for_gateway()
+    except deployed_settings.SettingsError as error:
+        print(f"sesamevale: {error}", file=sys.stderr)
+        sys.exit(EXIT_SETTINGS)
+    events = event_log.configure(deployed.entry_id)
+    sys.exit(asyncio.run(_serve(deployed, events)))
--- /dev/null
+++ b/src/sesamevale/platform/decoding.py
@@ -0,0 +1,177 @@
+"""Translation of the store's items into the gateway's types."""
+
+from __future__ import annotations
+
+import base64
+import binascii
+import dataclasses
+from typing import TYPE_CHECKING
+
+import pydantic
+
+from sesamevale import routes
+from sesamevale.platform import models
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+__all__ = [
+    "CONFIG_KEY",
+    "REGISTRATION_PREFIX",
+    "Decoder",
+    "Snapshot",
+    "encode_value",
+]
+
+CONFIG_KEY = "op/config"
+UPSTREAM_PREFIX = "servers/"
+REGISTRATION_PREFIX = "sesamevale/entries/"
+# Kind of the routes whose requests may run more than once.
+REPEATABLE_KIND = "safe"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Snapshot:
+    """What one read of the store shows.
+
+    Attributes:
+        configuration: Configuration, if there is a valid one.
+        upstreams: Upstreams whose entries are valid.
+        peers: Addresses of entries.
+        rejected: Keys whose values make no sense, with what is wrong.
+    """
+
+    configuration: routes.Configuration | None
+    upstreams: tuple[routes.UpstreamEntry, ...]
+    peers: tuple[models.Registration, ...]
+    rejected: dict[str, str]
+
+
+def encode_value(model: pydantic.BaseModel) -> str:
+    """Returns a model as the store takes it."""
+    return base64.b64encode(model.model_dump_json().encode()).decode()
+
+
+class Decoder:
+    """Decodes items and remembers those that have not changed."""
+
+    def __init__(self) -> None:
+        self._decoded: dict[str, tuple[int, object]] = {}
+
+    def decode(self, items: Iterable[models.Item]) -> Snapshot:
+        """Returns what the items of one whole read say."""
+        decoded: dict[str, tuple[int, object]] = {}
+        for item in items:
+            known = self._decoded.get(item.key)
+            if known is None or known[0] != item.revision:
+                known = (item.revision, _decode(item))
+            decoded[item.key] = known
+        self._decoded = decoded
+        values = [value for _, value in decoded.values()]
+        found = [
+            each for each in values if isinstance(each, routes.Configuration)
+        ]
+        return Snapshot(
+            configuration=found[0] if found else None,
+            upstreams=tuple(
+                each
+                for each in values
+                if isinstance(each, routes.UpstreamEntry)
+            ),
+            peers=tuple(
+                each for each in values if isinstance(each, models.Registration)
+            ),
+            rejected={
+                key: value
+                for key, (_, value) in decoded.items()
+                if isinstance(value, str)
+            },
+        )
+
+
+def _decode(item: models.Item) -> object:
+    """Returns the decoded value, what is wrong with it, or None."""
+    try:
+        content = base64.b64decode(item.value, validate=True)
+        if item.key == CONFIG_KEY:
+            return _configuration(
+                models.PublishedConfig.model_validate_json(content)
+            )
+        if item.key.startswith(UPSTREAM_PREFIX):
+            return _upstream(
+                item.key.removeprefix(UPSTREAM_PREFIX),
+                models.Heartbeat.model_validate_json(content),
+            )
+        if item.key.startswith(REGISTRATION_PREFIX):
+            return models.Registration.model_validate_json(content)
+    except pydantic.ValidationError as error:
+        first = error.errors()[0]
+        place = ".".join(str(each) for each in first["loc"])
+        return f"{place}: {first['msg']}"
+    except (binascii.Error, ValueError) as error:
+        return str(error)
+    return None
+
+
+def _upstream(upstream_id: str, beat: models.Heartbeat) -> routes.UpstreamEntry:
+    host, _, port = beat.address.rpartition(":")
+    return routes.UpstreamEntry(
+        upstream_id=upstream_id,
+        service=beat.service,
+        host=host,
+        port=int(port),
+        data_center=beat.data_center,
+        slots=beat.slots,
+        draining=beat.state == "draining",
+        warmup_s=beat.warmup_left_ms / 1000,
+        started_ms=beat.started_ms,
+        sequence=beat.sequence,
+    )
+
+
+def _configuration(found: models.PublishedConfig) -> routes.Configuration:
+    by_host: dict[str, tuple[routes.Route, ...]] = {}
+    for each in found.hosts:
+        host = each.host.lower()
+        of_host = [_route(host, route) for route in each.routes]
+        of_host += by_host.get(host, ())
+        of_host.sort(key=lambda route: -len(route.prefix))
+        by_host[host] = tuple(of_host)
+    limits = found.limits
+    return routes.Configuration(
+        version=int(found.version[1:]),
+        routes=by_host,
+        services={
+            each.name: routes.Service(
+                each.name, each.health_path, each.connections_max
+            )
+            for each in found.services
+        },
+        limits=routes.CallerLimits(
+            header_bytes=limits.header_bytes,
+            body_bytes=limits.body_bytes,
+            header_timeout_s=limits.header_timeout_ms / 1000,
+            idle_timeout_s=limits.idle_timeout_ms / 1000,
+        ),
+    )
+
+
+def _route(host: str, found: models._Route) -> routes.Route:
+    if found.parts:
+        parts = tuple(
+            routes.SplitPart(part.service, part.weight) for part in found.parts
+        )
+    else:
+        assert found.service is not None
+        parts = (routes.SplitPart(found.service, 1),)
+    return routes.Route(
+        name=found.name,
+        host=host,
+        prefix=found.prefix,
+        repeatable=found.kind == REPEATABLE_KIND,
+        timeout_s=found.timeout_ms / 1000,
+        objective_s=found.objective_ms / 1000,
+        priority=found.priority,
+        parts=parts,
+        upstreams_max=found.upstreams_max,
+    )
--- /dev/null
+++ b/src/sesamevale/platform/fields.py
@@ -0,0 +1,37 @@
+"""Header fields of the users' platform."""
+
+from __future__ import annotations
+
+from sesamevale import http1
+from sesamevale.policy import load_sampling
+
+__all__ = ["DIALECT", "read_load"]
+
+USUAL_SPEED = 100
+
+
+def read_load(value: bytes) -> load_sampling.Load | None:
+    """Reads running, waiting and slots, and the slowdown if it is given."""
+    parts = value.split(b",")
+    try:
+        figures = [int(part) for part in parts]
+    except ValueError:
+        return None
+    if len(figures) < 3 or min(figures) < 0:
+        return None
+    slowdown = figures[3] / USUAL_SPEED if len(figures) > 3 else 1.0
+    return load_sampling.Load(
+        figures[0], figures[1], figures[2], max(0.01, slowdown)
+    )
+
+
+DIALECT = http1.Dialect(
+    request_id=b"x-attempt-id",
+    deadline_ms=b"x-deadline-ms",
+    signature=b"x-response-signature",
+    expected_upstream=b"x-expected-instance",
+    not_run=b"x-not-executed",
+    upstream_id=b"x-instance-id",
+    load=b"x-server-load",
+    read_load=read_load,
+)
--- a/src/sesamevale/platform/models.py
+++ b/src/sesamevale/platform/models.py
@@ -1,122 +1,133 @@
-"""Validated messages of the platform's protocol, the etcd v3 JSON mapping."""
+"""Validated form of what the platform's store holds and answers."""
 
 from __future__ import annotations
 
-import base64
+import re
 from typing import Annotated
+from typing import Literal
 
 import pydantic
 
 __all__ = [
-    "Event",
-    "KeepAliveReply",
-    "KeyValue",
-    "LeaseReply",
-    "RangeReply",
-    "RevokeReply",
-    "TxnReply",
-    "WatchReply",
-    "encode",
-    "prefix_end",
+    "Heartbeat",
+    "Item",
+    "LeaseGranted",
+    "Page",
+    "PublishedConfig",
+    "Registration",
 ]
 
+ADDRESS = re.compile(r"(\d{1,3}(?:\.\d{1,3}){3}):(\d{1,5})")
+VERSION = re.compile(r"r(\d{1,15})")
 
-def _decode(value: object) -> object:
-    if isinstance(value, str):
-        return base64.b64decode(value, validate=True)
-    return value
-
-
-Binary = Annotated[bytes, pydantic.BeforeValidator(_decode)]
-
-
-def encode(content: bytes) -> str:
-    """Returns bytes in the form that the JSON mapping uses."""
-    return base64.b64encode(content).decode("ascii")
-
-
-def prefix_end(prefix: bytes) -> bytes:
-    """Returns the end of the range of all keys with a prefix."""
-    end = bytearray(prefix)
-    while end and end[-1] == 255:
-        end.pop()
-    if end:
-        end[-1] += 1
-    return bytes(end) or b"\0"
+Address = Annotated[
+    str, pydantic.StringConstraints(pattern=ADDRESS, strict=True)
+]
+Text = Annotated[str, pydantic.StringConstraints(min_length=1, strict=True)]
+Count = Annotated[int, pydantic.Field(ge=0, strict=True)]
 
 
 class _Model(pydantic.BaseModel):
-    model_config = pydantic.ConfigDict(extra="ignore", frozen=True)
+    model_config = pydantic.ConfigDict(frozen=True, extra="ignore")
 
 
-class Header(_Model):
-    """Header of every reply."""
+class Item(_Model):
+    """One key of the store; ``value`` is standard base64."""
 
-    revision: int = 0
+    key: str
+    value: str
+    revision: int
 
 
-class KeyValue(_Model):
-    """One key with its value."""
+class Page(_Model):
+    """Answer to a range read.
 
-    key: Binary
-    value: Binary = b""
-    mod_revision: int = 0
-    lease: int = 0
+    ``currentRev`` is the store's revision; pages are not a snapshot.
+    """
 
+    items: list[Item]
+    more: bool = pydantic.Field(alias="hasMore")
 
-class RangeReply(_Model):
-    """Reply to a range request."""
 
-    header: Header = Header()
-    kvs: tuple[KeyValue, ...] = ()
+class LeaseGranted(_Model):
+    """Answer to a request for a lease, or for its renewal."""
 
+    lease: int = 0
+    ttl_ms: int = pydantic.Field(alias="ttlMs")
 
-class TxnReply(_Model):
-    """Reply to a transaction."""
-
-    header: Header = Header()
-    succeeded: bool = False
 
+class Heartbeat(_Model):
+    """What an upstream says of itself."""
 
-class LeaseReply(_Model):
-    """Reply to a lease grant."""
+    service: Text
+    address: Address
+    data_center: Text = pydantic.Field(alias="zone")
+    slots: Annotated[int, pydantic.Field(ge=1, strict=True)]
+    state: Literal["ready", "draining"]
+    warmup_left_ms: float = pydantic.Field(alias="warmupLeftMs", ge=0)
+    # Counts the heartbeats of one start of the upstream.
+    sequence: Count = pydantic.Field(alias="seqNo")
+    started_ms: Count = pydantic.Field(alias="born", default=0)
 
-    ID: int
-    TTL: int = 0
 
+class _Part(_Model):
+    service: Text
+    weight: Annotated[int, pydantic.Field(ge=0)]
 
-class RevokeReply(_Model):
-    """Reply to giving a lease back."""
 
-    header: Header = Header()
+class _Route(_Model):
+    name: Text
+    prefix: Annotated[str, pydantic.StringConstraints(pattern=r"^/")]
+    kind: Text
+    timeout_ms: float = pydantic.Field(alias="timeoutMs", gt=0)
+    objective_ms: float = pydantic.Field(
+        alias="targetLatencyMs", gt=0, default=1000.0
+    )
+    priority: int = 0
+    service: str | None = None
+    parts: list[_Part] | None = pydantic.Field(
+        alias="trafficSplit", default=None
+    )
+    upstreams_max: int = pydantic.Field(alias="maxAttempts", ge=1, default=1)
 
+    @pydantic.model_validator(mode="after")
+    def _has_service(self) -> _Route:
+        if not self.service and not self.parts:
+            raise ValueError("a route needs a service")
+        return self
 
-class _KeepAliveResult(_Model):
-    ID: int = 0
-    TTL: int = 0
 
+class _Host(_Model):
+    host: Text
+    routes: list[_Route] = pydantic.Field(alias="paths")
 
-class KeepAliveReply(_Model):
-    """Reply to a lease renewal; a TTL of 0 means that the lease is gone."""
 
-    result: _KeepAliveResult
+class _Service(_Model):
+    name: Text
+    health_path: str = pydantic.Field(alias="healthPath", default="/health")
+    connections_max: int = pydantic.Field(
+        alias="maxConnections", ge=1, default=100
+    )
 
 
-class Event(_Model):
-    """One change of a watched key."""
+class _Limits(_Model):
+    header_bytes: int = pydantic.Field(alias="maxHeaderBytes", ge=1)
+    body_bytes: int = pydantic.Field(alias="maxBodyBytes", ge=0)
+    header_timeout_ms: float = pydantic.Field(alias="headerTimeoutMs", gt=0)
+    idle_timeout_ms: float = pydantic.Field(alias="idleTimeoutMs", gt=0)
 
-    type: str = "PUT"
-    kv: KeyValue
 
+class PublishedConfig(_Model):
+    """The operator's configuration."""
 
-class _WatchResult(_Model):
-    header: Header = Header()
-    created: bool = False
-    canceled: bool = False
-    events: tuple[Event, ...] = ()
+    version: Annotated[str, pydantic.StringConstraints(pattern=VERSION)]
+    services: list[_Service]
+    limits: _Limits
+    hosts: list[_Host] = pydantic.Field(alias="virtualHosts")
 
 
-class WatchReply(_Model):
-    """One message of a watch."""
+class Registration(_Model):
+    """Address at which an entry can be reached by the others."""
 
-    result: _WatchResult
+    host: Text
+    port: Annotated[int, pydantic.Field(gt=0, lt=65536)]
--- a/src/sesamevale/platform/registration.py
+++ b/src/sesamevale/platform/registration.py
@@ -1,69 +1,52 @@
-"""Task that registers this entry in the platform under a lease."""
+"""Task that keeps this entry's address in the store for the others."""
 
 from __future__ import annotations
 
 import asyncio
 import contextlib
-import random
-import time
+import functools
 from typing import Self
 from typing import TYPE_CHECKING
 
-import pydantic
-from absl import logging
-
-from sesamevale.platform import client
-from sesamevale.platform import keys
-from sesamevale.platform import manifests
-from sesamevale.policy import leases
+from sesamevale.platform import decoding
+from sesamevale.platform import models
+from sesamevale.platform import store
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from sesamevale import event_log
 
-__all__ = ["RegistrationTask"]
+__all__ = ["Registration"]
 
-LEASE_TTL_S = 10
-STEP_S = 0.5
-LIST_INTERVAL_S = 30.0
-FIRST_LIST_INTERVAL_S = 1.0
-FIRST_LISTS = 5
+# The address is only a first contact; members watch each other directly.
+LEASE_TTL_MS = 60_000
+RENEW_INTERVAL_S = 20.0
+RETRY_INTERVAL_S = 1.5
 
 
-class RegistrationTask:
-    """Keeps a registration alive and reports the registered entries.
+class Registration:
+    """Registers this entry while its context is open.
 
     Args:
-        platform: Client of the service.
-        environment: Name of the environment.
-        registration: What is registered.
-        on_entry: Receives each other registered entry.
-        rng: Source of randomness for pauses.
+        client: Client of the store.
+        entry_id: Identifier of this entry.
+        address: Where the other entries reach it.
+        events: Where failures are logged.
     """
 
     def __init__(
         self,
-        platform: client.PlatformClient,
-        environment: str,
-        registration: manifests.Registration,
-        on_entry: Callable[[manifests.Registration], None],
-        rng: random.Random,
+        client: store.StoreClient,
+        entry_id: str,
+        address: models.Registration,
+        events: event_log.EventLog,
     ) -> None:
-        self._platform = platform
-        self._environment = environment
-        self._registration = registration
-        self._on_entry = on_entry
-        self._rng = rng
-        self._holder = leases.LeaseHolder(LEASE_TTL_S)
-        self._state = leases.LeaseState.NONE
-        self._next_list = 0.0
-        self._lists = 0
+        self._client = client
+        self._key = decoding.REGISTRATION_PREFIX + entry_id
+        self._value = decoding.encode_value(address)
+        self._events = events
+        self._lease = 0
         self._task: asyncio.Task[None] | None = None
 
-    @property
-    def holder(self) -> leases.LeaseHolder:
-        """Lease state for reports; only this task changes it."""
-        return self._holder
-
     async def __aenter__(self) -> Self:
         self._task = asyncio.create_task(self._run(), name="registration")
         return self
@@ -73,62 +56,50 @@
             self._task.cancel()
             with contextlib.suppress(asyncio.CancelledError):
                 await self._task
-        if self._holder.lease_id is not None:
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(STEP_S):
-                    await self._platform.revoke_lease(self._holder.lease_id)
 
     async def _run(self) -> None:
         while True:
-            now = time.monotonic()
-            await self._renew(now)
-            if now >= self._next_list:
-                await self._list(now)
-            self._log_state()
-            await asyncio.sleep(STEP_S * self._rng.uniform(0.8, 1.2))
-
-    async def _renew(self, now: float) -> None:
-        wanted = self._holder.poll(now)
-        if isinstance(wanted, leases.Grant):
-            await self._grant(wanted)
-        elif isinstance(wanted, leases.Renew):
-            renewed = await self._platform.renew_lease(wanted.lease_id)
-            if renewed is True:
-                self._holder.renewed(wanted.request_id)
-            elif renewed is False:
-                self._holder.lost()
-
-    async def _grant(self, wanted: leases.Grant) -> None:
-        lease_id = await self._platform.grant_lease(LEASE_TTL_S)
-        if isinstance(lease_id, client.Unavailable):
-            return
-        key = keys.entry(self._environment, self._registration.entry_id)
-        content = self._registration.model_dump_json().encode()
-        put = client.Put(key, content, lease_id)
-        if await self._platform.write([], [put]) is True:
-            self._holder.granted(wanted.request_id, lease_id)
-
-    async def _list(self, now: float) -> None:
-        """Reads the registered entries; often at first, then rarely."""
-        self._lists += 1
-        early = self._lists <= FIRST_LISTS
-        interval = FIRST_LIST_INTERVAL_S if early else LIST_INTERVAL_S
-        self._next_list = now + interval * self._rng.uniform(0.8, 1.2)
-        found = await self._platform.read_all(
-            keys.entries_prefix(self._environment)
+            if self._lease == 0:
+                result = await self._register()
+            else:
+                result = await self._client.renew_lease(self._lease)
+            interval = _interval(result, self)
+            await asyncio.sleep(interval)
+
+    async def _register(self) -> object:
+        """Writes the address under a new lease."""
+        granted = await self._client.grant_lease(LEASE_TTL_MS)
+        if isinstance(granted, store.Failed):
+            return granted
+        written = await self._client.write(
+            self._key, self._value, granted.lease
         )
-        if isinstance(found, client.Unavailable):
-            return
-        for stored in found:
-            try:
-                entry = manifests.Registration.model_validate_json(stored.value)
-            except pydantic.ValidationError:
-                continue
-            if entry.entry_id != self._registration.entry_id:
-                self._on_entry(entry)
-
-    def _log_state(self) -> None:
-        state = self._holder.state(time.monotonic())
-        if state is not self._state:
-            self._state = state
-            logging.info("registration lease is %s", state.value)
+        if written is not None:
+            return written
+        self._lease = granted.lease
+        self._events.state("registered", key=self._key)
+        return granted
+
+
+@functools.singledispatch
+def _interval(result: object, task: Registration) -> float:
+    """Returns the seconds until the next call, after its last result."""
+    raise TypeError(f"no rule for {type(result).__name__}")
+
+
+@_interval.register
+def _(result: models.LeaseGranted, task: Registration) -> float:
+    return RENEW_INTERVAL_S
+
+
+@_interval.register
+def _(result: store.LeaseLost, task: Registration) -> float:
+    task._lease = 0
+    task._events.state("registration_lost", key=task._key)
+    return RETRY_INTERVAL_S
+
+
+@_interval.register
+def _(result: store.Failed, task: Registration) -> float:
+    task._events.state("registration_failed", why=result.why)
+    return RETRY_INTERVAL_S
--- /dev/null
+++ b/src/sesamevale/platform/settings.py
@@ -0,0 +1,128 @@
+"""Settings of a process as the platform hands them over.
+
+``deploy/settings.json.in`` gives them the project's names.
+"""
+
+from __future__ import annotations
+
+import os
+import pathlib
+from typing import Annotated
+
+import pydantic
+
+from sesamevale import gateway as gateways
+from sesamevale import settings as checked_settings
+from sesamevale.policy import retry_budget
+
+__all__ = ["Deployed", "SettingsError", "load"]
+
+PATH_VARIABLE = "SESAMEVALE_NODE_FILE"
+METRICS_VARIABLE = "SESAMEVALE_METRICS_PORT"
+DEFAULT_METRICS_PORT = 9464
+ENVIRONMENT = "platform"
+# Callers ask again after this time; short, so that they leave an entry that
+# has failed soon, and no longer than the platform lets an answer count.
+DIRECTORY_LIFETIME_S = 1.0
+
+
+class SettingsError(Exception):
+    """The settings cannot be used; the message names the place."""
+
+
+def _endpoint(value: object) -> object:
+    if isinstance(value, str):
+        return checked_settings.Endpoint.parse(value)
+    return value
+
+
+Endpoint = Annotated[
+    checked_settings.Endpoint, pydantic.BeforeValidator(_endpoint)
+]
+
+
+class _Bounds(pydantic.BaseModel):
+    """Figures of the promises; a bound that is not in force is null."""
+
+    grace_s: float = 6.0
+    retry_ratio: float = 0.1
+    retry_window_s: float = 10.0
+    retry_extra: float = 0.0
+    directory_lifetime_max_s: float = DIRECTORY_LIFETIME_S
+
+    @pydantic.model_validator(mode="before")
+    @classmethod
+    def _drop_absent(cls, values: object) -> object:
+        if not isinstance(values, dict):
+            return values
+        return {key: each for key, each in values.items() if each is not None}
+
+
+class _Store(pydantic.BaseModel):
+    address: Endpoint
+
+
+class Deployed(pydantic.BaseModel):
+    """Contents of the settings file."""
+
+    model_config = pydantic.ConfigDict(frozen=True, extra="ignore")
+
+    entry_id: str = pydantic.Field(min_length=1)
+    data_center: str = pydantic.Field(min_length=1)
+    host: str
+    callers: Endpoint
+    readiness: Endpoint
+    directory: Endpoint
+    entry_ports: tuple[int, int]
+    bounds: _Bounds
+    store: _Store
+
+    @property
+    def directory_lifetime_s(self) -> float:
+        """How long callers keep a directory answer, in seconds."""
+        longest = self.bounds.directory_lifetime_max_s
+        return min(DIRECTORY_LIFETIME_S, longest)
+
+    def for_gateway(self) -> gateways.GatewaySettings:
+        """Returns what the gateway needs to know."""
+        bounds = self.bounds
+        return gateways.GatewaySettings(
+            entry_id=self.entry_id,
+            data_center=self.data_center,
+            environment=ENVIRONMENT,
+            callers=self.callers,
+            entry_port=self.entry_ports[0],
+            metrics_port=_metrics_port(),
+            budget=retry_budget.BudgetTerms(
+                bounds.retry_ratio, bounds.retry_extra, bounds.retry_window_s
+            ),
+            directory_lifetime_s=self.directory_lifetime_s,
+            grace_s=bounds.grace_s,
+        )
+
+
+def load() -> Deployed:
+    """Reads the settings file that the environment names.
+
+    Raises:
+        SettingsError: The file is missing or a setting cannot be used.
+    """
+    path = os.environ.get(PATH_VARIABLE, "")
+    if not path:
+        raise SettingsError(f"{PATH_VARIABLE} is not set")
+    try:
+        text = pathlib.Path(path).read_text(encoding="utf-8")
+        return Deployed.model_validate_json(text)
+    except OSError as error:
+        raise SettingsError(f"{path}: {error.strerror}") from error
+    except pydantic.ValidationError as error:
+        first = error.errors()[0]
+        place = ".".join(str(each) for each in first["loc"])
+        raise SettingsError(f"{path}: {place}: {first['msg']}") from error
+
+
+def _metrics_port() -> int:
+    text = os.environ.get(METRICS_VARIABLE, str(DEFAULT_METRICS_PORT))
+    if not text.isdigit() or not 0 < int(text) < 65536:
+        raise SettingsError(f"{METRICS_VARIABLE}: {text!r} is not a port")
+    return int(text)
--- a/src/sesamevale/platform/store.py
+++ b/src/sesamevale/platform/store.py
@@ -1,254 +1,259 @@
-"""Documents in the platform's service: accepting changes and reading them."""
+"""Client of the platform's store: a task that owns one socket."""
 
 from __future__ import annotations
 
+import asyncio
 import dataclasses
-import time
-import uuid
+import json
+import urllib.parse
 from typing import TYPE_CHECKING
+from typing import TypeVar
 
-from sesamevale.platform import client
-from sesamevale.platform import keys
-from sesamevale.platform import manifests
-from sesamevale.policy import following
+import h11
+import pydantic
+
+from sesamevale import messaging
+from sesamevale import sockets
+from sesamevale.platform import models
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Mapping
+
+    from sesamevale import metrics
+    from sesamevale import settings as checked_settings
+
+__all__ = ["Failed", "LeaseLost", "StoreClient"]
 
-__all__ = [
-    "Accepted",
-    "Conflict",
-    "DocumentStore",
-    "Head",
-    "SubmitOutcome",
-    "Undecided",
-    "Unreachable",
-]
+Model = TypeVar("Model", bound=pydantic.BaseModel)
 
-COMMIT_TRIES = 5
+# The store answers in milliseconds; longer means that the answer is lost.
+CALL_TIMEOUT_S = 0.5
+# A store that is merely slow gets this much time before calls fail for good.
+CALL_TIMEOUT_MAX_S = 2.0
+CONNECT_TIMEOUT_S = 0.5
+OK = 200
+NOT_FOUND = 404
+CONFLICT = 412
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Head:
-    """Manifest in force in the platform.
+class Failed:
+    """A call has no usable answer.
 
     Attributes:
-        manifest: The manifest; None if no change was ever accepted.
-        mod_revision: Platform revision of its last write; 0 if none.
+        why: What happened.
+        unsure: Whether the call may have taken effect or still may.
     """
 
-    manifest: following.Manifest | None
-    mod_revision: int
-
-    @property
-    def revision(self) -> int:
-        """Revision of the manifest; 0 if there is none."""
-        return self.manifest.revision if self.manifest is not None else 0
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Accepted:
-    """The change took effect."""
-
-    manifest: following.Manifest
+    why: str
+    unsure: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Conflict:
-    """Another change was accepted first; this one did not take effect."""
-
-    head: Head
+class LeaseLost:
+    """The lease has ended."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Unreachable:
-    """The platform cannot be reached; the change did not take effect."""
+class _Reply:
+    status: int
+    body: bytes
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Undecided:
-    """Whether the change took effect could not be found out yet.
-
-    Attributes:
-        change_id: Identity by which the change can be looked up later.
-        revision: Revision that it has if it took effect.
-    """
+class _Call:
+    request: h11.Request
+    body: bytes
+    reply: asyncio.Future[_Reply | Failed]
 
-    change_id: str
-    revision: int
 
+class StoreClient(messaging.Actor[_Call]):
+    """Sends one call after the other over one connection.
 
-SubmitOutcome = Accepted | Conflict | Unreachable | Undecided
-
-
-class DocumentStore:
-    """Documents of one environment.
+    A connection on which an answer is lost is given up.
 
     Args:
-        platform: Client of the service.
-        environment: Name of the environment.
-        clock: Source of the time in seconds since the epoch.
+        endpoint: Address of the store.
+        book: Measurements.
     """
 
     def __init__(
-        self,
-        platform: client.PlatformClient,
-        environment: str,
-        clock: Callable[[], float] = time.time,
+        self, endpoint: checked_settings.Endpoint, book: metrics.Book
     ) -> None:
-        self._platform = platform
-        self._environment = environment
-        self._clock = clock
-
-    async def head(self) -> Head | client.Unavailable:
-        """Reads the manifest in force."""
-        stored = await self._platform.get(keys.manifest(self._environment))
-        if isinstance(stored, client.Unavailable):
-            return stored
-        if stored is None:
-            return Head(None, 0)
-        return Head(manifests.load_manifest(stored.value), stored.mod_revision)
-
-    async def changed_at(self) -> int | client.Unavailable:
-        """Reads the platform revision of the manifest's last write."""
-        return await self._platform.mod_revision(
-            keys.manifest(self._environment)
-        )
-
-    async def parts(
-        self, digests: frozenset[str]
-    ) -> dict[str, bytes] | client.Unavailable:
-        """Reads parts and checks their digests; missing ones are left out."""
-        contents = {}
-        for digest in sorted(digests):
-            stored = await self._platform.get(
-                keys.part(self._environment, digest)
-            )
-            if isinstance(stored, client.Unavailable):
-                return stored
-            if stored is None:
-                continue
-            if manifests.digest_of(stored.value) == digest:
-                contents[digest] = stored.value
-        return contents
-
-    async def history(self) -> list[following.Manifest] | client.Unavailable:
-        """Reads the manifests of all accepted changes, oldest first."""
-        found = await self._platform.read_all(
-            keys.history_prefix(self._environment)
-        )
-        if isinstance(found, client.Unavailable):
-            return found
-        read = [manifests.load_manifest(each.value) for each in found]
-        return [manifest for manifest in read if manifest is not None]
-
-    async def submit(
-        self, parts: dict[str, bytes], base: Head, author: str
-    ) -> SubmitOutcome:
-        """Submits a change that was made from a base.
+        super().__init__("store-client")
+        self._endpoint = endpoint
+        self._book = book
+        self._stream: sockets.ByteStream | None = None
+        self._http = h11.Connection(h11.CLIENT)
+        self._timeout_s = CALL_TIMEOUT_S
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        await super().__aexit__(*exc_info)
+        self._close()
+
+    async def read_all(self) -> list[models.Item] | Failed:
+        """Reads every key, page by page, without stale answers."""
+        items: list[models.Item] = []
+        after = ""
+        while True:
+            query = {"prefix": ""} | ({"after": after} if after else {})
+            reply = await self._call("GET", "/api/kv-range", query)
+            page = _parsed(reply, models.Page)
+            if isinstance(page, Failed):
+                return page
+            items += page.items
+            if not page.more or not page.items:
+                return items
+            after = page.items[-1].key
+
+    async def grant_lease(self, ttl_ms: int) -> models.LeaseGranted | Failed:
+        """Asks for a lease."""
+        body = {"ttlMs": ttl_ms}
+        reply = await self._call("POST", "/api/kv-lease", body=body)
+        return _parsed(reply, models.LeaseGranted)
+
+    async def renew_lease(
+        self, lease: int
+    ) -> models.LeaseGranted | LeaseLost | Failed:
+        """Renews a lease."""
+        reply = await self._call("POST", f"/api/kv-keep/{lease}")
+        if isinstance(reply, _Reply) and reply.status == NOT_FOUND:
+            return LeaseLost()
+        return _parsed(reply, models.LeaseGranted)
+
+    async def end_lease(self, lease: int) -> Failed | None:
+        """Ends a lease; its keys are removed."""
+        reply = await self._call("DELETE", f"/api/kv-lease-end/{lease}")
+        return reply if isinstance(reply, Failed) else None
+
+    async def write(
+        self, key: str, value: str, lease: int
+    ) -> LeaseLost | Failed | None:
+        """Writes one key without a condition.
 
         Args:
-            parts: Content by part name.
-            base: Manifest that the change was made from.
-            author: Who submits the change.
+            key: The key.
+            value: The value in base64.
+            lease: Lease that the key ends with.
         """
-        now_s = int(self._clock())
-        named = {
-            name: manifests.digest_of(content)
-            for name, content in parts.items()
+        body = {
+            "precondition": [],
+            "writes": [{"key": key, "value": value, "lease": lease}],
+            "remove": [],
         }
-        manifest = following.Manifest(
-            self._environment,
-            max(base.revision + 1, now_s),
-            uuid.uuid4().hex,
-            base.revision,
-            author,
-            now_s,
-            tuple(sorted(named.items())),
+        reply = await self._call("POST", "/api/kv-txn", body=body)
+        if isinstance(reply, Failed):
+            return reply
+        if reply.status == NOT_FOUND:
+            return LeaseLost()
+        if reply.status != OK:
+            return Failed(f"status {reply.status}", unsure=False)
+        return None
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        query: dict[str, str] | None = None,
+        body: Mapping[str, object] | None = None,
+    ) -> _Reply | Failed:
+        target = path
+        if query:
+            target += "?" + urllib.parse.urlencode(query)
+        content = b"" if body is None else json.dumps(body).encode()
+        headers = [("Host", str(self._endpoint))]
+        if body is not None:
+            headers.append(("Content-Type", "application/json"))
+        if method == "POST":
+            headers.append(("Content-Length", str(len(content))))
+        request = h11.Request(method=method, target=target, headers=headers)
+        reply: asyncio.Future[_Reply | Failed] = (
+            asyncio.get_running_loop().create_future()
         )
-        contents = {
-            manifests.digest_of(content): content for content in parts.values()
-        }
-        if not await self.put_parts(contents, base):
-            return Unreachable()
-        return await self.commit(manifest, base)
-
-    async def put_parts(self, contents: dict[str, bytes], base: Head) -> bool:
-        """Writes the parts that the base does not have; False if it failed."""
-        known: frozenset[str] = frozenset()
-        if base.manifest is not None:
-            known = base.manifest.digests
-        for digest in sorted(contents.keys() - known):
-            put = client.Put(
-                keys.part(self._environment, digest), contents[digest]
+        self._book.count("store_calls")
+        self.send(_Call(request, content, reply))
+        return await reply
+
+    async def _run(self) -> None:
+        while True:
+            call = await self._inbox.get()
+            reply = await self._exchange(call)
+            if isinstance(reply, Failed):
+                self._book.count("store_calls_failed")
+            if not call.reply.done():
+                call.reply.set_result(reply)
+
+    async def _exchange(self, call: _Call) -> _Reply | Failed:
+        """Performs one call; the connection is kept if it is still good."""
+        try:
+            async with asyncio.timeout(self._timeout_s):
+                reply = await self._send_and_read(call)
+        except TimeoutError:
+            self._close()
+            self._timeout_s = min(2 * self._timeout_s, CALL_TIMEOUT_MAX_S)
+            return Failed("no answer in time", unsure=True)
+        except h11.ProtocolError as error:
+            self._close()
+            return Failed(f"connection lost: {error}", unsure=True)
+        self._timeout_s = CALL_TIMEOUT_S
+        return reply
+
+    async def _send_and_read(self, call: _Call) -> _Reply | Failed:
+        stream = self._stream
+        if stream is None or stream.closed or stream.has_unread:
+            self._close()
+            endpoint = self._endpoint
+            stream = await sockets.connect(
+                endpoint.host, endpoint.port, CONNECT_TIMEOUT_S
             )
-            if not await self._put_again_until_answered(put):
-                return False
-        return True
-
-    async def _put_again_until_answered(self, put: client.Put) -> bool:
-        """Writes a part; a lost answer is met by writing it once more."""
-        for _ in range(COMMIT_TRIES):
-            written = await self._platform.write([], [put])
-            if not isinstance(written, client.Unavailable):
-                return written
-            if not written.sent:
-                return False
-        return False
-
-    async def commit(
-        self, manifest: following.Manifest, base: Head
-    ) -> SubmitOutcome:
-        """Puts a manifest in force if the base still is."""
-        content = manifests.dump_manifest(manifest)
-        manifest_key = keys.manifest(self._environment)
-        history_key = keys.history(self._environment, manifest.revision)
-        compares = [client.Compare(manifest_key, base.mod_revision)]
-        puts = [
-            client.Put(manifest_key, content),
-            client.Put(history_key, content),
-        ]
-        may_have_taken_effect = False
-        for _ in range(COMMIT_TRIES):
-            written = await self._platform.write(compares, puts)
-            if written is True:
-                return Accepted(manifest)
-            if written is False:
-                return await self._explain_refusal(manifest)
-            may_have_taken_effect |= written.sent
-            if not may_have_taken_effect:
-                return Unreachable()
-        return Undecided(manifest.change_id, manifest.revision)
-
-    async def settle(
-        self, change_id: str, revision: int
-    ) -> following.Manifest | client.Unavailable | None:
-        """Looks a change up; None if it has not taken effect."""
-        key = keys.history(self._environment, revision)
-        stored = await self._platform.get(key)
-        if isinstance(stored, client.Unavailable) or stored is None:
-            return stored
-        found = manifests.load_manifest(stored.value)
-        if found is None or found.change_id != change_id:
-            return None
-        return found
-
-    async def _explain_refusal(
-        self, manifest: following.Manifest
-    ) -> SubmitOutcome:
-        """Tells an earlier effect of the same change from a conflict.
-
-        A write whose answer was lost is sent again. If it took effect the
-        first time, the condition fails the second time, and the history shows
-        the change under its own identity.
-        """
-        for _ in range(COMMIT_TRIES):
-            found = await self.settle(manifest.change_id, manifest.revision)
-            if isinstance(found, client.Unavailable):
-                continue
-            if found is not None:
-                return Accepted(manifest)
-            head = await self.head()
-            if not isinstance(head, client.Unavailable):
-                return Conflict(head)
-        return Undecided(manifest.change_id, manifest.revision)
+            if stream is None:
+                return Failed("cannot connect", unsure=False)
+            sockets.detect_silence(stream)
+            self._stream = stream
+        data = self._http.send(call.request) or b""
+        if call.body:
+            data += self._http.send(h11.Data(data=call.body)) or b""
+        data += self._http.send(h11.EndOfMessage()) or b""
+        stream.write(data)
+        return await self._read(stream)
+
+    async def _read(self, stream: sockets.ByteStream) -> _Reply | Failed:
+        status = 0
+        body = bytearray()
+        while True:
+            event = self._http.next_event()
+            if event is h11.NEED_DATA:
+                self._http.receive_data(await stream.read())
+            elif isinstance(event, h11.Response):
+                status = event.status_code
+            elif isinstance(event, h11.Data):
+                body += event.data
+            elif isinstance(event, h11.EndOfMessage):
+                break
+            else:
+                self._close()
+                return Failed("connection lost", unsure=True)
+        if self._http.states == {h11.CLIENT: h11.DONE, h11.SERVER: h11.DONE}:
+            self._http.start_next_cycle()
+        else:
+            self._close()
+        return _Reply(status, bytes(body))
+
+    def _close(self) -> None:
+        if self._stream is not None:
+            self._stream.abort()
+        self._stream = None
+        self._http = h11.Connection(h11.CLIENT)
+
+
+def _parsed(reply: _Reply | Failed, model: type[Model]) -> Model | Failed:
+    """Returns the body of a good answer as a model."""
+    if isinstance(reply, Failed):
+        return reply
+    if reply.status != OK:
+        return Failed(f"status {reply.status}", unsure=False)
+    try:
+        return model.model_validate_json(reply.body)
+    except pydantic.ValidationError as error:
+        first = error.errors()[0]
+        return Failed(f"answer not understood: {first['msg']}", unsure=False)
--- /dev/null
+++ b/src/sesamevale/policy/adoption.py
@@ -0,0 +1,47 @@
+"""Which version of the configuration is in force at one entry."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from sesamevale import routes
+
+__all__ = ["Adoption"]
+
+
+class Adoption:
+    """Configuration in force; its version never goes down."""
+
+    def __init__(self) -> None:
+        self._current: routes.Configuration | None = None
+        self._confirmed_at = float("-inf")
+
+    @property
+    def current(self) -> routes.Configuration | None:
+        """Configuration in force, if there is one."""
+        return self._current
+
+    @property
+    def version(self) -> int:
+        """Version in force; 0 if there is none."""
+        return 0 if self._current is None else self._current.version
+
+    def offer(self, found: routes.Configuration, now: float) -> bool:
+        """Takes a configuration that was read; True if it is now in force.
+
+        Args:
+            found: What the store holds.
+            now: When the read was sent, in monotonic seconds.
+        """
+        if found.version < self.version:
+            return False
+        self._confirmed_at = now
+        if found.version == self.version:
+            return False
+        self._current = found
+        return True
+
+    def age_s(self, now: float) -> float:
+        """Seconds since the store was last seen to hold this version."""
+        return now - self._confirmed_at
--- /dev/null
+++ b/src/sesamevale/policy/forwarding.py
@@ -0,0 +1,225 @@
+"""What to do with one request after each attempt to have it answered."""
+
+from __future__ import annotations
+
+import dataclasses
+import functools
+from typing import TYPE_CHECKING
+
+from sesamevale import outcomes
+
+if TYPE_CHECKING:
+    from sesamevale import calls
+
+__all__ = [
+    "Answered",
+    "Attempt",
+    "Decision",
+    "Deliver",
+    "Fail",
+    "Lost",
+    "NotSent",
+    "Progress",
+    "Refuse",
+    "Rejected",
+    "Result",
+    "Retry",
+    "TimedOut",
+]
+
+Reason = outcomes.Reason
+
+SERVER_ERROR = 500
+# Connections that may fail before a request is given up.
+UNSENT_MAX = 4
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answered:
+    """A whole answer of the upstream.
+
+    Attributes:
+        status: HTTP status code.
+        headers: Header fields with hop-by-hop fields removed.
+        body: The body, or its first part if ``rest`` is set.
+        rest: Remaining messages of an answer too large to hold.
+    """
+
+    status: int
+    headers: calls.Headers
+    body: bytes
+    rest: calls.AnswerChannel | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Rejected:
+    """The upstream says that it did not run the request.
+
+    Attributes:
+        misplaced: Whether another upstream answered at the address.
+    """
+
+    misplaced: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NotSent:
+    """No byte of the request was sent."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Lost:
+    """The request was sent and has no usable answer.
+
+    Attributes:
+        why: What became of the answer.
+    """
+
+    why: Reason
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TimedOut:
+    """The request was sent and has no answer in time."""
+
+
+Result = Answered | Rejected | NotSent | Lost | TimedOut
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Retry:
+    """Try another upstream.
+
+    Attributes:
+        pays: Whether the attempt draws on the retry budget.
+    """
+
+    pays: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Deliver:
+    """Pass an answer on."""
+
+    answer: Answered
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refuse:
+    """Say that the request has not run and will not."""
+
+    why: Reason
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Fail:
+    """Say that there is no answer; the request may have run."""
+
+    why: Reason
+
+
+Decision = Retry | Deliver | Refuse | Fail
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Attempt:
+    """What limits a request.
+
+    Attributes:
+        repeatable: Whether it may run more than once.
+        upstreams_max: Most upstreams that it may be sent to.
+    """
+
+    repeatable: bool
+    upstreams_max: int
+
+
+@dataclasses.dataclass(slots=True)
+class Progress:
+    """What has been learnt of one request so far.
+
+    Attributes:
+        limits: What limits the request.
+        sent: Upstreams that it was sent to.
+        unsent: Attempts that did not reach an upstream.
+        may_have_run: Whether an upstream may have worked on it.
+        failure: Failure of an upstream, kept while another is tried.
+        why: Reason of the last result without an answer.
+    """
+
+    limits: Attempt
+    sent: int = 0
+    unsent: int = 0
+    may_have_run: bool = False
+    failure: Answered | None = None
+    why: Reason = Reason.NO_UPSTREAM
+
+    def after(self, result: Result) -> Decision:
+        """Takes the result of an attempt and decides what follows."""
+        return _after(result, self)
+
+    def give_up(self) -> Decision:
+        """Decides how a request ends for which nothing more is tried."""
+        if self.failure is not None:
+            return Deliver(self.failure)
+        if self.may_have_run:
+            return Fail(self.why)
+        return Refuse(self.why)
+
+    def _retry_or_give_up(self) -> Decision:
+        if self.sent < self.limits.upstreams_max:
+            return Retry(pays=True)
+        return self.give_up()
+
+
+@functools.singledispatch
+def _after(result: Result, progress: Progress) -> Decision:
+    raise TypeError(f"no rule for {type(result).__name__}")
+
+
+@_after.register
+def _(result: Answered, progress: Progress) -> Decision:
+    progress.sent += 1
+    progress.may_have_run = True
+    if result.status < SERVER_ERROR or not progress.limits.repeatable:
+        return Deliver(result)
+    if result.rest is not None:
+        return Deliver(result)
+    progress.failure = result
+    return progress._retry_or_give_up()
+
+
+@_after.register
+def _(result: Rejected, progress: Progress) -> Decision:
+    progress.sent += 1
+    progress.why = Reason.SHED
+    if progress.may_have_run and not progress.limits.repeatable:
+        return progress.give_up()
+    return progress._retry_or_give_up()
+
+
+@_after.register
+def _(result: NotSent, progress: Progress) -> Decision:
+    progress.unsent += 1
+    progress.why = Reason.CONNECT_FAILED
+    if progress.unsent >= UNSENT_MAX:
+        return progress.give_up()
+    return Retry(pays=progress.sent > 0)
+
+
+@_after.register
+def _(result: Lost, progress: Progress) -> Decision:
+    progress.sent += 1
+    progress.may_have_run = True
+    progress.why = result.why
+    if not progress.limits.repeatable:
+        return progress.give_up()
+    return progress._retry_or_give_up()
+
+
+@_after.register
+def _(result: TimedOut, progress: Progress) -> Decision:
+    progress.sent += 1
+    progress.may_have_run = True
+    progress.why = Reason.DEADLINE
+    return progress.give_up()
--- /dev/null
+++ b/src/sesamevale/policy/load_sampling.py
@@ -0,0 +1,281 @@
+"""Choice of an upstream from load figures taken just before the choice.
+
+Neighbours on a shared machine slow an upstream for a fraction of a second at
+a time, so a load figure is worth little once it is old. For each attempt a
+few candidates are sampled and the one with the least expected time is taken.
+A candidate without a fresh figure is expected to be as slow as the samples of
+its service are on average. Sampling a few candidates at the time of the
+choice is the synchronous mode of Prequal (Wydrowski et al., "Load is not what
+you should balance", 2024).
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import math
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Iterable
+
+    from sesamevale import routes
+
+__all__ = ["Candidate", "Fleet", "Load", "Ranked"]
+
+# Candidates sampled in one round. Source: bench/sampling.py.
+SAMPLES_PER_ROUND = 3
+# A slowdown holds for a fraction of a second; within this time a figure of
+# another request still stands for the upstream.
+FRESH_S = 0.02
+# Weight of a new sample in the average slowdown of a service.
+AVERAGE_WEIGHT = 0.05
+FIRST_AVERAGE_SLOWDOWN = 2.0
+# Price of leaving the data centre, as a factor on the expected time.
+DISTANCE_FACTOR = 1.3
+# An upstream that is at most this much slower than usual counts as calm.
+CALM_FACTOR = 1.5
+# Growth of the expected time as the slots fill up.
+FULLNESS_WEIGHT = 0.7
+# Weight of the last result in the share of failures.
+FAILURE_WEIGHT = 0.2
+# Factor on the expected time of an upstream that always fails.
+FAILURE_FACTOR = 8.0
+FAILURE_MEMORY_S = 4.0
+# Time for which an upstream that cannot be reached is passed over; doubles.
+FIRST_EJECTION_S = 0.5
+LONGEST_EJECTION_S = 4.0
+WARMUP_FACTOR = 2.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Load:
+    """Load that an upstream reports.
+
+    Attributes:
+        running: Requests that it runs.
+        waiting: Requests in its queue.
+        slots: Requests that it can run at a time.
+        slowdown: How long work takes on its machine now; 1 is as usual.
+    """
+
+    running: int
+    waiting: int
+    slots: int
+    slowdown: float = 1.0
+
+
+class Candidate:
+    """What one entry knows of one upstream besides its discovery entry."""
+
+    __slots__ = (
+        "_ejected_until",
+        "_ejections",
+        "_failed_at",
+        "_failures",
+        "_own",
+        "_sampled_at",
+        "_since_sample",
+        "entry",
+        "load",
+        "warm_at",
+    )
+
+    def __init__(self, entry: routes.UpstreamEntry, now: float) -> None:
+        self.entry = entry
+        self.load: Load | None = None
+        self.warm_at = now + entry.warmup_s
+        self._sampled_at = -math.inf
+        self._since_sample = 0
+        self._own = 0
+        self._failures = 0.0
+        self._failed_at = -math.inf
+        self._ejected_until = -math.inf
+        self._ejections = 0
+
+    @property
+    def own(self) -> int:
+        """Requests of this entry that are at the upstream."""
+        return self._own
+
+    def is_fresh(self, now: float) -> bool:
+        """Whether the load figure can still be relied on."""
+        return self.load is not None and now - self._sampled_at <= FRESH_S
+
+    def is_ejected(self, now: float) -> bool:
+        """Whether the upstream is passed over while others can be used."""
+        return now < self._ejected_until
+
+    def sampled(self, load: Load, now: float) -> None:
+        """Takes a load figure."""
+        self.load = load
+        self._sampled_at = now
+        self._since_sample = 0
+
+    def started(self) -> None:
+        """Counts a request that is sent to the upstream."""
+        self._own += 1
+        self._since_sample += 1
+
+    def ended(self) -> None:
+        """Counts a request that has left the upstream."""
+        self._own -= 1
+
+    def succeeded(self) -> None:
+        """Takes a good answer."""
+        self._failures *= 1.0 - FAILURE_WEIGHT
+        self._ejections = 0
+
+    def failed(self, now: float) -> None:
+        """Takes a failed or spoilt answer."""
+        self._failures += FAILURE_WEIGHT * (1.0 - self._failures)
+        self._failed_at = now
+
+    def unreachable(self, now: float) -> None:
+        """Takes a refused or silent connection."""
+        length = FIRST_EJECTION_S * 2.0**self._ejections
+        self._ejections = min(self._ejections + 1, 8)
+        self._ejected_until = now + min(length, LONGEST_EJECTION_S)
+
+    def expected(self, average_slowdown: float, now: float) -> float:
+        """Expected time of a request, as a multiple of the usual.
+
+        Args:
+            average_slowdown: Taken for a machine without a fresh figure.
+            now: Monotonic time in seconds.
+        """
+        slots = max(1, self.entry.slots)
+        busy = self._own + 1
+        slowdown = average_slowdown
+        if self.load is not None and self.is_fresh(now):
+            slots = max(1, self.load.slots)
+            busy = self.load.running + self.load.waiting
+            busy += self._since_sample + 1
+            slowdown = self.load.slowdown
+        fullness = min(1.0, busy / slots)
+        factor = 1.0 + FULLNESS_WEIGHT * fullness**4
+        factor += max(0, busy - slots) / slots
+        if now < self.warm_at:
+            factor *= WARMUP_FACTOR
+        if now - self._failed_at < FAILURE_MEMORY_S:
+            factor *= 1.0 + FAILURE_FACTOR * self._failures
+        return slowdown * factor
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ranked:
+    """The best candidate of a round.
+
+    Attributes:
+        candidate: The candidate.
+        expected: Its expected time as a multiple of the usual.
+        is_calm: Whether no better one needs to be looked for.
+    """
+
+    candidate: Candidate
+    expected: float
+    is_calm: bool
+
+
+class Fleet:
+    """Upstreams of one service as one entry sees them.
+
+    Args:
+        data_center: Data centre of this entry.
+        rng: Source of randomness.
+    """
+
+    def __init__(self, data_center: str, rng: random.Random) -> None:
+        self._data_center = data_center
+        self._rng = rng
+        self._candidates: dict[str, Candidate] = {}
+        self._average_slowdown = FIRST_AVERAGE_SLOWDOWN
+
+    @property
+    def candidates(self) -> dict[str, Candidate]:
+        """Upstreams by identifier."""
+        return self._candidates
+
+    @property
+    def average_slowdown(self) -> float:
+        """Mean slowdown of the samples so far."""
+        return self._average_slowdown
+
+    def set_entries(
+        self, entries: Iterable[routes.UpstreamEntry], now: float
+    ) -> list[str]:
+        """Takes the upstreams that may be used; returns those that left."""
+        kept: dict[str, Candidate] = {}
+        for entry in entries:
+            known = self._candidates.get(entry.upstream_id)
+            if known is None or _is_other(known.entry, entry):
+                known = Candidate(entry, now)
+            known.entry = entry
+            kept[entry.upstream_id] = known
+        left = [
+            name
+            for name, candidate in self._candidates.items()
+            if kept.get(name) is not candidate
+        ]
+        self._candidates = kept
+        return left
+
+    def sampled(self, candidate: Candidate, load: Load, now: float) -> None:
+        """Takes a load figure of one upstream."""
+        candidate.sampled(load, now)
+        gain = load.slowdown - self._average_slowdown
+        self._average_slowdown += AVERAGE_WEIGHT * gain
+
+    def to_sample(
+        self, excluded: frozenset[str], *, near: bool, now: float
+    ) -> list[Candidate]:
+        """Returns the candidates to sample in one round.
+
+        Args:
+            excluded: Upstreams that were tried already.
+            near: Whether to look in this data centre, or in the others.
+            now: Monotonic time in seconds.
+        """
+        pool = [
+            candidate
+            for name, candidate in self._candidates.items()
+            if name not in excluded
+            and near == (candidate.entry.data_center == self._data_center)
+            and not candidate.is_ejected(now)
+        ]
+        self._rng.shuffle(pool)
+        pool.sort(key=lambda each: each.expected(1.0, now))
+        return pool[:SAMPLES_PER_ROUND]
+
+    def best(self, excluded: frozenset[str], now: float) -> Ranked | None:
+        """Returns the best upstream by what is known now."""
+        pool = [
+            candidate
+            for name, candidate in self._candidates.items()
+            if name not in excluded
+        ]
+        open_pool = [each for each in pool if not each.is_ejected(now)]
+        best: Candidate | None = None
+        least = math.inf
+        for candidate in open_pool or pool:
+            expected = candidate.expected(self._average_slowdown, now)
+            expected *= 1.0 + 0.01 * self._rng.random()
+            if candidate.entry.data_center != self._data_center:
+                expected *= DISTANCE_FACTOR
+            if expected < least:
+                best, least = candidate, expected
+        if best is None:
+            return None
+        return Ranked(best, least, best.is_fresh(now) and self.is_calm(least))
+
+    def is_calm(self, expected: float) -> bool:
+        """Whether an expected time is as good as it usually gets."""
+        return expected <= CALM_FACTOR * (1.0 + FULLNESS_WEIGHT / 2)
+
+
+def _is_other(known: routes.UpstreamEntry, entry: routes.UpstreamEntry) -> bool:
+    return (known.started_ms, known.host, known.port) != (
+        entry.started_ms,
+        entry.host,
+        entry.port,
+    )
--- /dev/null
+++ b/src/sesamevale/policy/retry_budget.py
@@ -0,0 +1,86 @@
+"""Share of one entry in the retry budget of a service.
+
+All entries together may send, in any window, a ratio of the requests plus a
+fixed extra beyond the first of each request. Each entry keeps to the ratio of
+its own requests and to an equal part of the extra, so that the sum holds
+without any exchange of messages.
+"""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+
+__all__ = ["BudgetTerms", "RetryBudget"]
+
+# Part of the budget that is left unused: entries that join or restart within
+# a window count their part of the extra anew.
+HEADROOM = 0.4
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class BudgetTerms:
+    """What all entries together may send beyond first attempts.
+
+    Attributes:
+        ratio: Repeats for each request.
+        extra: Repeats in a window besides.
+        window_s: Length of the sliding window in seconds.
+    """
+
+    ratio: float
+    extra: float
+    window_s: float
+
+
+class RetryBudget:
+    """Sliding-window budget of one service at one entry.
+
+    Args:
+        terms: What all entries together may spend.
+    """
+
+    def __init__(self, terms: BudgetTerms) -> None:
+        self._terms = terms
+        self._requests: collections.deque[float] = collections.deque()
+        self._repeats: collections.deque[float] = collections.deque()
+        self._entries = 1
+        self._most_entries_until = float("-inf")
+
+    @property
+    def entries(self) -> int:
+        """Entries that the extra is divided by."""
+        return self._entries
+
+    def set_entries(self, count: int, now: float) -> None:
+        """Takes the number of entries; a fall counts a window later."""
+        if count >= self._entries or now >= self._most_entries_until:
+            self._entries = max(1, count)
+            self._most_entries_until = now + self._terms.window_s
+
+    def note_request(self, now: float) -> None:
+        """Counts a request of a caller."""
+        self._requests.append(now)
+
+    def note_repeat(self, now: float) -> None:
+        """Counts an attempt beyond the first that was not asked for."""
+        self._repeats.append(now)
+
+    def allowance(self, now: float) -> float:
+        """Repeats that may still be sent now."""
+        oldest = now - self._terms.window_s
+        for times in (self._requests, self._repeats):
+            while times and times[0] < oldest:
+                times.popleft()
+        share = (
+            self._terms.ratio * len(self._requests)
+            + self._terms.extra / self._entries
+        )
+        return (1.0 - HEADROOM) * share - len(self._repeats)
+
+    def take(self, now: float) -> bool:
+        """Spends one repeat if the budget allows it."""
+        if self.allowance(now) < 1.0:
+            return False
+        self._repeats.append(now)
+        return True
--- /dev/null
+++ b/src/sesamevale/policy/roster.py
@@ -0,0 +1,165 @@
+"""Upstreams that may be used, from successive reads of the discovery."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from sesamevale import routes
+
+__all__ = ["Change", "Roster"]
+
+# A gap between two reads that is long enough for heartbeats to be missed.
+OUTAGE_GAP_S = 2.0
+# The users' letter: entries that lapsed are back within about two seconds.
+RETURN_GRACE_S = 2.2
+# Longer than any late heartbeat of an upstream that has ended.
+DEPARTED_MEMORY_S = 60.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Change:
+    """One change of what is known of an upstream."""
+
+    upstream_id: str
+    service: str
+    what: str
+
+
+@dataclasses.dataclass(slots=True)
+class _Known:
+    entry: routes.UpstreamEntry
+    leaving: bool
+    departed_at: float | None = None
+
+
+class Roster:
+    """Upstreams by identifier, with fences for those that leave.
+
+    An upstream that was seen draining stays fenced until another start of it
+    is seen. One that is missing from a read is gone at once, unless the read
+    is among the first after an outage of the store, when entries may have
+    lapsed for want of heartbeats.
+    """
+
+    def __init__(self) -> None:
+        self._known: dict[str, _Known] = {}
+        self._last_read: float | None = None
+        self._grace_until = float("-inf")
+        self._by_service: dict[str, tuple[routes.UpstreamEntry, ...]] = {}
+
+    @property
+    def last_read(self) -> float | None:
+        """Monotonic time of the last read in seconds; None before it."""
+        return self._last_read
+
+    def usable(self, service: str) -> tuple[routes.UpstreamEntry, ...]:
+        """Returns the upstreams of a service that may get requests."""
+        return self._by_service.get(service, ())
+
+    def find(self, upstream_id: str) -> routes.UpstreamEntry | None:
+        """Returns a known upstream, leaving or not."""
+        known = self._known.get(upstream_id)
+        return None if known is None else known.entry
+
+    def is_usable(self, upstream_id: str) -> bool:
+        """Whether an upstream may get requests."""
+        known = self._known.get(upstream_id)
+        return (
+            known is not None
+            and known.departed_at is None
+            and (not known.leaving)
+        )
+
+    def observe(
+        self, entries: Iterable[routes.UpstreamEntry], now: float
+    ) -> list[Change]:
+        """Takes one whole read of the discovery.
+
+        Args:
+            entries: All entries that could be decoded.
+            now: When the read was sent, in monotonic seconds.
+        """
+        after_outage = (
+            self._last_read is not None and now - self._last_read > OUTAGE_GAP_S
+        )
+        if after_outage:
+            self._grace_until = now + RETURN_GRACE_S
+        self._last_read = now
+        changes: list[Change] = []
+        seen = set()
+        for entry in entries:
+            seen.add(entry.upstream_id)
+            self._take(entry, changes)
+        for upstream_id in self._known.keys() - seen:
+            self._miss(upstream_id, now, changes)
+        self._rebuild()
+        return changes
+
+    def fence(self, upstream_id: str) -> list[Change]:
+        """Stops using an upstream whose address answers for another."""
+        known = self._known.get(upstream_id)
+        if known is None or known.leaving:
+            return []
+        known.leaving = True
+        self._rebuild()
+        return [Change(upstream_id, known.entry.service, "misplaced")]
+
+    def _take(self, entry: routes.UpstreamEntry, changes: list[Change]) -> None:
+        known = self._known.get(entry.upstream_id)
+        if known is None or _is_new_start(entry, known):
+            self._known[entry.upstream_id] = _Known(entry, entry.draining)
+            what = "draining" if entry.draining else "added"
+            changes.append(Change(entry.upstream_id, entry.service, what))
+            return
+        if _is_older(entry, known.entry):
+            return
+        if known.departed_at is not None:
+            if entry.sequence == known.entry.sequence:
+                return
+            known.departed_at = None
+            if not known.leaving:
+                changes.append(Change(entry.upstream_id, entry.service, "back"))
+        if entry.draining and not known.leaving:
+            known.leaving = True
+            changes.append(Change(entry.upstream_id, entry.service, "draining"))
+        known.entry = entry
+
+    def _miss(
+        self, upstream_id: str, now: float, changes: list[Change]
+    ) -> None:
+        known = self._known[upstream_id]
+        if known.departed_at is not None:
+            if now - known.departed_at > DEPARTED_MEMORY_S:
+                del self._known[upstream_id]
+            return
+        if now < self._grace_until and not known.leaving:
+            return
+        known.departed_at = now
+        changes.append(Change(upstream_id, known.entry.service, "gone"))
+
+    def _rebuild(self) -> None:
+        grouped: dict[str, list[routes.UpstreamEntry]] = {}
+        for known in self._known.values():
+            if not known.leaving and known.departed_at is None:
+                grouped.setdefault(known.entry.service, []).append(known.entry)
+        self._by_service = {
+            service: tuple(entries) for service, entries in grouped.items()
+        }
+
+
+def _is_new_start(entry: routes.UpstreamEntry, known: _Known) -> bool:
+    """Whether an entry comes from a later start than the one known."""
+    if entry.started_ms or known.entry.started_ms:
+        return entry.started_ms > known.entry.started_ms
+    return known.departed_at is not None and not known.leaving
+
+
+def _is_older(entry: routes.UpstreamEntry, known: routes.UpstreamEntry) -> bool:
+    """Whether an entry was written before the one known."""
+    if entry.started_ms != known.started_ms:
+        return entry.started_ms < known.started_ms
+    return entry.sequence < known.sequence
--- a/src/sesamevale/sockets.py
+++ b/src/sesamevale/sockets.py
@@ -11,9 +11,14 @@
     from collections.abc import AsyncIterator
     from collections.abc import Callable
 
-__all__ = ["ByteStream", "connect", "listen"]
+__all__ = ["ByteStream", "connect", "detect_silence", "listen"]
 
 READ_HIGH_WATER_BYTES = 128 * 1024
+# A peer that acknowledges nothing for this long is taken to be gone.
+SILENT_PEER_MS = 1500
+KEEPALIVE_IDLE_S = 1
+KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_PROBES = 2
 
 
 class ByteStream(asyncio.Protocol):
@@ -32,6 +37,7 @@
         self._received = bytearray()
         self._ended = False
         self._lost = False
+        self._broken = False
         self._paused = False
         self._read_waiter: asyncio.Future[None] | None = None
         self._write_waiter: asyncio.Future[None] | None = None
@@ -42,6 +48,22 @@
         """Whether no more can be read from the connection."""
         return self._ended or self._lost
 
+    @property
+    def broken(self) -> bool:
+        """Whether the connection ended other than by an orderly close."""
+        return self._broken
+
+    @property
+    def has_unread(self) -> bool:
+        """Whether bytes have arrived that were not read."""
+        return bool(self._received)
+
+    @property
+    def has_unsent(self) -> bool:
+        """Whether written bytes wait for the other side to take them."""
+        transport = self._transport
+        return transport is not None and transport.get_write_buffer_size() > 0
+
     @property
     def peer_host(self) -> str:
         """IP address of the other side."""
@@ -50,6 +72,14 @@
         name = self._transport.get_extra_info("peername")
         return name[0] if name else ""
 
+    def set_options(self, options: tuple[tuple[int, int, int], ...]) -> None:
+        """Sets socket options, each as level, option and value."""
+        if self._transport is None:
+            return
+        raw = self._transport.get_extra_info("socket")
+        for level, option, value in options:
+            raw.setsockopt(level, option, value)
+
     def on_lost(self, callback: Callable[[], None] | None) -> None:
         """Sets what is called when the other side goes away."""
         self._on_lost = callback
@@ -83,6 +113,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Implements ``asyncio.Protocol``."""
         first = not self._ended
+        self._broken = exc is not None
         self._lost = True
         self._ended = True
         self._wake_reader()
@@ -142,6 +173,19 @@
             waiter.set_result(None)
 
 
+def detect_silence(stream: ByteStream) -> None:
+    """Makes a connection end soon after its peer has fallen silent."""
+    stream.set_options(
+        (
+            (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+            (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
+            (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
+            (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+            (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, SILENT_PEER_MS),
+        )
+    )
+
+
 async def connect(host: str, port: int, timeout_s: float) -> ByteStream | None:
     """Opens a connection.
 
--- a/src/sesamevale/tracing.py
+++ b/src/sesamevale/tracing.py
@@ -6,6 +6,7 @@
 import random
 import re
 import time
+from typing import Protocol
 from typing import TYPE_CHECKING
 
 from opentelemetry import context as context_api
@@ -19,10 +20,9 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from sesamevale import calls
-
 __all__ = [
     "CallSpan",
+    "Traced",
     "attempt_span",
     "configure",
     "console_exporter",
@@ -38,6 +38,13 @@
 _random = random.Random()
 
 
+class Traced(Protocol):
+    """A call or request whose hops can be traced."""
+
+    traceparent: bytes | None
+    arrived: float
+
+
 class CallSpan:
     """Span of one call at one entry; does nothing for unsampled calls."""
 
@@ -106,7 +113,7 @@
 
 
 @contextlib.contextmanager
-def attempt_span(call: calls.Call, target: str) -> Iterator[None]:
+def attempt_span(call: Traced, target: str) -> Iterator[None]:
     """Covers one attempt with a span if the call is sampled."""
     context = _sampled_context(call)
     if context is None:
@@ -118,7 +125,7 @@
         yield
 
 
-def record_wait(call: calls.Call) -> None:
+def record_wait(call: Traced) -> None:
     """Covers the time that a sampled call has waited with a span."""
     context = _sampled_context(call)
     if context is None:
@@ -131,7 +138,7 @@
     span.end(now_ns)
 
 
-def _sampled_context(call: calls.Call) -> context_api.Context | None:
+def _sampled_context(call: Traced) -> context_api.Context | None:
     """Returns the context of a call's span; None if it is not sampled."""
     if call.traceparent is None or _sample_share <= 0.0:
         return None
--- /dev/null
+++ b/src/sesamevale/upstreams/http_link.py
@@ -0,0 +1,429 @@
+"""Connection of the gateway to one upstream: a task that owns one socket."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import functools
+import re
+import time
+from typing import TYPE_CHECKING
+
+import h11
+
+from sesamevale import calls
+from sesamevale import http1
+from sesamevale import messaging
+from sesamevale import outcomes
+from sesamevale import sockets
+from sesamevale import tracing
+from sesamevale.policy import forwarding
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from sesamevale import routes
+    from sesamevale.forwarding import requests
+    from sesamevale.policy import load_sampling
+
+__all__ = ["Forward", "HttpLink", "Sample", "Sampled"]
+
+# Several round trips between data centres and a handshake.
+CONNECT_TIMEOUT_S = 0.4
+# A load report is answered at once; longer means that nobody answers.
+SAMPLE_TIMEOUT_S = 0.3
+# Answers up to this size are held, so that a cut one can be replaced.
+HELD_ANSWER_BYTES = 1024 * 1024
+# Answers to other requests that are passed over before giving up.
+STRAY_ANSWERS_MAX = 3
+# Idle time for an upstream that does not say when it closes.
+DEFAULT_KEEP_ALIVE_S = 5.0
+# Time before the upstream's own limit at which a connection is given up.
+KEEP_ALIVE_MARGIN_S = 1.0
+# The upstream is told a little less time, so that its own answer to a passed
+# deadline arrives before the caller is answered without it.
+DEADLINE_MARGIN_S = 0.03
+
+KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout=(\d{1,6})")
+SUCCESS = range(200, 300)
+BAD_REQUEST = 400
+MISDIRECTED = 421
+BODY_FIELDS = frozenset((http1.Field.CONTENT_LENGTH,))
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Forward:
+    """Send a request.
+
+    Attributes:
+        request: The request.
+        report: Called with the result.
+    """
+
+    request: requests.Request
+    report: Callable[[forwarding.Result], None]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Sampled:
+    """Answer to a question for an upstream's load.
+
+    Attributes:
+        reached: Whether the upstream answered.
+        healthy: Whether it says that it is well.
+        load: Its load; None if it does not report any.
+    """
+
+    reached: bool
+    healthy: bool = False
+    load: load_sampling.Load | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Sample:
+    """Ask for the upstream's load.
+
+    Attributes:
+        path: Path of the load report.
+        report: Called with the answer.
+    """
+
+    path: str
+    report: Callable[[Sampled], None]
+
+
+Message = Forward | Sample
+
+
+class HttpLink:
+    """One connection; runs until it is closed.
+
+    Args:
+        entry: The upstream.
+        dialect: Header fields.
+    """
+
+    def __init__(
+        self, entry: routes.UpstreamEntry, dialect: http1.Dialect
+    ) -> None:
+        self._entry = entry
+        self._dialect = dialect
+        self._http = h11.Connection(h11.CLIENT)
+        self._inbox: messaging.Inbox[Message] = messaging.Inbox()
+        self._stream: sockets.ByteStream | None = None
+        self._keep_alive_s = DEFAULT_KEEP_ALIVE_S
+        self._last_used = time.monotonic()
+        self._ended = False
+        self._sending = False
+        self._task = asyncio.create_task(self._run())
+
+    @property
+    def is_open(self) -> bool:
+        """Whether the connection can carry another exchange."""
+        stream = self._stream
+        if self._ended or stream is None:
+            return False
+        return not (
+            stream.closed or stream.has_unread or stream.has_unsent
+        ) and self._http.states == {h11.CLIENT: h11.IDLE, h11.SERVER: h11.IDLE}
+
+    @property
+    def has_sent(self) -> bool:
+        """Whether the current exchange may have reached the upstream."""
+        return self._sending
+
+    def idle_s(self, now: float) -> float:
+        """Seconds since the last exchange ended."""
+        return now - self._last_used
+
+    def is_expired(self, now: float) -> bool:
+        """Whether the upstream may be about to close the connection."""
+        return self.idle_s(now) > self._keep_alive_s - KEEP_ALIVE_MARGIN_S
+
+    def send(self, message: Message) -> None:
+        """Starts an exchange; one at a time."""
+        self._inbox.put(message)
+
+    def close(self) -> None:
+        """Closes the connection; a running exchange is not reported."""
+        self._ended = True
+        self._task.cancel()
+        if self._stream is not None:
+            self._stream.abort()
+
+    async def _run(self) -> None:
+        while not self._ended:
+            message = await self._inbox.get()
+            await _perform(message, self)
+
+    async def _connect(self) -> sockets.ByteStream | None:
+        """Returns the open connection; None if there is none to be had."""
+        if self._stream is None:
+            entry = self._entry
+            self._stream = await sockets.connect(
+                entry.host, entry.port, CONNECT_TIMEOUT_S
+            )
+            if self._stream is not None:
+                sockets.detect_silence(self._stream)
+        if self._stream is None or self._stream.closed:
+            self._end()
+            return None
+        return self._stream
+
+    def _end(self) -> None:
+        self._ended = True
+        if self._stream is not None:
+            self._stream.abort()
+
+    async def _forward(self, request: requests.Request) -> forwarding.Result:
+        stream = await self._connect()
+        if stream is None:
+            return forwarding.NotSent()
+        head = self._request_head(request)
+        self._sending = True
+        self._write(stream, head, request.body)
+        try:
+            return await self._read_answer(request)
+        except h11.ProtocolError:
+            self._end()
+            why = (
+                outcomes.Reason.CUT if stream.closed else outcomes.Reason.SPOILT
+            )
+            return forwarding.Lost(why)
+        finally:
+            self._sending = False
+            self._last_used = time.monotonic()
+
+    def _request_head(self, request: requests.Request) -> h11.Request:
+        left_s = request.deadline - time.monotonic() - DEADLINE_MARGIN_S
+        dialect = self._dialect
+        headers = [
+            *request.headers,
+            (dialect.deadline_ms, b"%d" % max(1, int(left_s * 1000))),
+            (dialect.expected_upstream, self._entry.upstream_id.encode()),
+        ]
+        if request.body is not None:
+            length = b"%d" % len(request.body)
+            headers.append((http1.Field.CONTENT_LENGTH, length))
+        return h11.Request(
+            method=request.method, target=request.target, headers=headers
+        )
+
+    def _write(
+        self,
+        stream: sockets.ByteStream,
+        head: h11.Request,
+        body: bytes | None,
+    ) -> None:
+        data = self._http.send(head) or b""
+        if body:
+            data += self._http.send(h11.Data(data=body)) or b""
+        data += self._http.send(h11.EndOfMessage()) or b""
+        stream.write(data)
+
+    async def _read_answer(
+        self, request: requests.Request
+    ) -> forwarding.Result:
+        """Reads answers until one belongs to the request."""
+        for _ in range(STRAY_ANSWERS_MAX):
+            response = await self._next_response()
+            if response is None:
+                self._end()
+                return forwarding.Lost(outcomes.Reason.CUT)
+            headers = tuple(response.headers)
+            answered_id = http1.find(headers, self._dialect.request_id)
+            if answered_id in (None, request.request_id):
+                return await self._take_answer(response, headers, answered_id)
+            if await self._read_body() is None:
+                break
+            self._expect_again(request.method)
+        self._end()
+        return forwarding.Lost(outcomes.Reason.SPOILT)
+
+    def _expect_again(self, method: bytes) -> None:
+        """Reads on after an answer that belonged to another request."""
+        arrived, _ = self._http.trailing_data
+        self._http = h11.Connection(h11.CLIENT)
+        request = h11.Request(
+            method=method, target=b"/", headers=[("Host", self._entry.host)]
+        )
+        self._http.send(request)
+        self._http.send(h11.EndOfMessage())
+        if arrived:
+            self._http.receive_data(arrived)
+
+    async def _take_answer(
+        self,
+        response: h11.Response,
+        headers: calls.Headers,
+        answered_id: bytes | None,
+    ) -> forwarding.Result:
+        status = response.status_code
+        rejected = (
+            status == MISDIRECTED
+            or http1.find(headers, self._dialect.not_run) is not None
+        )
+        genuine = status not in SUCCESS or (
+            answered_id is not None
+            and http1.find(headers, self._dialect.signature) is not None
+            and http1.find(headers, b"content-encoding") is None
+        )
+        body = await self._read_body()
+        if body is None or not genuine:
+            self._end()
+            cut = body is None
+            why = outcomes.Reason.CUT if cut else outcomes.Reason.SPOILT
+            return forwarding.Lost(why)
+        self._note_keep_alive(headers)
+        if self._http.their_state is h11.SEND_BODY:
+            kept = http1.forwarded(headers, frozenset())
+            rest = calls.AnswerChannel()
+            self._pass_rest(rest)
+            return forwarding.Answered(status, kept, body, rest)
+        self._next_cycle()
+        if rejected and status != BAD_REQUEST:
+            return self._rejection(status, headers)
+        kept = http1.forwarded(headers, BODY_FIELDS)
+        return forwarding.Answered(status, kept, body)
+
+    def _pass_rest(self, rest: calls.AnswerChannel) -> None:
+        """Passes the rest of a long answer on in a task of its own."""
+        self._ended = True
+        self._task = asyncio.create_task(self._pump(rest))
+
+    async def _pump(self, rest: calls.AnswerChannel) -> None:
+        assert self._stream is not None
+        cut = outcomes.Unknown(outcomes.Reason.CUT)
+        try:
+            while True:
+                event = await self._next_event()
+                if isinstance(event, h11.Data):
+                    rest.put(calls.AnswerData(bytes(event.data)))
+                    await rest.drained()
+                elif isinstance(event, h11.EndOfMessage):
+                    rest.put(calls.AnswerEnd())
+                    return
+                else:
+                    rest.put(calls.Failed(cut))
+                    return
+        except h11.ProtocolError:
+            rest.put(calls.Failed(cut))
+        finally:
+            self._stream.abort()
+
+    def _rejection(
+        self, status: int, headers: calls.Headers
+    ) -> forwarding.Rejected:
+        answerer = http1.find(headers, self._dialect.upstream_id)
+        own = self._entry.upstream_id.encode()
+        misplaced = status == MISDIRECTED and answerer != own
+        return forwarding.Rejected(misplaced)
+
+    def _note_keep_alive(self, headers: calls.Headers) -> None:
+        value = http1.find(headers, b"keep-alive")
+        matched = KEEP_ALIVE_TIMEOUT.search(value) if value else None
+        if matched is not None:
+            self._keep_alive_s = float(matched[1])
+
+    def _next_cycle(self) -> None:
+        """Prepares for another exchange; ends if there can be none."""
+        done = {h11.CLIENT: h11.DONE, h11.SERVER: h11.DONE}
+        stream = self._stream
+        if (
+            self._http.states != done
+            or self._http.trailing_data[0]
+            or stream is None
+            or stream.has_unsent
+        ):
+            self._end()
+            return
+        self._http.start_next_cycle()
+
+    async def _sample(self, path: str) -> Sampled:
+        try:
+            async with asyncio.timeout(SAMPLE_TIMEOUT_S):
+                return await self._ask_load(path)
+        except (TimeoutError, h11.ProtocolError):
+            self._end()
+            return Sampled(reached=False)
+        finally:
+            self._last_used = time.monotonic()
+
+    async def _ask_load(self, path: str) -> Sampled:
+        stream = await self._connect()
+        if stream is None:
+            return Sampled(reached=False)
+        entry = self._entry
+        host = f"{entry.host}:{entry.port}"
+        request = h11.Request(
+            method=b"GET", target=path, headers=[("Host", host)]
+        )
+        self._write(stream, request, None)
+        response = await self._next_response()
+        if response is None:
+            self._end()
+            return Sampled(reached=False)
+        headers = tuple(response.headers)
+        if await self._read_body() is None:
+            self._end()
+            return Sampled(reached=False)
+        answerer = http1.find(headers, self._dialect.upstream_id)
+        stray = http1.find(headers, self._dialect.request_id) is not None
+        if stray or answerer != entry.upstream_id.encode():
+            self._end()
+            return Sampled(reached=not stray)
+        self._note_keep_alive(headers)
+        self._next_cycle()
+        value = http1.find(headers, self._dialect.load)
+        load = self._dialect.read_load(value) if value else None
+        return Sampled(True, response.status_code in SUCCESS, load)
+
+    async def _next_response(self) -> h11.Response | None:
+        event = await self._next_event()
+        while isinstance(event, h11.InformationalResponse):
+            event = await self._next_event()
+        return event if isinstance(event, h11.Response) else None
+
+    async def _read_body(self) -> bytes | None:
+        """Returns the body, or its first part if it is long; None if cut."""
+        parts = bytearray()
+        while len(parts) <= HELD_ANSWER_BYTES:
+            event = await self._next_event()
+            if isinstance(event, h11.Data):
+                parts += event.data
+            elif isinstance(event, h11.EndOfMessage):
+                break
+            else:
+                return None
+        return bytes(parts)
+
+    async def _next_event(self) -> object:
+        assert self._stream is not None
+        while True:
+            event = self._http.next_event()
+            if event is not h11.NEED_DATA:
+                return event
+            data = await self._stream.read()
+            if not data and self._stream.broken:
+                return h11.ConnectionClosed()
+            self._http.receive_data(data)
+
+
+@functools.singledispatch
+async def _perform(message: Message, link: HttpLink) -> None:
+    raise TypeError(f"no rule for {type(message).__name__}")
+
+
+@_perform.register
+async def _(message: Forward, link: HttpLink) -> None:
+    request = message.request
+    started = time.monotonic()
+    with tracing.attempt_span(request, link._entry.upstream_id):
+        result = await link._forward(request)
+    request.upstream_seconds += time.monotonic() - started
+    message.report(result)
+
+
+@_perform.register
+async def _(message: Sample, link: HttpLink) -> None:
+    message.report(await link._sample(message.path))
--- /dev/null
+++ b/src/sesamevale/upstreams/link_pool.py
@@ -0,0 +1,98 @@
+"""Open connections to the upstreams of one service."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from sesamevale.upstreams import http_link
+
+if TYPE_CHECKING:
+    from sesamevale import http1
+    from sesamevale import routes
+
+__all__ = ["LinkPool"]
+
+# Idle connections kept to one upstream.
+IDLE_MAX = 6
+
+
+class LinkPool:
+    """Idle connections by upstream, the most recently used first.
+
+    Args:
+        dialect: Header fields.
+    """
+
+    def __init__(self, dialect: http1.Dialect) -> None:
+        self._dialect = dialect
+        self._idle: dict[str, list[http_link.HttpLink]] = {}
+        self._open: dict[str, int] = {}
+
+    def open_links(self, upstream_id: str) -> int:
+        """Connections to an upstream, busy ones included."""
+        return self._open.get(upstream_id, 0)
+
+    def take(
+        self, entry: routes.UpstreamEntry, idle_max_s: float, now: float
+    ) -> http_link.HttpLink:
+        """Returns an idle connection or a new one.
+
+        Args:
+            entry: The upstream.
+            idle_max_s: Longest time that the connection may have been idle,
+                in seconds.
+            now: Monotonic time in seconds.
+        """
+        idle = self._idle.get(entry.upstream_id, [])
+        while idle:
+            link = idle.pop()
+            if link.is_expired(now) or not link.is_open:
+                self._discard(entry.upstream_id, link)
+            elif link.idle_s(now) <= idle_max_s:
+                return link
+            else:
+                idle.append(link)
+                break
+        self._open[entry.upstream_id] = self.open_links(entry.upstream_id) + 1
+        return http_link.HttpLink(entry, self._dialect)
+
+    def give_back(self, upstream_id: str, link: http_link.HttpLink) -> None:
+        """Keeps a connection for later if it can carry another exchange."""
+        idle = self._idle.setdefault(upstream_id, [])
+        if not link.is_open or len(idle) >= IDLE_MAX:
+            self._discard(upstream_id, link)
+            return
+        idle.append(link)
+
+    def release(self, upstream_id: str) -> None:
+        """Counts a connection as closed that passes a long answer on."""
+        self._open[upstream_id] = max(0, self.open_links(upstream_id) - 1)
+
+    def drop(self, upstream_id: str, link: http_link.HttpLink) -> None:
+        """Closes a connection at once."""
+        self._discard(upstream_id, link)
+
+    def forget(self, upstream_id: str) -> None:
+        """Closes the idle connections to an upstream."""
+        for link in self._idle.pop(upstream_id, []):
+            self._discard(upstream_id, link)
+
+    def close_expired(self, now: float) -> None:
+        """Closes connections that the upstream is about to close."""
+        for upstream_id, idle in self._idle.items():
+            kept = []
+            for link in idle:
+                if link.is_expired(now) or not link.is_open:
+                    self._discard(upstream_id, link)
+                else:
+                    kept.append(link)
+            self._idle[upstream_id] = kept
+
+    def close_all(self) -> None:
+        """Closes all idle connections."""
+        for upstream_id in list(self._idle):
+            self.forget(upstream_id)
+
+    def _discard(self, upstream_id: str, link: http_link.HttpLink) -> None:
+        link.close()
+        self.release(upstream_id)
--- a/tests/builders/platform.py
+++ b/tests/builders/etcd.py
@@ -4,7 +4,7 @@
 
 import collections
 
-from sesamevale.platform import client
+from sesamevale.etcd import client
 
 
 class FaultyPlatform:
--- a/tests/builders/fleet.py
+++ b/tests/builders/fleet.py
@@ -15,9 +15,9 @@
 import time
 
 from sesamevale import document_models
+from sesamevale.etcd import client
+from sesamevale.etcd import store
 from sesamevale.operators import document_files
-from sesamevale.platform import client
-from sesamevale.platform import store
 from tests.standins import http_client
 
 HOST = "127.0.0.1"
@@ -153,7 +153,7 @@
         self.platform = Process(
             "platform",
             [f"--port={self.platform_port}"],
-            "tests.standins.platform",
+            "tests.standins.etcd",
         )
         self.processes.append(self.platform)
         await wait_listening(self.platform_port)
--- a/tests/platform/test_document_task.py
+++ b/tests/etcd/test_document_task.py
@@ -6,16 +6,16 @@
 import random
 
 from sesamevale import metrics
-from sesamevale.platform import document_task
-from sesamevale.platform import store
+from sesamevale.etcd import document_task
+from sesamevale.etcd import store
 from sesamevale.policy import following
+from tests.builders import etcd
 from tests.builders import facts
-from tests.builders import platform
 
 
 async def reads(in_force: int, accepted: int) -> int:
     """Returns how many of two polls pass the platform's manifest on."""
-    documents = store.DocumentStore(platform.FaultyPlatform(), "test")
+    documents = store.DocumentStore(etcd.FaultyPlatform(), "test")
     base = store.Head(None, 0)
     await documents.commit(facts.manifest(accepted), base)
     follower = following.DocumentFollower("test")
--- a/tests/features/steps/document_steps.py
+++ b/tests/features/steps/document_steps.py
@@ -9,8 +9,8 @@
 from behave import when
 
 from sesamevale import document_models
-from sesamevale.platform import client
-from sesamevale.platform import store
+from sesamevale.etcd import client
+from sesamevale.etcd import store
 from tests.builders import fleet
 from tests.features.steps import fleet_steps
 
--- a/tests/features/steps/fleet_steps.py
+++ b/tests/features/steps/fleet_steps.py
@@ -175,7 +175,7 @@
 def list_leaving(context, service):
     import json
 
-    from sesamevale.platform import client
+    from sesamevale.etcd import client
 
     port = context.ports[service][0]
     value = {"address": f"{fleet.HOST}:{port}", "state": "leaving"}
--- a/tests/policy/test_acceptance_machine.py
+++ b/tests/policy/test_acceptance_machine.py
@@ -8,12 +8,12 @@
 from hypothesis import stateful
 from hypothesis import strategies as st
 
-from sesamevale.platform import client
-from sesamevale.platform import keys
-from sesamevale.platform import manifests
-from sesamevale.platform import store
+from sesamevale.etcd import client
+from sesamevale.etcd import keys
+from sesamevale.etcd import manifests
+from sesamevale.etcd import store
+from tests.builders import etcd
 from tests.builders import machines
-from tests.builders import platform
 
 FAULTS = st.lists(
     st.sampled_from(["ok", "ok", "refused", "lost", "late", "arrive"]),
@@ -26,7 +26,7 @@
 
     def __init__(self) -> None:
         super().__init__()
-        self.platform = platform.FaultyPlatform()
+        self.platform = etcd.FaultyPlatform()
         self.documents = store.DocumentStore(
             self.platform, "test", clock=lambda: 1000.0
         )
--- a/tests/test_mutants.py
+++ b/tests/test_mutants.py
@@ -5,7 +5,7 @@
 import pytest
 from hypothesis import stateful
 
-from sesamevale.platform import store
+from sesamevale.etcd import store
 from sesamevale.policy import dispatch
 from sesamevale.policy import following
 from sesamevale.policy import identity
