Gossip only inside a data centre; wait nearby before looking far

Change: entries elsewhere are known by leased registrations; a search waits up to a fifth of the objective for a calm upstream nearby, then looks far.

--- a/src/sesamevale/forwarding/front.py
+++ b/src/sesamevale/forwarding/front.py
@@ -14,7 +14,7 @@
     from sesamevale import http1
     from sesamevale import routes
     from sesamevale.forwarding import requests
-    from sesamevale.policy import membership_types
+    from sesamevale.policy import registered_peers as peers
 
 __all__ = ["Front", "View"]
 
@@ -39,7 +39,7 @@
     configuration: routes.Configuration | None = None
     confirmed_at: float = float("-inf")
     discovered: bool = False
-    members: tuple[membership_types.Member, ...] = ()
+    members: tuple[peers.Peer, ...] = ()
     stopping: bool = False
 
     @property
--- a/src/sesamevale/forwarding/service_task.py
+++ b/src/sesamevale/forwarding/service_task.py
@@ -42,9 +42,6 @@
 # A connection that was used within this time is known to be alive.
 VERIFIED_IDLE_S = 0.1
 SWEEP_INTERVAL_S = 1.0
-# Part of the objective for which a request may wait for an upstream.
-WAIT_SHARE = 0.1
-WAIT_STEP_S = 0.05
 # Time left below which another attempt makes no sense.
 USEFUL_LEFT_S = 0.05
 SERVER_ERROR = 500
@@ -141,10 +138,12 @@
         request: The request.
         progress: What has been learnt of it.
         tried: Upstreams that it was sent to or could not be sent to.
-        round: Number of rounds of samples so far.
-        looked_near: Whether this data centre was sampled for this attempt.
+        round: Number of decisions so far.
+        search: Choice of an upstream for the current attempt.
         awaited: Upstreams whose samples the round waits for.
         candidate: Upstream of the current attempt.
+        expected: Expected time there, as a multiple of the usual.
+        sent_at: Monotonic time in seconds at which the attempt began.
         link: Connection of the current attempt.
         attempts: Number of attempts so far.
         orphaned: Whether the caller has left.
@@ -155,10 +154,11 @@
     progress: forwarding.Progress
     tried: frozenset[str] = frozenset()
     round: int = 0
-    looked_near: bool = False
-    looked_far: bool = False
+    search: load_sampling.Search | None = None
     awaited: set[str] = dataclasses.field(default_factory=set)
     candidate: load_sampling.Candidate | None = None
+    expected: float = 1.0
+    sent_at: float = 0.0
     link: http_link.HttpLink | None = None
     attempts: int = 0
     orphaned: bool = False
@@ -199,7 +199,6 @@
         self._pool = link_pool.LinkPool(dialect)
         self._running: dict[int, _Running] = {}
         self._sampling: set[str] = set()
-        self._reports_load: bool | None = None
         self._loop = asyncio.get_running_loop()
         self._sweeper = self._loop.call_later(SWEEP_INTERVAL_S, self._sweep)
 
@@ -233,44 +232,27 @@
 
     def _select(self, running: _Running) -> None:
         """Begins the choice of an upstream for the next attempt."""
-        running.looked_near = running.looked_far = False
+        request = running.request
+        running.search = load_sampling.Search(
+            request.route.name,
+            request.arrived,
+            request.route.objective_s,
+            running.tried,
+            time.monotonic(),
+        )
         self._continue(running)
 
     def _continue(self, running: _Running) -> None:
-        """Sends the request if the choice is good; else looks further."""
-        now = time.monotonic()
-        best = self._fleet.best(running.tried, now)
-        if best is None:
-            self._apply(running, running.progress.give_up())
-            return
-        if best.is_calm or self._reports_load is False:
-            self._send(running, best)
-            return
-        while not running.looked_far:
-            near = not running.looked_near
-            running.looked_near = True
-            running.looked_far = not near
-            if self._start_round(running, near, now):
-                return
-        self._send(running, best)
-
-    def _start_round(self, running: _Running, near: bool, now: float) -> bool:
-        """Asks some upstreams for their load; False if there are none."""
-        wanted = self._fleet.to_sample(running.tried, near=near, now=now)
+        """Goes on with the choice of an upstream."""
+        assert running.search is not None
         running.awaited = set()
-        for candidate in wanted:
-            if candidate.is_fresh(now):
-                continue
-            name = candidate.entry.upstream_id
-            running.awaited.add(name)
-            if name not in self._sampling:
-                self._sample(candidate, now)
-        if not running.awaited:
-            return False
         running.round += 1
+        now = time.monotonic()
+        _follow(self._fleet.next_step(running.search, now), self, running)
+
+    def _wake_after(self, running: _Running, seconds: float) -> None:
         over = _RoundOver(running.request.number, running.round)
-        self._loop.call_later(SAMPLE_WAIT_S, self.send, over)
-        return True
+        self._loop.call_later(seconds, self.send, over)
 
     def _sample(self, candidate: load_sampling.Candidate, now: float) -> None:
         entry = candidate.entry
@@ -294,7 +276,9 @@
         if request.route.repeatable:
             idle_max_s = float("inf")
         link = self._pool.take(entry, idle_max_s, now)
+        running.round += 1
         running.candidate, running.link = candidate, link
+        running.expected, running.sent_at = best.expected, now
         candidate.started()
 
         def report(result: forwarding.Result) -> None:
@@ -329,6 +313,10 @@
             self._pool.release(name)
         else:
             self._pool.give_back(name, link)
+        if _is_success(result):
+            seconds = time.monotonic() - running.sent_at
+            route = running.request.route.name
+            self._fleet.answered(route, seconds, running.expected)
         _judge(result, candidate, self)
 
     def _apply(self, running: _Running, decision: forwarding.Decision) -> None:
@@ -358,6 +346,12 @@
         return sent
 
 
+def _is_success(result: forwarding.Result) -> bool:
+    if not isinstance(result, forwarding.Answered):
+        return False
+    return result.status < SERVER_ERROR
+
+
 def _describe(load: load_sampling.Load | None) -> str:
     if load is None:
         return ""
@@ -429,27 +423,22 @@
     elif not sampled.healthy:
         candidate.failed(now)
     if sampled.load is not None:
-        task._reports_load = True
         task._fleet.sampled(candidate, sampled.load, now)
-    elif sampled.healthy and task._reports_load is None:
-        task._reports_load = False
+    elif sampled.healthy:
+        task._fleet.silent_on_load()
     for running in list(task._running.values()):
         if name not in running.awaited:
             continue
         running.awaited.discard(name)
         best = task._fleet.best(running.tried, now)
         if not running.awaited or (best is not None and best.is_calm):
-            running.awaited = set()
             task._continue(running)
 
 
 @_receive.register
 def _(message: _RoundOver, task: ServiceTask) -> None:
     running = task._running.get(message.number)
-    if running is None or running.round != message.round:
-        return
-    if running.awaited:
-        running.awaited = set()
+    if running is not None and running.round == message.round:
         task._continue(running)
 
 
@@ -478,6 +467,7 @@
     else:
         running.progress.why = Reason.DEADLINE
         decision = running.progress.give_up()
+    running.round += 1
     running.awaited = set()
     task._apply(running, decision)
 
@@ -487,6 +477,41 @@
     task._pool.close_expired(time.monotonic())
 
 
+@functools.singledispatch
+def _follow(
+    step: load_sampling.Step, task: ServiceTask, running: _Running
+) -> None:
+    raise TypeError(f"no rule for {type(step).__name__}")
+
+
+@_follow.register
+def _(step: load_sampling.Send, task: ServiceTask, running: _Running) -> None:
+    task._send(running, step.best)
+
+
+@_follow.register
+def _(step: load_sampling.Sample, task: ServiceTask, running: _Running) -> None:
+    now = time.monotonic()
+    for candidate in step.candidates:
+        name = candidate.entry.upstream_id
+        running.awaited.add(name)
+        if name not in task._sampling:
+            task._sample(candidate, now)
+    task._wake_after(running, SAMPLE_WAIT_S)
+
+
+@_follow.register
+def _(
+    step: load_sampling.LookAgain, task: ServiceTask, running: _Running
+) -> None:
+    task._wake_after(running, step.after_s)
+
+
+@_follow.register
+def _(step: load_sampling.Nobody, task: ServiceTask, running: _Running) -> None:
+    task._apply(running, running.progress.give_up())
+
+
 @functools.singledispatch
 def _judge(
     result: forwarding.Result,
--- a/src/sesamevale/gateway.py
+++ b/src/sesamevale/gateway.py
@@ -24,6 +24,7 @@
 from sesamevale.policy import load_sampling
 from sesamevale.policy import membership
 from sesamevale.policy import membership_types
+from sesamevale.policy import registered_peers as peers
 from sesamevale.policy import retry_budget
 from sesamevale.policy import roster
 
@@ -38,7 +39,7 @@
     "Discovered",
     "Gateway",
     "GatewaySettings",
-    "PeerSeen",
+    "PeersSeen",
     "StoreAway",
 ]
 
@@ -106,11 +107,16 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class PeerSeen:
-    """Another entry may be found at an address."""
+class PeersSeen:
+    """Entries that are registered in the store.
 
-    host: str
-    port: int
+    Attributes:
+        peers: The entries, this one included.
+        read_at: When the read was sent, in monotonic seconds.
+    """
+
+    peers: tuple[peers.Peer, ...]
+    read_at: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -141,7 +147,7 @@
 Message = (
     Configured
     | Discovered
-    | PeerSeen
+    | PeersSeen
     | StoreAway
     | _MembersChanged
     | _Misplaced
@@ -176,6 +182,7 @@
         self._front = fronts.Front(dialect)
         self._adoption = adoption.Adoption()
         self._roster = roster.Roster()
+        self._peers = peers.Peers(settings.entry_id, settings.data_center)
         self._own = membership_types.Member(
             entry_id=settings.entry_id,
             incarnation=incarnations.new(self._rng),
@@ -298,10 +305,32 @@
             task.send(service_task.SetUpstreams(entries))
 
     def _apply_entry_count(self) -> None:
-        count = len(self._gossip.view.reachable)
+        near = self._gossip.view.reachable
+        count = len(near) + len(self._peers.far)
         for task in self._front.tasks.values():
             task.send(service_task.SetEntryCount(count))
 
+    def _show_members(self) -> None:
+        """Takes which entries callers may be sent to."""
+        alive = [
+            peers.Peer(
+                each.entry_id,
+                each.data_center,
+                each.host,
+                each.caller_port,
+                each.peer_port,
+            )
+            for each in self._gossip.view.usable
+        ]
+        members = (*alive, *self._peers.far)
+        self._apply_entry_count()
+        if members == self._front.view.members:
+            return
+        self._show(members=members)
+        self._events.state(
+            "members", usable=sorted(each.entry_id for each in members)
+        )
+
     def _gauges(self) -> list[metrics.Gauge]:
         def gauge(name: str, text: str, value: float) -> metrics.Gauge:
             return metrics.Gauge(f"sesamevale_{name}", text, {}, value)
@@ -398,8 +427,11 @@
 
 
 @_receive.register
-def _(message: PeerSeen, gateway: Gateway) -> None:
-    gateway._gossip.send(gossip.Seed(message.host, message.port))
+def _(message: PeersSeen, gateway: Gateway) -> None:
+    gateway._peers.observe(message.peers, message.read_at)
+    for peer in gateway._peers.near:
+        gateway._gossip.send(gossip.Seed(peer.host, peer.entry_port))
+    gateway._show_members()
 
 
 @_receive.register
@@ -411,13 +443,7 @@
 
 @_receive.register
 def _(message: _MembersChanged, gateway: Gateway) -> None:
-    view = gateway._gossip.view
-    members = tuple(view.usable)
-    gateway._show(members=members)
-    gateway._apply_entry_count()
-    gateway._events.state(
-        "members", usable=sorted(each.entry_id for each in members)
-    )
+    gateway._show_members()
 
 
 @_receive.register
--- a/src/sesamevale/platform/daemon.py
+++ b/src/sesamevale/platform/daemon.py
@@ -102,10 +102,14 @@
     await stack.enter_async_context(client)
     await stack.enter_async_context(follower.Follower(client, gateway, events))
     address = models.Registration(
-        host=deployed.host, port=deployed.entry_ports[0]
+        entry_id=deployed.entry_id,
+        data_center=deployed.data_center,
+        host=deployed.host,
+        caller_port=deployed.callers.port,
+        entry_port=deployed.entry_ports[0],
     )
     await stack.enter_async_context(
-        registration.Registration(client, deployed.entry_id, address, events)
+        registration.Registration(client, address, gateway, events)
     )
     return gateway
 
--- a/src/sesamevale/platform/decoding.py
+++ b/src/sesamevale/platform/decoding.py
@@ -11,6 +11,7 @@
 
 from sesamevale import routes
 from sesamevale.platform import models
+from sesamevale.policy import registered_peers
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -37,13 +38,13 @@
     Attributes:
         configuration: Configuration, if there is a valid one.
         upstreams: Upstreams whose entries are valid.
-        peers: Addresses of entries.
+        peers: Entries that are registered.
         rejected: Keys whose values make no sense, with what is wrong.
     """
 
     configuration: routes.Configuration | None
     upstreams: tuple[routes.UpstreamEntry, ...]
-    peers: tuple[models.Registration, ...]
+    peers: tuple[registered_peers.Peer, ...]
     rejected: dict[str, str]
 
 
@@ -79,7 +80,9 @@
                 if isinstance(each, routes.UpstreamEntry)
             ),
             peers=tuple(
-                each for each in values if isinstance(each, models.Registration)
+                each
+                for each in values
+                if isinstance(each, registered_peers.Peer)
             ),
             rejected={
                 key: value
@@ -103,7 +106,7 @@
                 models.Heartbeat.model_validate_json(content),
             )
         if item.key.startswith(REGISTRATION_PREFIX):
-            return models.Registration.model_validate_json(content)
+            return _peer(models.Registration.model_validate_json(content))
     except pydantic.ValidationError as error:
         first = error.errors()[0]
         place = ".".join(str(each) for each in first["loc"])
@@ -113,6 +116,16 @@
     return None
 
 
+def _peer(found: models.Registration) -> registered_peers.Peer:
+    return registered_peers.Peer(
+        found.entry_id,
+        found.data_center,
+        found.host,
+        found.caller_port,
+        found.entry_port,
+    )
+
+
 def _upstream(upstream_id: str, beat: models.Heartbeat) -> routes.UpstreamEntry:
     host, _, port = beat.address.rpartition(":")
     return routes.UpstreamEntry(
--- a/src/sesamevale/platform/follower.py
+++ b/src/sesamevale/platform/follower.py
@@ -92,8 +92,7 @@
         if snapshot.configuration is not None:
             self._configured = True
             gateway.send(gateways.Configured(snapshot.configuration, read_at))
-        for peer in snapshot.peers:
-            gateway.send(gateways.PeerSeen(peer.host, peer.port))
+        gateway.send(gateways.PeersSeen(snapshot.peers, read_at))
         if snapshot.rejected != self._rejected:
             self._rejected = snapshot.rejected
             self._events.state("store_values_rejected", keys=snapshot.rejected)
--- a/src/sesamevale/platform/models.py
+++ b/src/sesamevale/platform/models.py
@@ -24,6 +24,7 @@
     str, pydantic.StringConstraints(pattern=ADDRESS, strict=True)
 ]
 Text = Annotated[str, pydantic.StringConstraints(min_length=1, strict=True)]
+Port = Annotated[int, pydantic.Field(gt=0, lt=65536)]
 Count = Annotated[int, pydantic.Field(ge=0, strict=True)]
 
 
@@ -127,7 +128,10 @@
 
 
 class Registration(_Model):
-    """Address at which an entry can be reached by the others."""
+    """What an entry tells the others of itself."""
 
+    entry_id: Text
+    data_center: Text
     host: Text
-    port: Annotated[int, pydantic.Field(gt=0, lt=65536)]
+    caller_port: Port
+    entry_port: Port
--- a/src/sesamevale/platform/registration.py
+++ b/src/sesamevale/platform/registration.py
@@ -14,35 +14,40 @@
 
 if TYPE_CHECKING:
     from sesamevale import event_log
+    from sesamevale import gateway as gateways
 
 __all__ = ["Registration"]
 
-# The address is only a first contact; members watch each other directly.
-LEASE_TTL_MS = 60_000
-RENEW_INTERVAL_S = 20.0
-RETRY_INTERVAL_S = 1.5
+# Callers in other data centres are sent to an entry for at most this long
+# after it has ended.
+LEASE_TTL_MS = 3_000
+RENEW_INTERVAL_S = 0.9
+# Interval at which an entry that is not ready looks whether it is.
+READY_INTERVAL_S = 0.1
+RETRY_INTERVAL_S = 0.5
 
 
 class Registration:
-    """Registers this entry while its context is open.
+    """Registers this entry while callers may be sent to it.
 
     Args:
         client: Client of the store.
-        entry_id: Identifier of this entry.
-        address: Where the other entries reach it.
+        address: What the other entries are told.
+        gateway: Says whether callers may be sent here.
         events: Where failures are logged.
     """
 
     def __init__(
         self,
         client: store.StoreClient,
-        entry_id: str,
         address: models.Registration,
+        gateway: gateways.Gateway,
         events: event_log.EventLog,
     ) -> None:
         self._client = client
-        self._key = decoding.REGISTRATION_PREFIX + entry_id
+        self._key = decoding.REGISTRATION_PREFIX + address.entry_id
         self._value = decoding.encode_value(address)
+        self._gateway = gateway
         self._events = events
         self._lease = 0
         self._task: asyncio.Task[None] | None = None
@@ -59,13 +64,19 @@
 
     async def _run(self) -> None:
         while True:
-            if self._lease == 0:
-                result = await self._register()
-            else:
-                result = await self._client.renew_lease(self._lease)
-            interval = _interval(result, self)
+            interval = READY_INTERVAL_S
+            if self._gateway.is_ready:
+                interval = _interval(await self._keep(), self)
+            elif self._lease:
+                await self._client.end_lease(self._lease)
+                self._lease = 0
             await asyncio.sleep(interval)
 
+    async def _keep(self) -> object:
+        if self._lease == 0:
+            return await self._register()
+        return await self._client.renew_lease(self._lease)
+
     async def _register(self) -> object:
         """Writes the address under a new lease."""
         granted = await self._client.grant_lease(LEASE_TTL_MS)
--- a/src/sesamevale/policy/load_sampling.py
+++ b/src/sesamevale/policy/load_sampling.py
@@ -21,10 +21,23 @@
 
     from sesamevale import routes
 
-__all__ = ["Candidate", "Fleet", "Load", "Ranked"]
-
-# Candidates sampled in one round. Source: bench/sampling.py.
-SAMPLES_PER_ROUND = 3
+__all__ = [
+    "Candidate",
+    "Fleet",
+    "Load",
+    "LookAgain",
+    "Nobody",
+    "Ranked",
+    "Sample",
+    "Search",
+    "Send",
+    "Step",
+]
+
+# Candidates sampled in one round: in this data centre, and in the others,
+# where each sample pays for its bytes. Source: bench/sampling.py.
+SAMPLES_NEAR = 3
+SAMPLES_FAR = 2
 # A slowdown holds for a fraction of a second; within this time a figure of
 # another request still stands for the upstream.
 FRESH_S = 0.02
@@ -35,6 +48,16 @@
 DISTANCE_FACTOR = 1.3
 # An upstream that is at most this much slower than usual counts as calm.
 CALM_FACTOR = 1.5
+# Part of the latency objective that may be spent on waiting for an upstream
+# of this data centre to become calm.
+PATIENCE_SHARE = 0.2
+# Time after which the upstreams of this data centre are sampled again; the
+# slowdowns of a few upstreams change several times in a tenth of a second.
+LOOK_AGAIN_S = 0.025
+# Spread of the work of one route around its mean.
+DURATION_MARGIN = 1.4
+# Weight of a new duration in the mean of a route.
+DURATION_WEIGHT = 0.05
 # Growth of the expected time as the slots fill up.
 FULLNESS_WEIGHT = 0.7
 # Weight of the last result in the share of failures.
@@ -177,6 +200,58 @@
     is_calm: bool
 
 
+@dataclasses.dataclass(slots=True)
+class Search:
+    """State of the choice of an upstream for one attempt.
+
+    Attributes:
+        route: Name of the route.
+        arrived: Monotonic time in seconds at which the request arrived.
+        objective_s: Latency objective in seconds.
+        excluded: Upstreams that were tried already.
+        started: Monotonic time in seconds at which the search began.
+        looked_near: Whether this data centre was sampled just now.
+        looked_far: Whether the others were sampled.
+    """
+
+    route: str
+    arrived: float
+    objective_s: float
+    excluded: frozenset[str]
+    started: float
+    looked_near: bool = False
+    looked_far: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Send:
+    """Send the request."""
+
+    best: Ranked
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Sample:
+    """Ask upstreams for their load, then decide again."""
+
+    candidates: tuple[Candidate, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LookAgain:
+    """Decide again after some seconds."""
+
+    after_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Nobody:
+    """There is no upstream left to try."""
+
+
+Step = Send | Sample | LookAgain | Nobody
+
+
 class Fleet:
     """Upstreams of one service as one entry sees them.
 
@@ -190,6 +265,8 @@
         self._rng = rng
         self._candidates: dict[str, Candidate] = {}
         self._average_slowdown = FIRST_AVERAGE_SLOWDOWN
+        self._durations: dict[str, float] = {}
+        self._reports_load: bool | None = None
 
     @property
     def candidates(self) -> dict[str, Candidate]:
@@ -222,11 +299,78 @@
 
     def sampled(self, candidate: Candidate, load: Load, now: float) -> None:
         """Takes a load figure of one upstream."""
+        self._reports_load = True
         candidate.sampled(load, now)
         gain = load.slowdown - self._average_slowdown
         self._average_slowdown += AVERAGE_WEIGHT * gain
 
-    def to_sample(
+    def silent_on_load(self) -> None:
+        """Takes that an upstream answered without a load figure."""
+        if self._reports_load is None:
+            self._reports_load = False
+
+    def answered(self, route: str, seconds: float, expected: float) -> None:
+        """Takes the time of a good answer.
+
+        Args:
+            route: Name of the route.
+            seconds: Time from sending to the answer.
+            expected: Expected time when it was sent, as a multiple of the
+                usual.
+        """
+        usual = seconds / max(expected, 1.0)
+        known = self._durations.setdefault(route, usual)
+        self._durations[route] = known + DURATION_WEIGHT * (usual - known)
+
+    def next_step(self, search: Search, now: float) -> Step:
+        """Decides how the search for an upstream goes on."""
+        best = self.best(search.excluded, now)
+        if best is None:
+            return Nobody()
+        if best.is_calm or self._reports_load is False:
+            return Send(best)
+        if not search.looked_near:
+            search.looked_near = True
+            wanted = self._to_sample(search.excluded, near=True, now=now)
+            if wanted:
+                return Sample(tuple(wanted))
+        if self._is_in_time(search, best, now):
+            return Send(best)
+        if not search.looked_far:
+            if self._may_wait(search, now):
+                search.looked_near = False
+                return LookAgain(LOOK_AGAIN_S)
+            search.looked_far = True
+            wanted = self._to_sample(search.excluded, near=False, now=now)
+            if wanted:
+                return Sample(tuple(wanted))
+        return Send(best)
+
+    def _is_in_time(self, search: Search, best: Ranked, now: float) -> bool:
+        """Whether an upstream should answer within the objective."""
+        usual = self._durations.get(search.route)
+        if usual is None or not best.candidate.is_fresh(now):
+            return False
+        needed = usual * best.expected * DURATION_MARGIN
+        return now - search.arrived + needed <= search.objective_s
+
+    def _may_wait(self, search: Search, now: float) -> bool:
+        """Whether it is early enough to wait for this data centre."""
+        if not any(
+            each.entry.data_center == self._data_center
+            for name, each in self._candidates.items()
+            if name not in search.excluded
+        ):
+            return False
+        usual = self._durations.get(search.route, 0.0)
+        needed = usual * DURATION_MARGIN + LOOK_AGAIN_S
+        waited = now - search.started
+        return (
+            waited < PATIENCE_SHARE * search.objective_s
+            and now - search.arrived + needed < search.objective_s
+        )
+
+    def _to_sample(
         self, excluded: frozenset[str], *, near: bool, now: float
     ) -> list[Candidate]:
         """Returns the candidates to sample in one round.
@@ -245,7 +389,8 @@
         ]
         self._rng.shuffle(pool)
         pool.sort(key=lambda each: each.expected(1.0, now))
-        return pool[:SAMPLES_PER_ROUND]
+        wanted = pool[: SAMPLES_NEAR if near else SAMPLES_FAR]
+        return [each for each in wanted if not each.is_fresh(now)]
 
     def best(self, excluded: frozenset[str], now: float) -> Ranked | None:
         """Returns the best upstream by what is known now."""
