Take loads from answers; hold for a free slot while in time, then refuse

Change: load figures on answers count as samples and wake waiting requests; without a free slot a request waits while it can meet its objective and is refused after that. Also: end a stopping process well inside its grace.

--- a/src/sesamevale/forwarding/service_task.py
+++ b/src/sesamevale/forwarding/service_task.py
@@ -140,6 +140,7 @@
         tried: Upstreams that it was sent to or could not be sent to.
         round: Number of decisions so far.
         search: Choice of an upstream for the current attempt.
+        pausing: Whether it waits for an upstream to become calm or free.
         awaited: Upstreams whose samples the round waits for.
         candidate: Upstream of the current attempt.
         expected: Expected time there, as a multiple of the usual.
@@ -155,6 +156,7 @@
     tried: frozenset[str] = frozenset()
     round: int = 0
     search: load_sampling.Search | None = None
+    pausing: bool = False
     awaited: set[str] = dataclasses.field(default_factory=set)
     candidate: load_sampling.Candidate | None = None
     expected: float = 1.0
@@ -246,6 +248,7 @@
         """Goes on with the choice of an upstream."""
         assert running.search is not None
         running.awaited = set()
+        running.pausing = False
         running.round += 1
         now = time.monotonic()
         _follow(self._fleet.next_step(running.search, now), self, running)
@@ -317,8 +320,34 @@
             seconds = time.monotonic() - running.sent_at
             route = running.request.route.name
             self._fleet.answered(route, seconds, running.expected)
+        if isinstance(result, forwarding.Answered | forwarding.Rejected):
+            self._note_load(candidate, result.load)
         _judge(result, candidate, self)
 
+    def _note_load(
+        self,
+        candidate: load_sampling.Candidate,
+        load: load_sampling.Load | None,
+    ) -> None:
+        """Takes a load figure and goes on with what waited for one."""
+        if load is None:
+            return
+        now = time.monotonic()
+        self._fleet.sampled(candidate, load, now)
+        name = candidate.entry.upstream_id
+        for running in self._by_urgency():
+            if not candidate.has_room(now):
+                return
+            if running.pausing and name not in running.tried:
+                self._continue(running)
+
+    def _by_urgency(self) -> list[_Running]:
+        """Returns the requests, the most urgent and oldest first."""
+        return sorted(
+            self._running.values(),
+            key=lambda each: (each.request.route.priority, each.request.number),
+        )
+
     def _apply(self, running: _Running, decision: forwarding.Decision) -> None:
         _apply(decision, self, running)
 
@@ -423,7 +452,7 @@
     elif not sampled.healthy:
         candidate.failed(now)
     if sampled.load is not None:
-        task._fleet.sampled(candidate, sampled.load, now)
+        task._note_load(candidate, sampled.load)
     elif sampled.healthy:
         task._fleet.silent_on_load()
     for running in list(task._running.values()):
@@ -500,10 +529,18 @@
     task._wake_after(running, SAMPLE_WAIT_S)
 
 
+@_follow.register
+def _(step: load_sampling.NoRoom, task: ServiceTask, running: _Running) -> None:
+    if not running.progress.sent:
+        running.progress.why = Reason.OVERLOADED
+    task._apply(running, running.progress.give_up())
+
+
 @_follow.register
 def _(
     step: load_sampling.LookAgain, task: ServiceTask, running: _Running
 ) -> None:
+    running.pausing = True
     task._wake_after(running, step.after_s)
 
 
--- a/src/sesamevale/gateway.py
+++ b/src/sesamevale/gateway.py
@@ -45,7 +45,7 @@
 
 DRAIN_STEP_S = 0.05
 # Time kept at the end of the grace to end what is still running.
-STOP_MARGIN_S = 0.3
+STOP_MARGIN_S = 0.8
 # A reader of an old directory answer may still connect this much later.
 STRAGGLER_S = 0.5
 # Directory answers are kept up to three times as long as they say.
--- a/src/sesamevale/policy/forwarding.py
+++ b/src/sesamevale/policy/forwarding.py
@@ -10,6 +10,7 @@
 
 if TYPE_CHECKING:
     from sesamevale import calls
+    from sesamevale.policy import load_sampling
 
 __all__ = [
     "Answered",
@@ -43,12 +44,14 @@
         headers: Header fields with hop-by-hop fields removed.
         body: The body, or its first part if ``rest`` is set.
         rest: Remaining messages of an answer too large to hold.
+        load: Load that the upstream reports with it.
     """
 
     status: int
     headers: calls.Headers
     body: bytes
     rest: calls.AnswerChannel | None = None
+    load: load_sampling.Load | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -57,9 +60,11 @@
 
     Attributes:
         misplaced: Whether another upstream answered at the address.
+        load: Load that the upstream reports with it.
     """
 
     misplaced: bool = False
+    load: load_sampling.Load | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/sesamevale/policy/load_sampling.py
+++ b/src/sesamevale/policy/load_sampling.py
@@ -27,6 +27,7 @@
     "Load",
     "LookAgain",
     "Nobody",
+    "NoRoom",
     "Ranked",
     "Sample",
     "Search",
@@ -49,11 +50,15 @@
 # An upstream that is at most this much slower than usual counts as calm.
 CALM_FACTOR = 1.5
 # Part of the latency objective that may be spent on waiting for an upstream
-# of this data centre to become calm.
+# of this data centre to become calm before others are looked at.
 PATIENCE_SHARE = 0.2
-# Time after which the upstreams of this data centre are sampled again; the
+# Part of the latency objective after which a request that finds no free slot
+# is refused if its usual duration is not known.
+HOLD_SHARE = 0.5
+# Time after which upstreams are sampled again, at first and at most; the
 # slowdowns of a few upstreams change several times in a tenth of a second.
 LOOK_AGAIN_S = 0.025
+LOOK_AGAIN_MAX_S = 0.1
 # Spread of the work of one route around its mean.
 DURATION_MARGIN = 1.4
 # Weight of a new duration in the mean of a route.
@@ -160,6 +165,13 @@
         self._ejections = min(self._ejections + 1, 8)
         self._ejected_until = now + min(length, LONGEST_EJECTION_S)
 
+    def has_room(self, now: float) -> bool:
+        """Whether a slot seems to be free."""
+        if self.load is not None and self.is_fresh(now):
+            busy = self.load.running + self.load.waiting
+            return busy + self._since_sample < max(1, self.load.slots)
+        return self._own < max(1, self.entry.slots)
+
     def expected(self, average_slowdown: float, now: float) -> float:
         """Expected time of a request, as a multiple of the usual.
 
@@ -212,6 +224,7 @@
         started: Monotonic time in seconds at which the search began.
         looked_near: Whether this data centre was sampled just now.
         looked_far: Whether the others were sampled.
+        pauses: Times that the search has waited.
     """
 
     route: str
@@ -221,6 +234,7 @@
     started: float
     looked_near: bool = False
     looked_far: bool = False
+    pauses: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -249,7 +263,12 @@
     """There is no upstream left to try."""
 
 
-Step = Send | Sample | LookAgain | Nobody
+@dataclasses.dataclass(frozen=True, slots=True)
+class NoRoom:
+    """No upstream has a free slot in time."""
+
+
+Step = Send | Sample | LookAgain | Nobody | NoRoom
 
 
 class Fleet:
@@ -336,15 +355,38 @@
                 return Sample(tuple(wanted))
         if self._is_in_time(search, best, now):
             return Send(best)
+        return self._look_further(search, best, now)
+
+    def _look_further(self, search: Search, best: Ranked, now: float) -> Step:
+        """Decides what follows if this data centre has nothing good."""
         if not search.looked_far:
             if self._may_wait(search, now):
-                search.looked_near = False
-                return LookAgain(LOOK_AGAIN_S)
+                return self._pause(search)
             search.looked_far = True
             wanted = self._to_sample(search.excluded, near=False, now=now)
             if wanted:
                 return Sample(tuple(wanted))
-        return Send(best)
+        if best.candidate.has_room(now):
+            return Send(best)
+        if self._may_hold(search, now):
+            search.looked_far = False
+            return self._pause(search)
+        return NoRoom()
+
+    def _pause(self, search: Search) -> Step:
+        """Waits before the search goes on with fresh samples."""
+        search.looked_near = False
+        search.pauses += 1
+        seconds = LOOK_AGAIN_S * search.pauses
+        return LookAgain(min(seconds, LOOK_AGAIN_MAX_S))
+
+    def _may_hold(self, search: Search, now: float) -> bool:
+        """Whether a request without a free slot can still be in time."""
+        usual = self._durations.get(search.route)
+        needed = (1.0 - HOLD_SHARE) * search.objective_s
+        if usual is not None:
+            needed = usual * DURATION_MARGIN
+        return now - search.arrived + needed < search.objective_s
 
     def _is_in_time(self, search: Search, best: Ranked, now: float) -> bool:
         """Whether an upstream should answer within the objective."""
--- a/src/sesamevale/upstreams/http_link.py
+++ b/src/sesamevale/upstreams/http_link.py
@@ -275,16 +275,17 @@
             why = outcomes.Reason.CUT if cut else outcomes.Reason.SPOILT
             return forwarding.Lost(why)
         self._note_keep_alive(headers)
+        load = self._load(headers)
         if self._http.their_state is h11.SEND_BODY:
             kept = http1.forwarded(headers, frozenset())
             rest = calls.AnswerChannel()
             self._pass_rest(rest)
-            return forwarding.Answered(status, kept, body, rest)
+            return forwarding.Answered(status, kept, body, rest, load)
         self._next_cycle()
         if rejected and status != BAD_REQUEST:
-            return self._rejection(status, headers)
+            return self._rejection(status, headers, load)
         kept = http1.forwarded(headers, BODY_FIELDS)
-        return forwarding.Answered(status, kept, body)
+        return forwarding.Answered(status, kept, body, None, load)
 
     def _pass_rest(self, rest: calls.AnswerChannel) -> None:
         """Passes the rest of a long answer on in a task of its own."""
@@ -312,12 +313,15 @@
             self._stream.abort()
 
     def _rejection(
-        self, status: int, headers: calls.Headers
+        self,
+        status: int,
+        headers: calls.Headers,
+        load: load_sampling.Load | None,
     ) -> forwarding.Rejected:
         answerer = http1.find(headers, self._dialect.upstream_id)
         own = self._entry.upstream_id.encode()
         misplaced = status == MISDIRECTED and answerer != own
-        return forwarding.Rejected(misplaced)
+        return forwarding.Rejected(misplaced, None if misplaced else load)
 
     def _note_keep_alive(self, headers: calls.Headers) -> None:
         value = http1.find(headers, b"keep-alive")
@@ -374,9 +378,12 @@
             return Sampled(reached=not stray)
         self._note_keep_alive(headers)
         self._next_cycle()
+        healthy = response.status_code in SUCCESS
+        return Sampled(True, healthy, self._load(headers))
+
+    def _load(self, headers: calls.Headers) -> load_sampling.Load | None:
         value = http1.find(headers, self._dialect.load)
-        load = self._dialect.read_load(value) if value else None
-        return Sampled(True, response.status_code in SUCCESS, load)
+        return self._dialect.read_load(value) if value else None
 
     async def _next_response(self) -> h11.Response | None:
         event = await self._next_event()
