Requests that are late already yield to those that can be in time

Cause: under overload requests of callers that came back took the free slots from requests that could still meet their objective. Change: a caller's first arrival is estimated from the time it still waits; late requests hold while others wait that can be in time.

--- a/src/sesamevale/forwarding/service_task.py
+++ b/src/sesamevale/forwarding/service_task.py
@@ -235,9 +235,11 @@
     def _select(self, running: _Running) -> None:
         """Begins the choice of an upstream for the next attempt."""
         request = running.request
+        patience_s = request.caller_deadline - request.arrived
+        name = request.route.name
         running.search = load_sampling.Search(
-            request.route.name,
-            request.arrived,
+            name,
+            self._fleet.first_arrival(name, request.arrived, patience_s),
             request.route.objective_s,
             running.tried,
             time.monotonic(),
@@ -251,6 +253,12 @@
         running.pausing = False
         running.round += 1
         now = time.monotonic()
+        running.search.must_yield = any(
+            each.pausing
+            and each.search is not None
+            and self._fleet.is_hopeful(each.search, now)
+            for each in self._running.values()
+        )
         _follow(self._fleet.next_step(running.search, now), self, running)
 
     def _wake_after(self, running: _Running, seconds: float) -> None:
@@ -338,15 +346,22 @@
         for running in self._by_urgency():
             if not candidate.has_room(now):
                 return
-            if running.pausing and name not in running.tried:
+            if name not in running.tried:
                 self._continue(running)
 
     def _by_urgency(self) -> list[_Running]:
-        """Returns the requests, the most urgent and oldest first."""
-        return sorted(
-            self._running.values(),
-            key=lambda each: (each.request.route.priority, each.request.number),
-        )
+        """Returns the waiting requests, those that can be in time first."""
+        now = time.monotonic()
+        waiting = [each for each in self._running.values() if each.pausing]
+        return sorted(waiting, key=lambda each: self._urgency(each, now))
+
+    def _urgency(
+        self, running: _Running, now: float
+    ) -> tuple[int, bool, float]:
+        assert running.search is not None
+        late = not self._fleet.is_hopeful(running.search, now)
+        priority = running.request.route.priority
+        return priority, late, running.search.arrived
 
     def _apply(self, running: _Running, decision: forwarding.Decision) -> None:
         _apply(decision, self, running)
--- a/src/sesamevale/policy/load_sampling.py
+++ b/src/sesamevale/policy/load_sampling.py
@@ -218,13 +218,14 @@
 
     Attributes:
         route: Name of the route.
-        arrived: Monotonic time in seconds at which the request arrived.
+        arrived: Monotonic time in seconds at which the caller first asked.
         objective_s: Latency objective in seconds.
         excluded: Upstreams that were tried already.
         started: Monotonic time in seconds at which the search began.
         looked_near: Whether this data centre was sampled just now.
         looked_far: Whether the others were sampled.
         pauses: Times that the search has waited.
+        must_yield: Whether requests that can still be in time wait too.
     """
 
     route: str
@@ -235,6 +236,7 @@
     looked_near: bool = False
     looked_far: bool = False
     pauses: int = 0
+    must_yield: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -285,6 +287,7 @@
         self._candidates: dict[str, Candidate] = {}
         self._average_slowdown = FIRST_AVERAGE_SLOWDOWN
         self._durations: dict[str, float] = {}
+        self._patience: dict[str, float] = {}
         self._reports_load: bool | None = None
 
     @property
@@ -366,9 +369,12 @@
             wanted = self._to_sample(search.excluded, near=False, now=now)
             if wanted:
                 return Sample(tuple(wanted))
-        if best.candidate.has_room(now):
+        hopeful = self.is_hopeful(search, now)
+        has_room = best.candidate.has_room(now)
+        if has_room and (hopeful or not search.must_yield):
             return Send(best)
-        if self._may_hold(search, now):
+        held = now - search.started
+        if hopeful or held < HOLD_SHARE * search.objective_s:
             search.looked_far = False
             return self._pause(search)
         return NoRoom()
@@ -380,8 +386,27 @@
         seconds = LOOK_AGAIN_S * search.pauses
         return LookAgain(min(seconds, LOOK_AGAIN_MAX_S))
 
-    def _may_hold(self, search: Search, now: float) -> bool:
-        """Whether a request without a free slot can still be in time."""
+    def first_arrival(
+        self, route: str, arrived: float, patience_s: float
+    ) -> float:
+        """Estimates when a caller first asked, in monotonic seconds.
+
+        A caller that asks again has less time left than one that asks for
+        the first time.
+
+        Args:
+            route: Name of the route.
+            arrived: When this request arrived.
+            patience_s: How long its caller will wait; infinite if unknown.
+        """
+        if math.isinf(patience_s):
+            return arrived
+        longest = max(self._patience.get(route, 0.0), patience_s)
+        self._patience[route] = longest
+        return arrived - (longest - patience_s)
+
+    def is_hopeful(self, search: Search, now: float) -> bool:
+        """Whether a request can still be in time."""
         usual = self._durations.get(search.route)
         needed = (1.0 - HOLD_SHARE) * search.objective_s
         if usual is not None:
