Deliver an answer that is there when the deadline passes

When the deadline's message was handled between the end of an exchange and the message with its result, the exchange counted as never sent. Ruled out: answers of other requests (all rejections carry the request's id). Change: a connection remembers that its last exchange was sent, and a result that is under way is taken before the deadline. Answers must echo the id.

--- a/src/sesamevale/forwarding/service_task.py
+++ b/src/sesamevale/forwarding/service_task.py
@@ -504,6 +504,8 @@
     if running is None:
         return
     candidate = running.candidate
+    if running.link is not None and running.link.has_result:
+        return
     if task._stop_attempt(running):
         assert candidate is not None
         candidate.failed(time.monotonic())
--- a/src/sesamevale/upstreams/http_link.py
+++ b/src/sesamevale/upstreams/http_link.py
@@ -114,7 +114,8 @@
         self._keep_alive_s = DEFAULT_KEEP_ALIVE_S
         self._last_used = time.monotonic()
         self._ended = False
-        self._sending = False
+        self._has_sent = False
+        self._exchanging = False
         self._task = asyncio.create_task(self._run())
 
     @property
@@ -129,8 +130,13 @@
 
     @property
     def has_sent(self) -> bool:
-        """Whether the current exchange may have reached the upstream."""
-        return self._sending
+        """Whether the last exchange may have reached the upstream."""
+        return self._has_sent
+
+    @property
+    def has_result(self) -> bool:
+        """Whether the last exchange has ended and was reported."""
+        return not self._exchanging
 
     def idle_s(self, now: float) -> float:
         """Seconds since the last exchange ended."""
@@ -142,6 +148,8 @@
 
     def send(self, message: Message) -> None:
         """Starts an exchange; one at a time."""
+        self._has_sent = False
+        self._exchanging = True
         self._inbox.put(message)
 
     def close(self) -> None:
@@ -155,6 +163,7 @@
         while not self._ended:
             message = await self._inbox.get()
             await _perform(message, self)
+            self._exchanging = False
 
     async def _connect(self) -> sockets.ByteStream | None:
         """Returns the open connection; None if there is none to be had."""
@@ -180,7 +189,7 @@
         if stream is None:
             return forwarding.NotSent()
         head = self._request_head(request)
-        self._sending = True
+        self._has_sent = True
         self._write(stream, head, request.body)
         try:
             return await self._read_answer(request)
@@ -191,7 +200,6 @@
             )
             return forwarding.Lost(why)
         finally:
-            self._sending = False
             self._last_used = time.monotonic()
 
     def _request_head(self, request: requests.Request) -> h11.Request:
@@ -232,7 +240,7 @@
                 return forwarding.Lost(outcomes.Reason.CUT)
             headers = tuple(response.headers)
             answered_id = http1.find(headers, self._dialect.request_id)
-            if answered_id in (None, request.request_id):
+            if (answered_id or b"") == request.request_id:
                 return await self._take_answer(response, headers, answered_id)
             if await self._read_body() is None:
                 break
