A full upstream does not count as calm

Cause: a unit test of the choice (a request waits for a slot) failed: an upstream with all slots taken was expected to take 1.95 times the usual, which was under the bound for calm, so requests still went into queues. Change: calm needs a free slot.

--- a/src/sesamevale/policy/load_sampling.py
+++ b/src/sesamevale/policy/load_sampling.py
@@ -47,8 +47,9 @@
 FIRST_AVERAGE_SLOWDOWN = 2.0
 # Price of leaving the data centre, as a factor on the expected time.
 DISTANCE_FACTOR = 1.3
-# An upstream that is at most this much slower than usual counts as calm.
-CALM_FACTOR = 1.5
+# Expected time, as a multiple of the usual, that is as good as it gets: a
+# machine at its usual speed whose slots fill up, or a little slower and empty.
+CALM_EXPECTED = 2.0
 # Part of the latency objective that may be spent on waiting for an upstream
 # of this data centre to become calm before others are looked at.
 PATIENCE_SHARE = 0.2
@@ -478,11 +479,8 @@
                 best, least = candidate, expected
         if best is None:
             return None
-        return Ranked(best, least, best.is_fresh(now) and self.is_calm(least))
-
-    def is_calm(self, expected: float) -> bool:
-        """Whether an expected time is as good as it usually gets."""
-        return expected <= CALM_FACTOR * (1.0 + FULLNESS_WEIGHT / 2)
+        is_calm = best.is_fresh(now) and best.has_room(now)
+        return Ranked(best, least, is_calm and least <= CALM_EXPECTED)
 
 
 def _is_other(known: routes.UpstreamEntry, entry: routes.UpstreamEntry) -> bool:
--- /dev/null
+++ b/tests/builders/gateway.py
@@ -0,0 +1,88 @@
+"""Builders of routes, upstreams, requests and loads for the gateway."""
+
+from __future__ import annotations
+
+import itertools
+import math
+import time
+
+from sesamevale import calls
+from sesamevale import routes
+from sesamevale.forwarding import requests
+from sesamevale.policy import load_sampling
+
+_numbers = itertools.count(1)
+
+
+def route(**changes) -> routes.Route:
+    values = {
+        "name": "read",
+        "host": "a.example",
+        "prefix": "/read/",
+        "repeatable": True,
+        "timeout_s": 2.0,
+        "objective_s": 0.6,
+        "priority": 1,
+        "parts": (routes.SplitPart("sheet", 1),),
+        "upstreams_max": 2,
+    }
+    return routes.Route(**(values | changes))
+
+
+def configuration(version=1, of_routes=None, services=("sheet",)):
+    of_routes = [route()] if of_routes is None else of_routes
+    by_host: dict[str, list[routes.Route]] = {}
+    for each in of_routes:
+        by_host.setdefault(each.host, []).append(each)
+    return routes.Configuration(
+        version,
+        {
+            host: tuple(sorted(found, key=lambda each: -len(each.prefix)))
+            for host, found in by_host.items()
+        },
+        {name: routes.Service(name, "/health", 100) for name in services},
+        routes.CallerLimits(),
+    )
+
+
+def upstream(upstream_id="u-1", **changes) -> routes.UpstreamEntry:
+    values = {
+        "upstream_id": upstream_id,
+        "service": "sheet",
+        "host": "127.0.0.1",
+        "port": 1,
+        "data_center": "here",
+        "slots": 4,
+        "draining": False,
+        "warmup_s": 0.0,
+        "started_ms": 1000,
+        "sequence": 1,
+    }
+    return routes.UpstreamEntry(**(values | changes))
+
+
+def load(running=0, waiting=0, slots=4, slowdown=1.0) -> load_sampling.Load:
+    return load_sampling.Load(running, waiting, slots, slowdown)
+
+
+def request(of_route=None, *, within_s=None, **changes) -> requests.Request:
+    of_route = route() if of_route is None else of_route
+    now = time.monotonic()
+    within_s = of_route.timeout_s if within_s is None else within_s
+    values = {
+        "number": next(_numbers),
+        "request_id": b"attempt-1",
+        "route": of_route,
+        "service": of_route.parts[0].service,
+        "version": 1,
+        "method": b"GET",
+        "target": b"/read/1",
+        "headers": ((b"host", b"a.example"), (b"x-attempt-id", b"attempt-1")),
+        "body": None,
+        "arrived": now,
+        "deadline": now
+        + (of_route.timeout_s if within_s is None else within_s),
+        "caller_deadline": math.inf,
+        "answer": calls.AnswerChannel(),
+    }
+    return requests.Request(**(values | changes))
--- /dev/null
+++ b/tests/policy/test_forwarding_machine.py
@@ -0,0 +1,76 @@
+"""What follows an attempt, against an oracle that knows what really ran."""
+
+from __future__ import annotations
+
+import hypothesis
+from hypothesis import strategies
+
+from sesamevale import outcomes
+from sesamevale.policy import forwarding
+
+Reason = outcomes.Reason
+
+# Each result with whether an upstream can have run the request.
+RESULTS = {
+    "good": (forwarding.Answered(200, (), b""), True),
+    "failure": (forwarding.Answered(500, (), b""), True),
+    "rejected": (forwarding.Rejected(), False),
+    "not sent": (forwarding.NotSent(), False),
+    "lost": (forwarding.Lost(Reason.CUT), True),
+    "timed out": (forwarding.TimedOut(), True),
+}
+
+
+@hypothesis.given(
+    repeatable=strategies.booleans(),
+    upstreams_max=strategies.integers(1, 3),
+    names=strategies.lists(
+        strategies.sampled_from(sorted(RESULTS)), min_size=10, max_size=10
+    ),
+    budget=strategies.integers(0, 4),
+)
+def test_promises_hold_for_every_course(
+    repeatable, upstreams_max, names, budget
+):
+    limits = forwarding.Attempt(repeatable, upstreams_max)
+    progress = forwarding.Progress(limits)
+    runs = sent = 0
+    decision = None
+    for name in names:
+        result, ran = RESULTS[name]
+        runs += ran
+        sent += name != "not sent"
+        decision = progress.after(result)
+        if not isinstance(decision, forwarding.Retry):
+            break
+        if decision.pays:
+            if not budget:
+                decision = progress.give_up()
+                break
+            budget -= 1
+    assert not isinstance(decision, forwarding.Retry)
+    assert sent <= upstreams_max
+    if not repeatable:
+        assert runs <= 1
+    if isinstance(decision, forwarding.Refuse):
+        assert runs == 0
+    if isinstance(decision, forwarding.Fail):
+        assert runs > 0
+    if isinstance(decision, forwarding.Deliver):
+        assert decision.answer in (RESULTS["good"][0], RESULTS["failure"][0])
+
+
+def test_the_failure_of_an_upstream_is_told_when_no_other_one_is_better():
+    progress = forwarding.Progress(forwarding.Attempt(True, 2))
+    failure = forwarding.Answered(500, (), b"broken")
+    assert progress.after(failure) == forwarding.Retry(pays=True)
+    lost = forwarding.Lost(Reason.CUT)
+    assert progress.after(lost) == forwarding.Deliver(failure)
+
+
+def test_connections_that_fail_are_free_until_something_was_sent():
+    progress = forwarding.Progress(forwarding.Attempt(True, 2))
+    unsent = forwarding.NotSent()
+    assert progress.after(unsent) == forwarding.Retry(pays=False)
+    progress.after(forwarding.Rejected())
+    assert progress.after(unsent) == forwarding.Retry(pays=True)
--- /dev/null
+++ b/tests/policy/test_load_sampling.py
@@ -0,0 +1,165 @@
+"""Choice of an upstream by sampled load."""
+
+from __future__ import annotations
+
+import random
+
+from sesamevale.policy import load_sampling
+from tests.builders import gateway
+
+
+def fleet(*entries):
+    made = load_sampling.Fleet("here", random.Random(3))
+    made.set_entries(entries, 0.0)
+    return made
+
+
+def search(now=0.0, **changes):
+    values = {
+        "route": "read",
+        "arrived": now,
+        "objective_s": 0.6,
+        "excluded": frozenset(),
+        "started": now,
+    }
+    return load_sampling.Search(**(values | changes))
+
+
+def sample(made, name, now, **figures):
+    load = gateway.load(**figures)
+    made.sampled(made.candidates[name], load, now)
+
+
+def test_upstreams_nearby_are_sampled_first():
+    near = [gateway.upstream(f"n-{number}") for number in range(5)]
+    far = [
+        gateway.upstream(f"f-{number}", data_center="there")
+        for number in range(5)
+    ]
+    step = fleet(*near, *far).next_step(search(), 0.0)
+    assert isinstance(step, load_sampling.Sample)
+    assert {each.entry.data_center for each in step.candidates} == {"here"}
+    assert len(step.candidates) == load_sampling.SAMPLES_NEAR
+
+
+def test_a_calm_upstream_is_taken_at_once():
+    made = fleet(gateway.upstream("a"), gateway.upstream("b"))
+    sample(made, "b", 0.0)
+    step = made.next_step(search(), 0.001)
+    assert isinstance(step, load_sampling.Send)
+    assert step.best.candidate.entry.upstream_id == "b"
+
+
+def test_an_unsampled_upstream_is_not_taken_for_calm():
+    made = fleet(gateway.upstream("a"), gateway.upstream("b"))
+    sample(made, "a", 0.0, slowdown=1.2)
+    best = made.best(frozenset(), 0.001)
+    assert best.candidate.entry.upstream_id == "a"
+
+
+def test_an_old_figure_does_not_count():
+    made = fleet(gateway.upstream("a"))
+    sample(made, "a", 0.0)
+    later = load_sampling.FRESH_S * 1.01
+    assert isinstance(
+        made.next_step(search(later), later), load_sampling.Sample
+    )
+
+
+def test_a_noisy_data_centre_is_waited_for_before_others_are_sampled():
+    made = fleet(
+        gateway.upstream("a"), gateway.upstream("b", data_center="there")
+    )
+    looking = search()
+    made.next_step(looking, 0.0)
+    sample(made, "a", 0.005, slowdown=5.0)
+    assert isinstance(made.next_step(looking, 0.006), load_sampling.LookAgain)
+    late = load_sampling.PATIENCE_SHARE * 0.6 + 0.01
+    looking.looked_near = True
+    sample(made, "a", late, slowdown=5.0)
+    step = made.next_step(looking, late)
+    assert isinstance(step, load_sampling.Sample)
+    assert step.candidates[0].entry.upstream_id == "b"
+
+
+def test_a_slow_upstream_that_is_in_time_is_good_enough():
+    made = fleet(gateway.upstream("a"))
+    made.answered("read", 0.1, 1.0)
+    looking = search()
+    made.next_step(looking, 0.0)
+    sample(made, "a", 0.005, slowdown=3.0)
+    assert isinstance(made.next_step(looking, 0.006), load_sampling.Send)
+
+
+def test_a_request_that_can_be_in_time_waits_for_a_slot():
+    made = fleet(gateway.upstream("a"))
+    looking = search()
+    made.next_step(looking, 0.0)
+    sample(made, "a", 0.005, running=4)
+    assert isinstance(made.next_step(looking, 0.006), load_sampling.LookAgain)
+
+
+def test_a_request_without_a_slot_is_given_up_in_the_end():
+    made = fleet(gateway.upstream("a"))
+    looking = search()
+    looking.looked_near = looking.looked_far = True
+    sample(made, "a", 0.55, running=4)
+    assert isinstance(made.next_step(looking, 0.551), load_sampling.NoRoom)
+
+
+def test_a_late_request_yields_to_those_that_can_be_in_time():
+    made = fleet(gateway.upstream("a"))
+    looking = search(0.0, arrived=-1.0, must_yield=True)
+    looking.looked_near = looking.looked_far = True
+    sample(made, "a", 0.0, slowdown=5.0)
+    assert isinstance(made.next_step(looking, 0.001), load_sampling.LookAgain)
+    looking.must_yield = False
+    looking.looked_near = looking.looked_far = True
+    assert isinstance(made.next_step(looking, 0.002), load_sampling.Send)
+
+
+def test_a_caller_that_asks_again_has_waited_already():
+    made = fleet()
+    assert made.first_arrival("read", 10.0, 4.0) == 10.0
+    assert made.first_arrival("read", 11.0, 3.0) == 10.0
+    assert made.first_arrival("read", 11.0, float("inf")) == 11.0
+
+
+def test_requests_sent_since_a_sample_fill_its_slots():
+    made = fleet(gateway.upstream("a"))
+    sample(made, "a", 0.0, running=2)
+    candidate = made.candidates["a"]
+    assert candidate.has_room(0.001)
+    candidate.started()
+    candidate.started()
+    assert not candidate.has_room(0.001)
+
+
+def test_an_unreachable_upstream_is_passed_over_while_others_can_be_used():
+    made = fleet(gateway.upstream("a"), gateway.upstream("b"))
+    made.candidates["a"].unreachable(0.0)
+    assert made.best(frozenset(), 0.1).candidate.entry.upstream_id == "b"
+    assert made.best(frozenset("b"), 0.1).candidate.entry.upstream_id == "a"
+
+
+def test_an_upstream_that_fails_is_expected_to_take_longer():
+    made = fleet(gateway.upstream("a"), gateway.upstream("b"))
+    sample(made, "a", 0.0)
+    sample(made, "b", 0.0, slowdown=1.3)
+    for _ in range(3):
+        made.candidates["a"].failed(0.0)
+    assert made.best(frozenset(), 0.001).candidate.entry.upstream_id == "b"
+
+
+def test_a_new_start_at_an_address_is_another_candidate():
+    made = fleet(gateway.upstream("a"))
+    before = made.candidates["a"]
+    left = made.set_entries([gateway.upstream("a", started_ms=2000)], 1.0)
+    assert left == ["a"]
+    assert made.candidates["a"] is not before
+
+
+def test_nobody_is_left_when_all_were_tried():
+    made = fleet(gateway.upstream("a"))
+    step = made.next_step(search(excluded=frozenset("a")), 0.0)
+    assert isinstance(step, load_sampling.Nobody)
--- /dev/null
+++ b/tests/policy/test_retry_budget_machine.py
@@ -0,0 +1,86 @@
+"""The shared retry budget: several entries against the sliding window."""
+
+from __future__ import annotations
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+
+from sesamevale.policy import retry_budget
+
+TERMS = retry_budget.BudgetTerms(ratio=0.2, extra=20.0, window_s=10.0)
+
+
+def test_nothing_is_allowed_without_budget():
+    budget = retry_budget.RetryBudget(retry_budget.BudgetTerms(0.0, 0.0, 10.0))
+    budget.note_request(0.0)
+    assert not budget.take(0.0)
+
+
+def test_fewer_entries_count_a_window_later():
+    budget = retry_budget.RetryBudget(TERMS)
+    budget.set_entries(4, 0.0)
+    budget.set_entries(2, 5.0)
+    assert budget.entries == 4
+    budget.set_entries(2, 10.0)
+    assert budget.entries == 2
+
+
+def test_more_entries_count_at_once():
+    budget = retry_budget.RetryBudget(TERMS)
+    budget.set_entries(2, 0.0)
+    budget.set_entries(5, 0.1)
+    assert budget.entries == 5
+
+
+class BudgetMachine(stateful.RuleBasedStateMachine):
+    """All windows of all entries together stay inside the terms."""
+
+    def __init__(self):
+        super().__init__()
+        self.now = 0.0
+        self.budgets = {}
+        self.requests: list[float] = []
+        self.repeats: list[float] = []
+        for name in "abc":
+            self._start(name)
+
+    def _start(self, name):
+        self.budgets[name] = retry_budget.RetryBudget(TERMS)
+        for budget in self.budgets.values():
+            budget.set_entries(3, self.now)
+
+    @stateful.rule(seconds=strategies.floats(0.0, 4.0))
+    def wait(self, seconds):
+        self.now += seconds
+
+    @stateful.rule(
+        name=strategies.sampled_from("abc"), count=strategies.integers(1, 20)
+    )
+    def request(self, name, count):
+        for _ in range(count):
+            self.budgets[name].note_request(self.now)
+            self.requests.append(self.now)
+
+    @stateful.rule(
+        name=strategies.sampled_from("abc"), count=strategies.integers(1, 20)
+    )
+    def repeat(self, name, count):
+        for _ in range(count):
+            if self.budgets[name].take(self.now):
+                self.repeats.append(self.now)
+
+    @stateful.invariant()
+    def every_window_is_inside(self):
+        for end in set(self.repeats):
+            begin = end - TERMS.window_s
+            repeats = sum(begin < each <= end for each in self.repeats)
+            begun = begin - TERMS.window_s
+            requests = sum(begun < each <= end for each in self.requests)
+            assert repeats <= TERMS.ratio * requests + TERMS.extra
+
+
+BudgetMachine.TestCase.settings = hypothesis.settings(
+    max_examples=100, stateful_step_count=40, deadline=None
+)
+TestBudget = BudgetMachine.TestCase
--- /dev/null
+++ b/tests/policy/test_roster.py
@@ -0,0 +1,170 @@
+"""Upstreams that may be used, against a simple oracle."""
+
+from __future__ import annotations
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+
+from sesamevale.policy import roster
+from tests.builders import gateway
+
+
+def names(known, service="sheet"):
+    return sorted(each.upstream_id for each in known.usable(service))
+
+
+def test_a_draining_upstream_is_out_at_once():
+    known = roster.Roster()
+    known.observe([gateway.upstream()], 0.0)
+    known.observe([gateway.upstream(draining=True, sequence=2)], 1.0)
+    assert names(known) == []
+
+
+def test_a_late_heartbeat_does_not_bring_a_leaving_upstream_back():
+    known = roster.Roster()
+    known.observe([gateway.upstream(draining=True, sequence=5)], 0.0)
+    known.observe([gateway.upstream(sequence=4)], 1.0)
+    known.observe([gateway.upstream(sequence=6)], 2.0)
+    assert names(known) == []
+
+
+def test_another_start_under_the_same_identifier_is_used():
+    known = roster.Roster()
+    known.observe([gateway.upstream(draining=True, sequence=9)], 0.0)
+    known.observe([gateway.upstream(started_ms=2000, sequence=1)], 1.0)
+    assert names(known) == ["u-1"]
+
+
+def test_a_missing_upstream_is_out_at_once():
+    known = roster.Roster()
+    known.observe([gateway.upstream()], 0.0)
+    known.observe([], 1.0)
+    assert names(known) == []
+
+
+def test_a_late_heartbeat_does_not_bring_a_gone_upstream_back():
+    known = roster.Roster()
+    known.observe([gateway.upstream(sequence=5)], 0.0)
+    known.observe([], 1.0)
+    known.observe([gateway.upstream(sequence=5)], 2.0)
+    assert names(known) == []
+
+
+def test_an_upstream_that_lapsed_is_used_again_when_it_is_back():
+    known = roster.Roster()
+    known.observe([gateway.upstream(sequence=5)], 0.0)
+    known.observe([], 1.0)
+    known.observe([gateway.upstream(sequence=6)], 2.0)
+    assert names(known) == ["u-1"]
+
+
+def test_lapsed_entries_are_kept_right_after_an_outage():
+    known = roster.Roster()
+    known.observe([gateway.upstream()], 0.0)
+    known.observe([], 10.0)
+    assert names(known) == ["u-1"]
+    known.observe([], 11.0)
+    assert names(known) == ["u-1"]
+    known.observe([], 12.3)
+    assert names(known) == []
+
+
+def test_a_drain_that_was_seen_holds_through_an_outage():
+    known = roster.Roster()
+    known.observe([gateway.upstream(draining=True)], 0.0)
+    known.observe([], 10.0)
+    assert names(known) == []
+
+
+def test_a_misplaced_upstream_is_out_until_it_starts_again():
+    known = roster.Roster()
+    known.observe([gateway.upstream()], 0.0)
+    assert [each.what for each in known.fence("u-1")] == ["misplaced"]
+    known.observe([gateway.upstream(sequence=2)], 1.0)
+    assert names(known) == []
+    known.observe([gateway.upstream(started_ms=3000)], 2.0)
+    assert names(known) == ["u-1"]
+
+
+class RosterMachine(stateful.RuleBasedStateMachine):
+    """Upstreams start, drain, leave and lapse; reads may be far apart."""
+
+    def __init__(self):
+        super().__init__()
+        self.known = roster.Roster()
+        self.now = 0.0
+        self.truth: dict[str, dict] = {}
+        self.fenced: set[tuple[str, int]] = set()
+        self.starts = 1000
+
+    @stateful.rule(name=strategies.sampled_from("abc"))
+    def start(self, name):
+        self.starts += 1
+        self.truth[name] = {
+            "started_ms": self.starts,
+            "sequence": 1,
+            "draining": False,
+        }
+
+    @stateful.rule(name=strategies.sampled_from("abc"))
+    def beat(self, name):
+        if name in self.truth:
+            self.truth[name]["sequence"] += 1
+
+    @stateful.rule(name=strategies.sampled_from("abc"))
+    def drain(self, name):
+        if name in self.truth:
+            self.truth[name]["draining"] = True
+            self.truth[name]["sequence"] += 1
+
+    @stateful.rule(name=strategies.sampled_from("abc"))
+    def leave(self, name):
+        self.truth.pop(name, None)
+
+    @stateful.rule(gap=strategies.sampled_from([0.3, 0.9, 1.5, 4.0, 70.0]))
+    def read(self, gap):
+        self.now += gap
+        entries = [
+            gateway.upstream(name, **values)
+            for name, values in self.truth.items()
+        ]
+        self.known.observe(entries, self.now)
+        self.fenced |= {
+            (name, values["started_ms"])
+            for name, values in self.truth.items()
+            if values["draining"]
+        }
+        usable = {
+            (each.upstream_id, each.started_ms)
+            for each in self.known.usable("sheet")
+        }
+        live = {
+            (name, values["started_ms"])
+            for name, values in self.truth.items()
+            if not values["draining"]
+        }
+        assert not usable & self.fenced
+        assert live <= usable
+        if gap <= roster.OUTAGE_GAP_S and self.calm >= 3:
+            assert usable == live
+
+    @property
+    def calm(self):
+        return self._calm
+
+    _calm = 0
+
+    @stateful.rule()
+    def settle(self):
+        """Reads at the usual interval until the grace has passed."""
+        for count in range(5):
+            self._calm = count
+            self.read(0.9)
+        self._calm = 0
+
+
+RosterMachine.TestCase.settings = hypothesis.settings(
+    max_examples=150, stateful_step_count=40, deadline=None
+)
+TestRoster = RosterMachine.TestCase
--- /dev/null
+++ b/tests/policy/test_routes.py
@@ -0,0 +1,99 @@
+"""Routes, splits, versions and registered entries."""
+
+from __future__ import annotations
+
+import collections
+
+import hypothesis
+from hypothesis import strategies
+
+from sesamevale import routes
+from sesamevale.policy import adoption
+from sesamevale.policy import registered_peers
+from sesamevale.policy import route_matching
+from sesamevale.policy import splits
+from tests.builders import gateway
+
+
+def find(target, host="a.example"):
+    configuration = gateway.configuration(
+        of_routes=[
+            gateway.route(name="short", prefix="/a/"),
+            gateway.route(name="long", prefix="/a/b/"),
+        ]
+    )
+    found = route_matching.find_route(configuration, host, target)
+    return None if found is None else found.name
+
+
+def test_the_longest_prefix_wins():
+    assert find("/a/b/c?q=/a/") == "long"
+    assert find("/a/x") == "short"
+    assert find("/a") is None
+    assert find("/a/b") == "short"
+
+
+def test_hosts_match_without_port_and_case():
+    assert find("/a/x", "A.Example:8080") == "short"
+    assert find("/a/x", "b.example") is None
+
+
+@hypothesis.given(
+    weights=strategies.lists(strategies.integers(1, 20), min_size=2, max_size=4)
+)
+def test_shares_are_exact_over_a_whole_turn(weights):
+    parts = tuple(
+        routes.SplitPart(f"s-{number}", weight)
+        for number, weight in enumerate(weights)
+    )
+    route = gateway.route(parts=parts)
+    splitter = splits.Splitter()
+    counts = collections.Counter(
+        splitter.choose(route) for _ in range(sum(weights))
+    )
+    assert [counts[part.service] for part in parts] == weights
+
+
+def test_a_part_that_is_gone_keeps_no_credit():
+    splitter = splits.Splitter()
+    both = (routes.SplitPart("a", 1), routes.SplitPart("b", 9))
+    splitter.choose(gateway.route(parts=both))
+    only = (routes.SplitPart("a", 1), routes.SplitPart("c", 1))
+    chosen = [splitter.choose(gateway.route(parts=only)) for _ in range(4)]
+    assert "b" not in chosen
+
+
+@hypothesis.given(
+    versions=strategies.lists(strategies.integers(1, 9), max_size=20)
+)
+def test_the_version_in_force_never_goes_down(versions):
+    adopted = adoption.Adoption()
+    highest = 0
+    for now, version in enumerate(versions):
+        taken = adopted.offer(gateway.configuration(version), float(now))
+        assert taken == (version > highest)
+        highest = max(highest, version)
+        assert adopted.version == highest
+
+
+def peer(name, data_center="here"):
+    return registered_peers.Peer(name, data_center, "127.0.0.1", 80, 90)
+
+
+def test_entries_elsewhere_are_known_by_registrations():
+    known = registered_peers.Peers("e-1", "here")
+    known.observe([peer("e-1"), peer("e-2"), peer("e-3", "there")], 0.0)
+    assert [each.entry_id for each in known.near] == ["e-2"]
+    assert [each.entry_id for each in known.far] == ["e-3"]
+    known.observe([peer("e-1")], 1.0)
+    assert known.near == known.far == ()
+
+
+def test_registrations_that_lapsed_in_an_outage_are_kept_for_a_while():
+    known = registered_peers.Peers("e-1", "here")
+    known.observe([peer("e-3", "there")], 0.0)
+    known.observe([], 9.0)
+    assert [each.entry_id for each in known.far] == ["e-3"]
+    known.observe([], 10.0)
+    known.observe([], 11.3)
+    assert known.far == ()
--- /dev/null
+++ b/tests/standins/scripted_upstream.py
@@ -0,0 +1,169 @@
+"""Stand-in of an upstream of the users' platform that follows a script.
+
+Each request for work is answered by the next step of the script, or by a
+plain answer when the script is over. Health requests report a load.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import dataclasses
+import socket
+import struct
+
+import h11
+
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+
+@dataclasses.dataclass(frozen=True)
+class Step:
+    """What one request gets.
+
+    ``raw`` is written as it is; the others describe a regular answer.
+    ``cut`` closes the connection, ``reset`` resets it after what was sent.
+    """
+
+    status: int = 200
+    body: bytes = b"done"
+    headers: tuple[tuple[str, str], ...] = ()
+    after_s: float = 0.0
+    raw: bytes | None = None
+    signed: bool = True
+    reset: bool = False
+    cut: bool = False
+    extra: bytes = b""
+
+
+class ScriptedUpstream:
+    def __init__(self, upstream_id="u-1", steps=(), load="0,0,4,100"):
+        self.upstream_id = upstream_id
+        self.steps = list(steps)
+        self.load = load
+        self.silent_health = False
+        self.seen: list[h11.Request] = []
+        self.bodies: list[bytes] = []
+        self.dropped = 0
+        self.connections = 0
+        self.samples = 0
+        self._server = None
+        self._tasks: set[asyncio.Task] = set()
+
+    @property
+    def port(self) -> int:
+        return self._server.sockets[0].getsockname()[1]
+
+    async def __aenter__(self):
+        self._server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
+        return self
+
+    async def __aexit__(self, *exc_info):
+        self._server.close()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def _accept(self, reader, writer):
+        task = asyncio.current_task()
+        self._tasks.add(task)
+        self.connections += 1
+        try:
+            await self._serve(reader, writer)
+        except (ConnectionError, asyncio.CancelledError):
+            pass
+        finally:
+            self._tasks.discard(task)
+            writer.close()
+
+    async def _serve(self, reader, writer):
+        http = h11.Connection(h11.SERVER)
+        while True:
+            request, body = await self._read(http, reader)
+            if request is None:
+                return
+            if request.target == b"/health":
+                self.samples += 1
+                if self.silent_health:
+                    await asyncio.sleep(60)
+                self._answer(http, writer, Step(body=b"", signed=False), None)
+            else:
+                self.seen.append(request)
+                self.bodies.append(body)
+                step = self.steps.pop(0) if self.steps else Step()
+                if not await self._follow(http, reader, writer, step, request):
+                    return
+            if http.our_state is not h11.DONE:
+                return
+            http.start_next_cycle()
+
+    async def _follow(self, http, reader, writer, step, request):
+        if step.after_s:
+            waiting = asyncio.ensure_future(asyncio.sleep(step.after_s))
+            gone = asyncio.ensure_future(reader.read(1))
+            await asyncio.wait(
+                (waiting, gone), return_when=asyncio.FIRST_COMPLETED
+            )
+            if gone.done():
+                self.dropped += 1
+                waiting.cancel()
+                return False
+            gone.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await gone
+        if step.raw is not None:
+            writer.write(step.raw)
+        else:
+            self._answer(http, writer, step, request)
+        if step.extra:
+            writer.write(step.extra)
+        if step.reset:
+            await writer.drain()
+            await asyncio.sleep(0.05)
+            raw = writer.get_extra_info("socket")
+            raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            writer.transport.abort()
+            return False
+        return not step.cut
+
+    def _answer(self, http, writer, step, request):
+        headers = [*step.headers, ("content-length", str(len(step.body)))]
+        headers.append(("x-instance-id", self.upstream_id))
+        if self.load:
+            headers.append(("x-server-load", self.load))
+        if request is not None:
+            sent = dict(request.headers)
+            headers.append(("x-attempt-id", sent[b"x-attempt-id"]))
+        if step.signed:
+            headers.append(("x-response-signature", "signed"))
+        response = h11.Response(status_code=step.status, headers=headers)
+        writer.write(http.send(response))
+        writer.write(http.send(h11.Data(data=step.body)))
+        writer.write(http.send(h11.EndOfMessage()))
+
+    async def _read(self, http, reader):
+        request, body = None, b""
+        while True:
+            event = http.next_event()
+            if event is h11.NEED_DATA:
+                data = await reader.read(65536)
+                http.receive_data(data)
+            elif isinstance(event, h11.Request):
+                request = event
+            elif isinstance(event, h11.Data):
+                body += bytes(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                return request, body
+            else:
+                return None, b""
+
+
+def rejection(status=503, **changes) -> Step:
+    """An answer that says that the request did not run."""
+    return Step(
+        status=status,
+        headers=(("x-not-executed", "1"),),
+        body=b"",
+        signed=False,
+        **changes,
+    )
