--- a/src/sesamevale/platform/daemon.py
+++ b/src/sesamevale/platform/daemon.py
@@ -100,7 +100,10 @@
         await stack.enter_async_context(server)
     client = store.StoreClient(deployed.store.address, book)
     await stack.enter_async_context(client)
-    await stack.enter_async_context(follower.Follower(client, gateway, events))
+    reader = follower.Follower(
+        client, gateway, events, deployed.read_interval_s
+    )
+    await stack.enter_async_context(reader)
     address = models.Registration(
         entry_id=deployed.entry_id,
         data_center=deployed.data_center,
--- a/src/sesamevale/platform/follower.py
+++ b/src/sesamevale/platform/follower.py
@@ -18,9 +18,6 @@
 
 __all__ = ["Follower"]
 
-# A change must be in force, and a leaving upstream out of use, two seconds
-# after the store has it; two reads fit into that.
-READ_INTERVAL_S = 0.9
 # Interval before the first configuration and after a read that failed.
 RETRY_INTERVAL_S = 0.25
 RETRY_INTERVAL_MAX_S = 0.6
@@ -37,6 +34,7 @@
         client: Client of the store.
         gateway: Told about what was read.
         events: Where lost and regained contact is logged.
+        interval_s: Longest time between two reads, in seconds.
     """
 
     def __init__(
@@ -44,7 +42,9 @@
         client: store.StoreClient,
         gateway: gateways.Gateway,
         events: event_log.EventLog,
+        interval_s: float,
     ) -> None:
+        self._interval_s = interval_s
         self._client = client
         self._gateway = gateway
         self._events = events
@@ -78,13 +78,13 @@
             await asyncio.sleep(max(0.0, self._interval() - spent))
 
     def _interval(self) -> float:
-        interval = READ_INTERVAL_S
+        interval = self._interval_s
         if self._failures:
             interval = RETRY_INTERVAL_S * self._failures
             interval = min(interval, RETRY_INTERVAL_MAX_S)
         elif not self._configured:
             interval = RETRY_INTERVAL_S
-        return interval * random.uniform(1.0 - JITTER, 1.0 + JITTER)
+        return interval * random.uniform(1.0 - JITTER, 1.0)
 
     def _tell(self, snapshot: decoding.Snapshot, read_at: float) -> None:
         gateway = self._gateway
--- a/src/sesamevale/platform/settings.py
+++ b/src/sesamevale/platform/settings.py
@@ -24,6 +24,11 @@
 # Callers ask again after this time; short, so that they leave an entry that
 # has failed soon, and no longer than the platform lets an answer count.
 DIRECTORY_LIFETIME_S = 1.0
+# Bound on drains and changes where the platform names none.
+DEFAULT_BOUND_MS = 2000.0
+# Part of the bound within which a change must be seen; the rest is for the
+# call itself and for requests that are under way.
+READ_SHARE = 0.65
 
 
 class SettingsError(Exception):
@@ -44,6 +49,8 @@
 class _Bounds(pydantic.BaseModel):
     """Figures of the promises; a bound that is not in force is null."""
 
+    drain_ms: float = DEFAULT_BOUND_MS
+    config_apply_ms: float = DEFAULT_BOUND_MS
     grace_s: float = 6.0
     retry_ratio: float = 0.1
     retry_window_s: float = 10.0
@@ -77,6 +84,12 @@
     bounds: _Bounds
     store: _Store
 
+    @property
+    def read_interval_s(self) -> float:
+        """Longest time between two reads of the store, in seconds."""
+        bound_ms = min(self.bounds.drain_ms, self.bounds.config_apply_ms)
+        return READ_SHARE * bound_ms / 1000
+
     @property
     def directory_lifetime_s(self) -> float:
         """How long callers keep a directory answer, in seconds."""
