--- a/src/sesamevale/forwarding/front.py
+++ b/src/sesamevale/forwarding/front.py
@@ -18,10 +18,6 @@
 
 __all__ = ["Front", "View"]
 
-# Age of the configuration up to which a missing route is taken to be removed
-# rather than not heard of yet; a little more than the interval of reads.
-CONFIRMED_S = 1.5
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class View:
@@ -54,10 +50,14 @@
 
     Args:
         dialect: Header fields.
+        config_bound_s: Time within which a version must be in force, in
+            seconds. A route that was missing at a read within this time is
+            rightly not known.
     """
 
-    def __init__(self, dialect: http1.Dialect) -> None:
+    def __init__(self, dialect: http1.Dialect, config_bound_s: float) -> None:
         self._dialect = dialect
+        self._config_bound_s = config_bound_s
         self._view = View()
         self._tasks: dict[str, service_task.ServiceTask] = {}
         self._splitter = splits.Splitter()
@@ -117,7 +117,7 @@
 
     def is_confirmed(self, now: float) -> bool:
         """Whether the configuration was in the store a moment ago."""
-        return now - self._view.confirmed_at <= CONFIRMED_S
+        return now - self._view.confirmed_at <= self._config_bound_s
 
     def choose_service(self, route: routes.Route) -> str:
         """Returns the service for the next request of a route."""
--- a/src/sesamevale/gateway.py
+++ b/src/sesamevale/gateway.py
@@ -66,6 +66,8 @@
         budget: What all entries together may repeat.
         directory_lifetime_s: How long callers keep a directory answer, in
             seconds.
+        config_bound_s: Time within which a version must be in force, in
+            seconds.
         grace_s: Time from the signal to stop to the end, in seconds.
     """
 
@@ -77,6 +79,7 @@
     metrics_port: int
     budget: retry_budget.BudgetTerms
     directory_lifetime_s: float
+    config_bound_s: float
     grace_s: float
 
 
@@ -179,7 +182,7 @@
         self._book = book
         self._rng = random.Random()
         self._stack = contextlib.AsyncExitStack()
-        self._front = fronts.Front(dialect)
+        self._front = fronts.Front(dialect, settings.config_bound_s)
         self._adoption = adoption.Adoption()
         self._roster = roster.Roster()
         self._peers = peers.Peers(settings.entry_id, settings.data_center)
--- a/src/sesamevale/platform/settings.py
+++ b/src/sesamevale/platform/settings.py
@@ -110,6 +110,7 @@
                 bounds.retry_ratio, bounds.retry_extra, bounds.retry_window_s
             ),
             directory_lifetime_s=self.directory_lifetime_s,
+            config_bound_s=bounds.config_apply_ms / 1000,
             grace_s=bounds.grace_s,
         )
 
--- /dev/null
+++ b/tests/platform/test_decoding.py
@@ -0,0 +1,141 @@
+"""Items of the store, well formed and not."""
+
+from __future__ import annotations
+
+import hypothesis
+import pytest
+from hypothesis import strategies
+
+from sesamevale.platform import decoding
+from sesamevale.platform import fields
+from sesamevale.platform import models
+from sesamevale.policy import load_sampling
+from tests.builders import store_items
+
+
+def decode(*items):
+    made = [models.Item.model_validate(each) for each in items]
+    return decoding.Decoder().decode(made)
+
+
+def test_an_upstream_is_translated():
+    found = decode(
+        store_items.item(
+            "servers/i-1",
+            store_items.heartbeat(state="draining", warmupLeftMs=1500),
+        )
+    )
+    (entry,) = found.upstreams
+    assert entry.upstream_id == "i-1"
+    assert (entry.host, entry.port) == ("10.0.0.9", 8080)
+    assert entry.draining
+    assert entry.warmup_s == 1.5
+    assert entry.started_ms == 1000
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"state": "asleep"},
+        {"address": "nowhere"},
+        {"address": 7},
+        {"slots": "4"},
+        {"slots": 0},
+        {"service": None},
+        {"born": 1.5},
+        {"seqNo": True},
+        {"zone": 3},
+    ],
+    ids=str,
+)
+def test_a_forged_entry_names_no_upstream(changes):
+    good = store_items.item("servers/i-1", store_items.heartbeat())
+    forged = store_items.item("servers/i-2", store_items.heartbeat(**changes))
+    found = decode(forged, good)
+    assert [each.upstream_id for each in found.upstreams] == ["i-1"]
+    assert list(found.rejected) == ["servers/i-2"]
+
+
+@hypothesis.given(content=strategies.binary(max_size=40))
+def test_bytes_that_cannot_be_read_harm_nothing(content):
+    good = store_items.item("servers/i-1", store_items.heartbeat())
+    odd = good | {"key": "servers/i-2", "value": content.decode("latin-1")}
+    found = decode(odd, good)
+    assert [each.upstream_id for each in found.upstreams] == ["i-1"]
+
+
+def test_a_configuration_is_translated():
+    split = [
+        {"service": "a", "weight": 90},
+        {"service": "b", "weight": 10},
+    ]
+    paths = [
+        store_items.route(),
+        store_items.route(
+            name="charge",
+            prefix="/read/deep/",
+            kind="unsafe",
+            service=None,
+            trafficSplit=split,
+        ),
+    ]
+    found = decode(
+        store_items.item("op/config", store_items.config("r12", paths))
+    )
+    configuration = found.configuration
+    assert configuration.version == 12
+    deep, read = configuration.routes["a.example"]
+    assert (deep.name, read.name) == ("charge", "read")
+    assert not deep.repeatable
+    assert read.repeatable
+    assert [part.weight for part in deep.parts] == [90, 10]
+    assert read.timeout_s == 2.0
+    assert configuration.limits.header_timeout_s == 3.0
+
+
+def test_an_unknown_kind_runs_at_most_once():
+    paths = [store_items.route(kind="strange")]
+    found = decode(
+        store_items.item("op/config", store_items.config("r1", paths))
+    )
+    (read,) = found.configuration.routes["a.example"]
+    assert not read.repeatable
+
+
+def test_a_configuration_that_makes_no_sense_is_reported_with_its_place():
+    broken = store_items.config()
+    del broken["virtualHosts"][0]["paths"][0]["timeoutMs"]
+    found = decode(store_items.item("op/config", broken))
+    assert found.configuration is None
+    assert "timeoutMs" in found.rejected["op/config"]
+
+
+def test_versions_compare_as_numbers():
+    versions = [
+        decode(
+            store_items.item("op/config", store_items.config(text))
+        ).configuration.version
+        for text in ("r9", "r10")
+    ]
+    assert versions == [9, 10]
+
+
+def test_keys_of_others_are_passed_over():
+    found = decode(store_items.item("else/where", {"a": 1}))
+    assert not found.rejected
+    assert not found.upstreams
+
+
+@pytest.mark.parametrize(
+    ("value", "load"),
+    [
+        (b"3,0,8", load_sampling.Load(3, 0, 8)),
+        (b"3, 1, 8, 250", load_sampling.Load(3, 1, 8, 2.5)),
+        (b"3,0", None),
+        (b"-1,0,8", None),
+        (b"busy", None),
+        (b"", None),
+    ],
+)
+def test_load_figures(value, load):
+    assert fields.read_load(value) == load
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,242 @@
+"""The client of the store and the tasks that use it, under its faults."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import dataclasses
+
+import pytest
+
+from sesamevale import gateway as gateways
+from sesamevale import metrics
+from sesamevale import settings as checked_settings
+from sesamevale.platform import follower
+from sesamevale.platform import models
+from sesamevale.platform import registration
+from sesamevale.platform import store
+from tests.builders import store_items
+from tests.standins import platform_store
+
+
+class Recorder:
+    """Takes the place of the gateway and of the event log."""
+
+    def __init__(self):
+        self.messages = []
+        self.is_ready = True
+
+    def send(self, message):
+        self.messages.append(message)
+
+    def state(self, name, **fields):
+        self.messages.append((name, fields))
+
+    def of(self, kind):
+        return [each for each in self.messages if isinstance(each, kind)]
+
+
+@dataclasses.dataclass
+class Case:
+    """A store, its client, and what was reported."""
+
+    store: platform_store.PlatformStore
+    client: store.StoreClient
+    seen: Recorder
+
+
+@contextlib.asynccontextmanager
+async def case(**options):
+    async with platform_store.PlatformStore(**options) as served:
+        endpoint = checked_settings.Endpoint(host="127.0.0.1", port=served.port)
+        async with store.StoreClient(endpoint, metrics.Book()) as client:
+            yield Case(served, client, Recorder())
+
+
+def run(scenario):
+    asyncio.run(asyncio.wait_for(scenario(), 20))
+
+
+async def until(condition):
+    while not condition():
+        await asyncio.sleep(0.01)
+
+
+def put_upstream(served, name="i-1", **changes):
+    served.put(
+        store_items.item(f"servers/{name}", store_items.heartbeat(**changes))
+    )
+
+
+def test_all_pages_are_read():
+    async def scenario():
+        async with case(page=2) as one:
+            for number in range(5):
+                put_upstream(one.store, f"i-{number}")
+            items = await one.client.read_all()
+            assert [each.key for each in items] == [
+                f"servers/i-{number}" for number in range(5)
+            ]
+
+    run(scenario)
+
+
+@pytest.mark.parametrize("fault", ["refused", "busy", "reset", "garbled"])
+def test_a_failed_read_is_a_value_and_the_next_one_works(fault):
+    async def scenario():
+        async with case() as one:
+            put_upstream(one.store)
+            one.store.faults.append(fault)
+            assert isinstance(await one.client.read_all(), store.Failed)
+            assert len(await one.client.read_all()) == 1
+
+    run(scenario)
+
+
+def test_a_silent_store_is_given_up_in_time():
+    async def scenario():
+        async with case() as one:
+            one.store.faults.append("silent")
+            async with asyncio.timeout(2 * store.CALL_TIMEOUT_S):
+                failed = await one.client.read_all()
+            assert failed.unsure
+            assert await one.client.read_all() == []
+
+    run(scenario)
+
+
+def test_a_slow_store_is_waited_for():
+    async def scenario():
+        async with case() as one:
+            one.store.faults.append("slow")
+            assert await one.client.read_all() == []
+
+    run(scenario)
+
+
+def follow(one, interval_s=0.1):
+    return follower.Follower(one.client, one.seen, one.seen, interval_s)
+
+
+def last_entry(one):
+    return one.seen.of(gateways.Discovered)[-1].entries[0]
+
+
+def test_a_drain_is_told_with_the_next_read():
+    async def scenario():
+        async with case() as one:
+            put_upstream(one.store)
+            async with follow(one):
+                await until(lambda: one.seen.of(gateways.Discovered))
+                put_upstream(one.store, state="draining", seqNo=5)
+                await until(
+                    lambda: (
+                        one.seen.of(gateways.Discovered)[-1].entries[0].draining
+                    )
+                )
+
+    run(scenario)
+
+
+def test_a_version_is_told_and_an_odd_one_is_reported():
+    async def scenario():
+        async with case() as one:
+            one.store.put(
+                store_items.item("op/config", store_items.config("r3"))
+            )
+            async with follow(one):
+                await until(lambda: one.seen.of(gateways.Configured))
+                one.store.put(store_items.item("op/config", {"version": "x"}))
+                await until(
+                    lambda: any(
+                        each[0] == "store_values_rejected"
+                        for each in one.seen.of(tuple)
+                    )
+                )
+            found = one.seen.of(gateways.Configured)[-1]
+            assert found.configuration.version == 3
+
+    run(scenario)
+
+
+@pytest.mark.parametrize("fault", ["refused", "reset", "silent"])
+def test_an_outage_is_told_once_and_so_is_its_end(fault):
+    async def scenario():
+        async with case() as one, follow(one):
+            await until(lambda: one.seen.of(gateways.Discovered))
+            one.store.down = fault
+            await until(lambda: one.seen.of(gateways.StoreAway))
+            await asyncio.sleep(0.6)
+            reads = len(one.store.calls)
+            one.store.down = ""
+            await until(lambda: len(one.seen.of(gateways.StoreAway)) == 2)
+            away, back = one.seen.of(gateways.StoreAway)
+            assert (away.away, back.away) == (True, False)
+            assert reads < 12
+
+    run(scenario)
+
+
+def address():
+    return models.Registration(
+        entry_id="e-1",
+        data_center="here",
+        host="10.0.0.1",
+        caller_port=80,
+        entry_port=90,
+    )
+
+
+def test_a_registration_that_lapsed_is_written_again(monkeypatch):
+    monkeypatch.setattr(registration, "RENEW_INTERVAL_S", 0.05)
+    monkeypatch.setattr(registration, "RETRY_INTERVAL_S", 0.05)
+
+    async def scenario():
+        async with case() as one:
+            key = "sesamevale/entries/e-1"
+            task = registration.Registration(
+                one.client, address(), one.seen, one.seen
+            )
+            async with task:
+                await until(lambda: key in one.store.items)
+                one.store.lapse(one.store.items[key]["lease"])
+                assert key not in one.store.items
+                await until(lambda: key in one.store.items)
+
+    run(scenario)
+
+
+def test_a_registration_whose_answer_was_lost_is_tried_again(monkeypatch):
+    monkeypatch.setattr(registration, "RETRY_INTERVAL_S", 0.05)
+
+    async def scenario():
+        async with case() as one:
+            one.store.faults.extend(["ok", "lost"])
+            task = registration.Registration(
+                one.client, address(), one.seen, one.seen
+            )
+            async with task:
+                await until(
+                    lambda: any(
+                        each[0] == "registered" for each in one.seen.of(tuple)
+                    )
+                )
+            assert list(one.store.items) == ["sesamevale/entries/e-1"]
+
+    run(scenario)
+
+
+def test_an_entry_that_stops_is_not_registered_any_more(monkeypatch):
+    monkeypatch.setattr(registration, "RENEW_INTERVAL_S", 0.05)
+
+    async def scenario():
+        async with case() as one:
+            task = registration.Registration(
+                one.client, address(), one.seen, one.seen
+            )
+            async with task:
+                await until(lambda: one.store.items)
+                one.seen.is_ready = False
+                await until(lambda: not one.store.items)
+
+    run(scenario)
--- /dev/null
+++ b/tests/standins/platform_store.py
@@ -0,0 +1,166 @@
+"""Stand-in of the users' platform store, in memory, over real sockets.
+
+``faults`` says what happens to the next calls: ``ok``, ``refused`` (503),
+``busy`` (429), ``reset``, ``silent`` (no effect, no answer), ``lost`` (takes
+effect, no answer), ``slow`` (answered after a while) or ``garbled``.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import json
+import urllib.parse
+
+import h11
+
+SLOW_S = 0.2
+
+
+class PlatformStore:
+    def __init__(self, page=500):
+        self.items: dict[str, dict] = {}
+        self.leases: set[int] = set()
+        self.faults: collections.deque[str] = collections.deque()
+        self.down = ""
+        self.calls: list[str] = []
+        self.revision = 10
+        self.page = page
+        self._next_lease = 100
+        self._server = None
+        self._tasks: set[asyncio.Task] = set()
+
+    @property
+    def port(self) -> int:
+        return self._server.sockets[0].getsockname()[1]
+
+    async def __aenter__(self):
+        self._server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
+        return self
+
+    async def __aexit__(self, *exc_info):
+        self._server.close()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def put(self, item: dict) -> None:
+        self.revision += 1
+        self.items[item["key"]] = item | {"revision": self.revision}
+
+    def remove(self, key: str) -> None:
+        self.revision += 1
+        self.items.pop(key, None)
+
+    def lapse(self, lease: int) -> None:
+        self.leases.discard(lease)
+        for key, item in list(self.items.items()):
+            if item["lease"] == lease:
+                self.remove(key)
+
+    async def _accept(self, reader, writer):
+        task = asyncio.current_task()
+        self._tasks.add(task)
+        try:
+            await self._serve(reader, writer)
+        except (ConnectionError, asyncio.CancelledError):
+            pass
+        finally:
+            self._tasks.discard(task)
+            writer.close()
+
+    async def _serve(self, reader, writer):
+        http = h11.Connection(h11.SERVER)
+        while True:
+            request, body = await self._read(http, reader)
+            if request is None or not await self._answer(
+                http, writer, request, body
+            ):
+                return
+            http.start_next_cycle()
+
+    async def _read(self, http, reader):
+        request, body = None, b""
+        while True:
+            event = http.next_event()
+            if event is h11.NEED_DATA:
+                http.receive_data(await reader.read(65536))
+            elif isinstance(event, h11.Request):
+                request = event
+            elif isinstance(event, h11.Data):
+                body += bytes(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                return request, body
+            else:
+                return None, b""
+
+    async def _answer(self, http, writer, request, body):
+        target = request.target.decode()
+        self.calls.append(f"{request.method.decode()} {target}")
+        fault = self.down
+        if not fault and self.faults:
+            fault = self.faults.popleft()
+        if fault == "reset":
+            writer.transport.abort()
+            return False
+        if fault == "silent":
+            await asyncio.sleep(60)
+        if fault == "slow":
+            await asyncio.sleep(SLOW_S)
+        status, content = self._handle(fault, request, target, body)
+        if fault == "lost":
+            await asyncio.sleep(60)
+        data = json.dumps(content).encode()
+        if fault == "garbled":
+            data = data[: len(data) // 2]
+        response = h11.Response(
+            status_code=status, headers=[("content-length", str(len(data)))]
+        )
+        writer.write(http.send(response))
+        writer.write(http.send(h11.Data(data=data)))
+        writer.write(http.send(h11.EndOfMessage()))
+        return True
+
+    def _handle(self, fault, request, target, body):
+        if fault == "refused":
+            return 503, {}
+        if fault == "busy":
+            return 429, {}
+        path, _, query = target.partition("?")
+        asked = dict(urllib.parse.parse_qsl(query, keep_blank_values=True))
+        content = json.loads(body) if body else {}
+        if path == "/api/kv-range":
+            return 200, self._range(asked)
+        if path == "/api/kv-lease":
+            self._next_lease += 1
+            self.leases.add(self._next_lease)
+            granted = {"lease": self._next_lease, "ttlMs": content["ttlMs"]}
+            return 200, granted
+        if path.startswith("/api/kv-keep/"):
+            lease = int(path.rpartition("/")[2])
+            return (200, {"ttlMs": 3000}) if lease in self.leases else (404, {})
+        if path.startswith("/api/kv-lease-end/"):
+            self.lapse(int(path.rpartition("/")[2]))
+            return 200, {}
+        if path == "/api/kv-txn":
+            return self._write(content)
+        return 404, {}
+
+    def _range(self, asked):
+        keys = sorted(
+            key
+            for key in self.items
+            if key.startswith(asked["prefix"]) and key > asked.get("after", "")
+        )
+        return {
+            "items": [self.items[key] for key in keys[: self.page]],
+            "hasMore": len(keys) > self.page,
+            "currentRev": self.revision,
+        }
+
+    def _write(self, content):
+        for each in content["writes"]:
+            if each["lease"] and each["lease"] not in self.leases:
+                return 404, {}
+            self.put({**each, "created": self.revision})
+        return 200, {"revision": self.revision}
