--- a/src/sesamevale/gateway.py
+++ b/src/sesamevale/gateway.py
@@ -313,6 +313,15 @@
         for task in self._front.tasks.values():
             task.send(service_task.SetEntryCount(count))
 
+    def _log_changes(self, changes: list[roster.Change]) -> None:
+        for change in changes:
+            self._events.state(
+                "upstream",
+                upstream=change.upstream_id,
+                service=change.service,
+                change=change.what,
+            )
+
     def _show_members(self) -> None:
         """Takes which entries callers may be sent to."""
         alive = [
@@ -415,18 +424,13 @@
 
 @_receive.register
 def _(message: Discovered, gateway: Gateway) -> None:
-    known = gateway._roster
-    changes = known.observe(message.entries, message.read_at)
-    for change in changes:
-        gateway._events.state(
-            "upstream",
-            upstream=change.upstream_id,
-            service=change.service,
-            change=change.what,
-        )
+    changes = gateway._roster.observe(message.entries, message.read_at)
     gateway._apply_upstreams()
-    if not gateway._front.view.discovered:
-        gateway._show(discovered=True)
+    if gateway._front.view.discovered:
+        gateway._log_changes(changes)
+        return
+    gateway._events.state("upstreams_known", count=len(changes))
+    gateway._show(discovered=True)
 
 
 @_receive.register
@@ -451,13 +455,7 @@
 
 @_receive.register
 def _(message: _Misplaced, gateway: Gateway) -> None:
-    for change in gateway._roster.fence(message.upstream_id):
-        gateway._events.state(
-            "upstream",
-            upstream=change.upstream_id,
-            service=change.service,
-            change=change.what,
-        )
+    gateway._log_changes(gateway._roster.fence(message.upstream_id))
     gateway._apply_upstreams()
 
 
--- a/src/sesamevale/platform/store.py
+++ b/src/sesamevale/platform/store.py
@@ -194,7 +194,7 @@
             return Failed("no answer in time", unsure=True)
         except h11.ProtocolError as error:
             self._close()
-            return Failed(f"connection lost: {error}", unsure=True)
+            return Failed(f"answer not understood: {error}", unsure=True)
         self._timeout_s = CALL_TIMEOUT_S
         return reply
 
@@ -223,7 +223,11 @@
         while True:
             event = self._http.next_event()
             if event is h11.NEED_DATA:
-                self._http.receive_data(await stream.read())
+                data = await stream.read()
+                if not data:
+                    self._close()
+                    return Failed("connection lost", unsure=True)
+                self._http.receive_data(data)
             elif isinstance(event, h11.Response):
                 status = event.status_code
             elif isinstance(event, h11.Data):
@@ -232,7 +236,7 @@
                 break
             else:
                 self._close()
-                return Failed("connection lost", unsure=True)
+                return Failed("connection closed early", unsure=True)
         if self._http.states == {h11.CLIENT: h11.DONE, h11.SERVER: h11.DONE}:
             self._http.start_next_cycle()
         else:
