--- /dev/null
+++ b/bench/sampling.py
@@ -0,0 +1,299 @@
+"""Choice of an upstream on machines with noisy neighbours, in simulated time.
+
+Each upstream is slowed for a share of the time, drawn anew at intervals, and
+slows down when its slots fill up. Several entries choose independently with
+the product's own decisions; the ways differ in how many candidates they
+sample and in what they expect of one that they did not sample.
+
+Run: ``python -m bench.sampling [--load 0.5] [--slots 4]``.
+"""
+
+from __future__ import annotations
+
+import argparse
+import dataclasses
+import heapq
+import itertools
+import math
+import random
+import statistics
+from typing import TYPE_CHECKING
+from unittest import mock
+
+from sesamevale import routes
+from sesamevale.policy import load_sampling
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+DATA_CENTERS = ("a", "b", "c")
+ENTRIES = 6
+UPSTREAMS = 12
+WORK_S = 0.2
+WORK_SPREAD = 0.3
+OBJECTIVE_S = 0.55
+NOISE_SHARE = 0.25
+NOISE_FACTOR = 5.0
+NOISE_INTERVAL_S = 0.15
+FULL_SHARE = 0.8
+FULL_FACTOR = 1.7
+SAMPLE_S = 0.0065
+FAR_S = 0.0028
+REQUESTS = 12_000
+ROUTE = "read"
+
+
+@dataclasses.dataclass(frozen=True)
+class Way:
+    """One way to choose.
+
+    Attributes:
+        name: Name in the table.
+        near: Candidates sampled in the own data centre; 0 for none.
+        prior: Expected slowdown of an upstream that was not sampled; None
+            for the mean of the samples.
+        patience: Part of the objective to wait for a calm upstream.
+    """
+
+    name: str
+    near: int
+    prior: float | None = None
+    patience: float = load_sampling.PATIENCE_SHARE
+
+
+WAYS = (
+    Way("own count", 0),
+    Way("1 sample", 1),
+    Way("2 samples", 2),
+    Way("3 samples", 3),
+    Way("4 samples", 4),
+    Way("3, others calm", 3, prior=1.0),
+    Way("3, no patience", 3, patience=0.0),
+)
+
+
+class Upstream:
+    """An upstream on a shared machine."""
+
+    def __init__(self, entry: routes.UpstreamEntry, rng: random.Random) -> None:
+        self.entry = entry
+        self.running = 0
+        self.waiting: list[Callable[[float], None]] = []
+        self._rng = rng
+        self._slowdown = 1.0
+        self._until = 0.0
+
+    def slowdown(self, now: float) -> float:
+        """Returns how slow the machine is at a moment."""
+        if now >= self._until:
+            noisy = self._rng.random() < NOISE_SHARE
+            self._slowdown = NOISE_FACTOR if noisy else 1.0
+            steps = math.floor(now / NOISE_INTERVAL_S) + 1
+            self._until = steps * NOISE_INTERVAL_S
+        return self._slowdown
+
+    def load(self, now: float) -> load_sampling.Load:
+        """Returns the load report."""
+        return load_sampling.Load(
+            self.running,
+            len(self.waiting),
+            self.entry.slots,
+            self.slowdown(now),
+        )
+
+
+class Simulation:
+    """Requests of one service through several entries."""
+
+    def __init__(self, way: Way, load: float, slots: int, seed: int) -> None:
+        self.way = way
+        self.rng = random.Random(seed)
+        self.now = 0.0
+        self.samples = 0
+        self.far = 0
+        self.refused = 0
+        self.times: list[float] = []
+        self._order = itertools.count()
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self.upstreams = {
+            f"u{number}": Upstream(
+                routes.UpstreamEntry(
+                    f"u{number}",
+                    "s",
+                    "",
+                    0,
+                    DATA_CENTERS[number % len(DATA_CENTERS)],
+                    slots,
+                    False,
+                    0.0,
+                    0,
+                    0,
+                ),
+                self.rng,
+            )
+            for number in range(UPSTREAMS)
+        }
+        self.fleets = []
+        for number in range(ENTRIES):
+            data_center = DATA_CENTERS[number % len(DATA_CENTERS)]
+            fleet = load_sampling.Fleet(data_center, self.rng)
+            entries = [each.entry for each in self.upstreams.values()]
+            fleet.set_entries(entries, -60.0)
+            if way.near == 0:
+                fleet.silent_on_load()
+            self.fleets.append((data_center, fleet))
+        mean_s = WORK_S * (1 + NOISE_SHARE * (NOISE_FACTOR - 1))
+        self.rate = load * UPSTREAMS * slots / mean_s
+
+    def at(self, moment: float, action: Callable[[], None]) -> None:
+        """Schedules an action."""
+        heapq.heappush(self._events, (moment, next(self._order), action))
+
+    def run(self) -> None:
+        """Plays all requests."""
+        moment = 0.0
+        for _ in range(REQUESTS):
+            moment += self.rng.expovariate(self.rate)
+            data_center, fleet = self.rng.choice(self.fleets)
+            search = load_sampling.Search(
+                ROUTE, moment, OBJECTIVE_S, frozenset(), moment
+            )
+            self.at(moment, self._step(data_center, fleet, search))
+        while self._events:
+            self.now, _, action = heapq.heappop(self._events)
+            action()
+
+    def _step(
+        self,
+        data_center: str,
+        fleet: load_sampling.Fleet,
+        search: load_sampling.Search,
+    ) -> Callable[[], None]:
+        def decide() -> None:
+            if self.way.prior is not None:
+                fleet._average_slowdown = self.way.prior
+            step = fleet.next_step(search, self.now)
+            again = self._step(data_center, fleet, search)
+            if isinstance(step, load_sampling.Send):
+                self._send(data_center, fleet, search, step.best)
+            elif isinstance(step, load_sampling.Sample):
+                self._sample(data_center, fleet, step, again)
+            elif isinstance(step, load_sampling.LookAgain):
+                self.at(self.now + step.after_s, again)
+            else:
+                self.refused += 1
+
+        return decide
+
+    def _distance(self, data_center: str, upstream: Upstream) -> float:
+        near = upstream.entry.data_center == data_center
+        return 0.0 if near else FAR_S
+
+    def _sample(
+        self,
+        data_center: str,
+        fleet: load_sampling.Fleet,
+        step: load_sampling.Sample,
+        again: Callable[[], None],
+    ) -> None:
+        latest = self.now
+        for candidate in step.candidates:
+            upstream = self.upstreams[candidate.entry.upstream_id]
+            delay = SAMPLE_S + self._distance(data_center, upstream)
+            self.samples += 1
+            latest = max(latest, self.now + delay)
+
+            def arrive(
+                candidate: load_sampling.Candidate = candidate,
+                upstream: Upstream = upstream,
+            ) -> None:
+                fleet.sampled(candidate, upstream.load(self.now), self.now)
+
+            self.at(self.now + delay, arrive)
+        self.at(latest, again)
+
+    def _send(
+        self,
+        data_center: str,
+        fleet: load_sampling.Fleet,
+        search: load_sampling.Search,
+        best: load_sampling.Ranked,
+    ) -> None:
+        candidate = best.candidate
+        upstream = self.upstreams[candidate.entry.upstream_id]
+        distance = self._distance(data_center, upstream)
+        self.far += distance > 0
+        candidate.started()
+        sent = self.now
+
+        def start(now: float) -> None:
+            upstream.running += 1
+            work = WORK_S * self.rng.uniform(1 - WORK_SPREAD, 1 + WORK_SPREAD)
+            work *= upstream.slowdown(now)
+            if upstream.running > FULL_SHARE * upstream.entry.slots:
+                work *= FULL_FACTOR
+            self.at(now + work, end)
+
+        def arrive() -> None:
+            if upstream.running < upstream.entry.slots:
+                start(self.now)
+            else:
+                upstream.waiting.append(start)
+
+        def end() -> None:
+            upstream.running -= 1
+            if upstream.waiting:
+                upstream.waiting.pop(0)(self.now)
+            candidate.ended()
+            if self.way.near:
+                fleet.sampled(candidate, upstream.load(self.now), self.now)
+            fleet.answered(ROUTE, self.now - sent, best.expected)
+            self.times.append(self.now + distance - search.arrived)
+
+        self.at(self.now + distance / 2, arrive)
+
+
+def main() -> None:
+    """Prints one row for each way."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--load", type=float, default=0.5)
+    parser.add_argument("--slots", type=int, default=4)
+    parser.add_argument("--seeds", type=int, default=3)
+    arguments = parser.parse_args()
+    print(
+        f"load {arguments.load:g}, {arguments.slots} slots, {UPSTREAMS} "
+        f"upstreams, {ENTRIES} entries, {arguments.seeds} seeds"
+    )
+    print("way              in aim  p50 ms  p99 ms  samples/request  far")
+    for way in WAYS:
+        rows = [
+            _measure(way, arguments.load, arguments.slots, seed)
+            for seed in range(arguments.seeds)
+        ]
+        means = [statistics.fmean(column) for column in zip(*rows, strict=True)]
+        print(
+            f"{way.name:16} {means[0]:6.3f} {means[1]:7.0f} {means[2]:7.0f}"
+            f" {means[3]:16.2f} {means[4]:4.2f}"
+        )
+
+
+def _measure(way: Way, load: float, slots: int, seed: int) -> list[float]:
+    with (
+        mock.patch.object(load_sampling, "SAMPLES_NEAR", way.near),
+        mock.patch.object(load_sampling, "PATIENCE_SHARE", way.patience),
+    ):
+        played = Simulation(way, load, slots, seed)
+        played.run()
+    times = sorted(played.times)
+    in_aim = sum(each <= OBJECTIVE_S for each in times) / REQUESTS
+    return [
+        in_aim,
+        1000 * times[len(times) // 2],
+        1000 * times[int(len(times) * 0.99)],
+        played.samples / REQUESTS,
+        played.far / REQUESTS,
+    ]
+
+
+if __name__ == "__main__":
+    main()
