--- a/src/sesamevale/operators/command_line.py
+++ b/src/sesamevale/operators/command_line.py
@@ -7,6 +7,8 @@
 from sesamevale.operators.commands import check
 from sesamevale.operators.commands import diff
 from sesamevale.operators.commands import entries
+from sesamevale.operators.commands import explain
+from sesamevale.operators.commands import gateway
 from sesamevale.operators.commands import history
 from sesamevale.operators.commands import promote
 from sesamevale.operators.commands import schema
@@ -33,6 +35,8 @@
     status.status,
     entries.entries,
     upstreams.upstreams,
+    gateway.gateway,
+    explain.explain,
 ):
     app.command()(_command)
 
--- /dev/null
+++ b/src/sesamevale/operators/commands/gateway.py
@@ -0,0 +1,51 @@
+"""``sesamevale gateway``: what one gateway entry believes."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import typer
+
+from sesamevale.operators.commands import common
+
+__all__ = ["gateway"]
+
+
+def gateway(admin: common.Admin, as_json: common.Json = False) -> None:
+    """Shows a gateway entry: configuration, upstreams, and their age.
+
+    Example: sesamevale gateway --admin 10.1.0.18:9464
+    """
+    content = common.read_status(admin)
+    if as_json:
+        common.print_json(content)
+        return
+    typer.echo(f"{content['entry']}: {_readiness(content)}")
+    typer.echo(
+        f"  configuration {content['config']}, "
+        f"seen {_seconds(content['config_age_s'])} ago"
+    )
+    typer.echo(f"  upstreams read {_seconds(content['upstreams_age_s'])} ago")
+    typer.echo(f"  callers are sent to {', '.join(content['members'])}")
+    for name, service in content["services"].items():
+        usable = service["upstreams"]
+        ejected = sum(each["ejected"] for each in usable.values())
+        typer.echo(
+            f"  {name}: {service['active']} active, {len(usable)} upstreams, "
+            f"{ejected} passed over, "
+            f"mean slowdown {service['average_slowdown']:.2f}"
+        )
+
+
+def _readiness(content: dict[str, Any]) -> str:
+    if content["ready"]:
+        return "ready"
+    if content["stopping"]:
+        return "not ready: stopping"
+    if not content["config"]:
+        return "not ready: no configuration was read yet"
+    return "not ready: the upstreams were not read yet"
+
+
+def _seconds(value: float | None) -> str:
+    return "never" if value is None else f"{value:.1f} s"
--- a/src/sesamevale/platform/daemon.py
+++ b/src/sesamevale/platform/daemon.py
@@ -28,6 +28,7 @@
 
 EXIT_SETTINGS = 2
 EXIT_START = 3
+CHECK_FLAG = "--check"
 GC_THRESHOLD_OBJECTS = 50_000
 
 
@@ -128,12 +129,18 @@
 
 
 def main() -> None:
-    """Runs one entry with the settings that the environment names."""
+    """Runs one entry with the settings that the environment names.
+
+    With the argument ``--check`` it only checks them.
+    """
     try:
         deployed = deployed_settings.load()
         deployed.for_gateway()
     except deployed_settings.SettingsError as error:
         print(f"sesamevale: {error}", file=sys.stderr)
         sys.exit(EXIT_SETTINGS)
+    if CHECK_FLAG in sys.argv[1:]:
+        print("the settings can be used")
+        return
     events = event_log.configure(deployed.entry_id)
     sys.exit(asyncio.run(_serve(deployed, events)))
--- /dev/null
+++ b/tests/operators/test_event_files.py
@@ -0,0 +1,54 @@
+"""What the logs say of one request."""
+
+from __future__ import annotations
+
+import typer.testing
+
+from sesamevale.operators import command_line
+from sesamevale.operators import event_files
+from tests.builders import events
+
+LINES = [
+    events.line(1, "started"),
+    events.line(2, "config_in_force", version=4),
+    events.line(2, "config_in_force", entry="e-2", version=3),
+    events.line(3, "upstream", upstream="u-1", change="added"),
+    events.line(3, "upstream", upstream="u-2", change="draining"),
+    events.line(4, "store_lost", why="no answer in time"),
+    "prefix " + events.line(5, "attempt", request="r-1", upstream="u-1"),
+    events.line(6, "request", request="r-1", outcome="unknown", reason="cut"),
+    events.line(6, "request", request="r-2", outcome="answered"),
+    events.line(7, "upstream", upstream="u-1", change="gone"),
+    "no event at all {",
+]
+
+
+def test_a_request_is_shown_with_what_its_entry_believed():
+    found = event_files.about_request(event_files.read(LINES), "r-1")
+    assert [each.name for each in found] == [
+        "started",
+        "config_in_force",
+        "upstream",
+        "store_lost",
+        "attempt",
+        "request",
+    ]
+    assert found[1].fields == {"version": 4}
+    assert found[2].fields["change"] == "added"
+
+
+def test_the_command_prints_the_events(tmp_path):
+    path = tmp_path / "entry.log"
+    path.write_text("\n".join(LINES))
+    runner = typer.testing.CliRunner()
+    result = runner.invoke(command_line.app, ["explain", "r-1", str(path)])
+    assert result.exit_code == 0
+    assert "reason=cut" in result.output
+
+
+def test_a_request_that_is_not_there_is_an_error_that_says_why(tmp_path):
+    path = tmp_path / "entry.log"
+    path.write_text("")
+    runner = typer.testing.CliRunner()
+    result = runner.invoke(command_line.app, ["explain", "r-9", str(path)])
+    assert result.exit_code == 1
