One entry of a data centre reads the store and the others ask it

Change: the first entry of a data centre reads; the others ask it for changes over their own link and read by themselves, one after the other, before their knowledge is as old as the bound. Ages travel, not times, so a late answer never looks fresh. Registrations are renewed half as often.

--- /dev/null
+++ b/src/sesamevale/entries/state_reader.py
@@ -0,0 +1,187 @@
+"""Task that keeps an entry informed of what the store holds."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import dataclasses
+import functools
+import time
+from typing import Protocol
+from typing import Self
+from typing import TYPE_CHECKING
+
+from sesamevale import gateway as gateways
+from sesamevale.entries import state_pages
+from sesamevale.operators import admin_server
+from sesamevale.policy import reading
+from sesamevale.policy import shared_state
+
+if TYPE_CHECKING:
+    from sesamevale import metrics
+
+__all__ = ["Source", "StateReader", "Unavailable"]
+
+# Interval before the first configuration and after a read that failed.
+RETRY_INTERVAL_S = 0.25
+RETRY_INTERVAL_MAX_S = 0.6
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unavailable:
+    """The store could not be read.
+
+    Attributes:
+        why: What happened.
+    """
+
+    why: str
+
+
+class Source(Protocol):
+    """Reads the store."""
+
+    async def read(self) -> shared_state.StoreView | Unavailable:
+        """Reads everything at once; never stale."""
+
+
+class StateReader:
+    """Reads the store or asks the entry that does, and tells the gateway.
+
+    Args:
+        source: Reads the store.
+        gateway: Told about what is known.
+        pace: What the intervals follow from.
+        epoch: Number of this process.
+        host: IP address for other entries.
+        port: TCP port for other entries.
+        book: Measurements.
+    """
+
+    def __init__(
+        self,
+        source: Source,
+        gateway: gateways.Gateway,
+        pace: reading.Pace,
+        epoch: int,
+        host: str,
+        port: int,
+        book: metrics.Book,
+    ) -> None:
+        self._source = source
+        self._gateway = gateway
+        self._pace = pace
+        self._book = book
+        self._state = shared_state.SharedState(epoch)
+        self._mirrors: dict[str, shared_state.Mirror] = {}
+        self._asked_at = float("-inf")
+        self._failures = 0
+        self._configured = False
+        self._away = False
+        self._task: asyncio.Task[None] | None = None
+        make = state_pages.page(self._state, time.monotonic)
+        self._server = admin_server.AdminServer(
+            host, port, {state_pages.PATH: make}
+        )
+
+    @property
+    def port(self) -> int:
+        """TCP port for other entries."""
+        return self._server.port
+
+    async def __aenter__(self) -> Self:
+        await self._server.__aenter__()
+        self._task = asyncio.create_task(self._run(), name="state-reader")
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        if self._task is not None:
+            self._task.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await self._task
+        await self._server.__aexit__(*exc_info)
+
+    async def _run(self) -> None:
+        while True:
+            await _follow(self._next_move(), self)
+
+    def _next_move(self) -> reading.Move:
+        now = time.monotonic()
+        near = self._gateway.near_entries
+        read_at = self._state.read_at
+        age_s = float("inf") if read_at is None else now - read_at
+        if not self._configured:
+            age_s = float("inf")
+        return reading.next_move(
+            self._gateway.entry_id,
+            frozenset(near),
+            age_s,
+            now - self._asked_at,
+            self._pace,
+        )
+
+    async def _read(self) -> None:
+        started = time.monotonic()
+        found = await self._source.read()
+        if isinstance(found, Unavailable):
+            self._failures += 1
+            self._note_away(True, found.why)
+            pause = RETRY_INTERVAL_S * self._failures
+            await asyncio.sleep(min(pause, RETRY_INTERVAL_MAX_S))
+            return
+        self._failures = 0
+        self._note_away(False, "a read succeeded")
+        self._book.count("state_reads")
+        self._tell(found, started)
+        if not self._configured:
+            await asyncio.sleep(RETRY_INTERVAL_S)
+
+    async def _ask(self, entry_id: str) -> None:
+        self._asked_at = time.monotonic()
+        address = self._gateway.near_entries.get(entry_id)
+        if address is None:
+            return
+        mirror = self._mirrors.setdefault(entry_id, shared_state.Mirror())
+        update = await state_pages.ask(*address, mirror)
+        view = None if update is None else mirror.apply(update)
+        if update is None or view is None:
+            self._mirrors.pop(entry_id, None)
+            self._book.count("state_asks_failed")
+            return
+        self._book.count("state_asks")
+        self._tell(view, self._asked_at - update.age_s)
+
+    def _tell(self, view: shared_state.StoreView, read_at: float) -> None:
+        if not self._state.take(view, read_at):
+            return
+        gateway = self._gateway
+        gateway.send(gateways.Discovered(view.upstreams, read_at))
+        if view.configuration is not None:
+            self._configured = True
+            gateway.send(gateways.Configured(view.configuration, read_at))
+        gateway.send(gateways.PeersSeen(view.peers, read_at))
+
+    def _note_away(self, away: bool, why: str) -> None:
+        if away != self._away:
+            self._away = away
+            self._gateway.send(gateways.StoreAway(away, why))
+
+
+@functools.singledispatch
+async def _follow(move: reading.Move, task: StateReader) -> None:
+    raise TypeError(f"no rule for {type(move).__name__}")
+
+
+@_follow.register
+async def _(move: reading.Read, task: StateReader) -> None:
+    await task._read()
+
+
+@_follow.register
+async def _(move: reading.Ask, task: StateReader) -> None:
+    await task._ask(move.entry_id)
+
+
+@_follow.register
+async def _(move: reading.Wait, task: StateReader) -> None:
+    await asyncio.sleep(move.seconds)
--- a/src/sesamevale/gateway.py
+++ b/src/sesamevale/gateway.py
@@ -223,6 +223,25 @@
         """Whether callers may be sent here."""
         return self._front.view.is_ready
 
+    @property
+    def entry_id(self) -> str:
+        """Identifier of this entry."""
+        return self._settings.entry_id
+
+    @property
+    def incarnation(self) -> int:
+        """Number of this process."""
+        return self._own.incarnation
+
+    @property
+    def near_entries(self) -> dict[str, tuple[str, int]]:
+        """Addresses of the entries of this data centre that are alive."""
+        return {
+            each.entry_id: (each.host, each.peer_port)
+            for each in self._gossip.view.usable
+            if each.entry_id != self._settings.entry_id
+        }
+
     async def __aenter__(self) -> Self:
         self._book.add_source(self._gauges)
         await self._stack.enter_async_context(self._gossip)
--- a/src/sesamevale/operators/admin_client.py
+++ b/src/sesamevale/operators/admin_client.py
@@ -10,7 +10,7 @@
 
 from sesamevale import sockets
 
-__all__ = ["status"]
+__all__ = ["fetch", "status"]
 
 TIMEOUT_S = 5.0
 
@@ -22,7 +22,7 @@
         return None
     try:
         async with asyncio.timeout(TIMEOUT_S):
-            body = await _get(stream, f"{host}:{port}", "/status")
+            body = await fetch(stream, f"{host}:{port}", "/status")
     except (TimeoutError, h11.ProtocolError):
         return None
     finally:
@@ -30,9 +30,10 @@
     return None if body is None else json.loads(body)
 
 
-async def _get(
+async def fetch(
     stream: sockets.ByteStream, host: str, path: str
 ) -> bytes | None:
+    """Returns the body of a page; None if the connection ends early."""
     http = h11.Connection(h11.CLIENT)
     request = h11.Request(method="GET", target=path, headers=[("Host", host)])
     data = http.send(request) or b""
--- a/src/sesamevale/platform/daemon.py
+++ b/src/sesamevale/platform/daemon.py
@@ -12,14 +12,16 @@
 from sesamevale import event_log
 from sesamevale import gateway as gateways
 from sesamevale import metrics
+from sesamevale.entries import state_reader
 from sesamevale.operators import admin_server
 from sesamevale.platform import fields
-from sesamevale.platform import follower
 from sesamevale.platform import models
 from sesamevale.platform import pages
 from sesamevale.platform import registration
 from sesamevale.platform import settings as deployed_settings
+from sesamevale.platform import source
 from sesamevale.platform import store
+from sesamevale.policy import reading
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -101,8 +103,14 @@
         await stack.enter_async_context(server)
     client = store.StoreClient(deployed.store.address, book)
     await stack.enter_async_context(client)
-    reader = follower.Follower(
-        client, gateway, events, deployed.read_interval_s
+    reader = state_reader.StateReader(
+        source.StoreSource(client, events),
+        gateway,
+        reading.Pace(deployed.change_bound_s),
+        gateway.incarnation,
+        deployed.host,
+        deployed.entry_ports[0],
+        book,
     )
     await stack.enter_async_context(reader)
     address = models.Registration(
--- a/src/sesamevale/platform/decoding.py
+++ b/src/sesamevale/platform/decoding.py
@@ -12,6 +12,7 @@
 from sesamevale import routes
 from sesamevale.platform import models
 from sesamevale.policy import registered_peers
+from sesamevale.policy import shared_state
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -20,7 +21,7 @@
     "CONFIG_KEY",
     "REGISTRATION_PREFIX",
     "Decoder",
-    "Snapshot",
+    "Decoded",
     "encode_value",
 ]
 
@@ -32,19 +33,15 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Snapshot:
+class Decoded:
     """What one read of the store shows.
 
     Attributes:
-        configuration: Configuration, if there is a valid one.
-        upstreams: Upstreams whose entries are valid.
-        peers: Entries that are registered.
+        view: What makes sense.
         rejected: Keys whose values make no sense, with what is wrong.
     """
 
-    configuration: routes.Configuration | None
-    upstreams: tuple[routes.UpstreamEntry, ...]
-    peers: tuple[registered_peers.Peer, ...]
+    view: shared_state.StoreView
     rejected: dict[str, str]
 
 
@@ -59,7 +56,7 @@
     def __init__(self) -> None:
         self._decoded: dict[str, tuple[int, object]] = {}
 
-    def decode(self, items: Iterable[models.Item]) -> Snapshot:
+    def decode(self, items: Iterable[models.Item]) -> Decoded:
         """Returns what the items of one whole read say."""
         decoded: dict[str, tuple[int, object]] = {}
         for item in items:
@@ -72,7 +69,7 @@
         found = [
             each for each in values if isinstance(each, routes.Configuration)
         ]
-        return Snapshot(
+        view = shared_state.StoreView(
             configuration=found[0] if found else None,
             upstreams=tuple(
                 each
@@ -84,12 +81,13 @@
                 for each in values
                 if isinstance(each, registered_peers.Peer)
             ),
-            rejected={
-                key: value
-                for key, (_, value) in decoded.items()
-                if isinstance(value, str)
-            },
         )
+        rejected = {
+            key: value
+            for key, (_, value) in decoded.items()
+            if isinstance(value, str)
+        }
+        return Decoded(view, rejected)
 
 
 def _decode(item: models.Item) -> object:
--- a/src/sesamevale/platform/registration.py
+++ b/src/sesamevale/platform/registration.py
@@ -20,8 +20,8 @@
 
 # Callers in other data centres are sent to an entry for at most this long
 # after it has ended.
-LEASE_TTL_MS = 3_000
-RENEW_INTERVAL_S = 1.1
+LEASE_TTL_MS = 6_000
+RENEW_INTERVAL_S = 2.0
 # Interval at which an entry that is not ready looks whether it is.
 READY_INTERVAL_S = 0.1
 RETRY_INTERVAL_S = 0.5
--- a/src/sesamevale/platform/settings.py
+++ b/src/sesamevale/platform/settings.py
@@ -26,9 +26,6 @@
 DIRECTORY_LIFETIME_S = 1.0
 # Bound on drains and changes where the platform names none.
 DEFAULT_BOUND_MS = 2000.0
-# Part of the bound within which a change must be seen; the rest is for the
-# call itself and for requests that are under way.
-READ_SHARE = 0.65
 
 
 class SettingsError(Exception):
@@ -85,10 +82,10 @@
     store: _Store
 
     @property
-    def read_interval_s(self) -> float:
-        """Longest time between two reads of the store, in seconds."""
+    def change_bound_s(self) -> float:
+        """Time within which a change of the store must be known."""
         bound_ms = min(self.bounds.drain_ms, self.bounds.config_apply_ms)
-        return READ_SHARE * bound_ms / 1000
+        return bound_ms / 1000
 
     @property
     def directory_lifetime_s(self) -> float:
--- /dev/null
+++ b/src/sesamevale/policy/reading.py
@@ -0,0 +1,92 @@
+"""Who reads the store, and when.
+
+Of the entries of a data centre, the first by identifier reads the store and
+the others ask it. An entry whose knowledge grows old reads the store itself,
+one after the other by rank, so that a reader that is gone, stuck or cut off
+from the store is replaced before the bound on changes has passed.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+
+__all__ = ["Ask", "Move", "Pace", "Read", "Wait", "next_move"]
+
+# Parts of the bound on changes. Together, a read and the interval at which
+# the reader is asked stay well below it.
+ALONE_SHARE = 0.65
+READER_SHARE = 0.5
+ASK_SHARE = 0.15
+OLD_SHARE = 0.75
+RANK_SHARE = 0.02
+RANK_SHARE_MAX = 0.1
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Pace:
+    """What the intervals follow from.
+
+    Attributes:
+        bound_s: Time in seconds within which a change must be known.
+    """
+
+    bound_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Read:
+    """Read the store."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ask:
+    """Ask another entry for what it has read.
+
+    Attributes:
+        entry_id: The entry.
+    """
+
+    entry_id: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Wait:
+    """Decide again after some seconds."""
+
+    seconds: float
+
+
+Move = Read | Ask | Wait
+
+
+def next_move(
+    own: str,
+    near: frozenset[str],
+    age_s: float,
+    since_ask_s: float,
+    pace: Pace,
+) -> Move:
+    """Decides what an entry does next to stay informed.
+
+    Args:
+        own: Identifier of this entry.
+        near: Identifiers of the entries of this data centre that are alive.
+        age_s: Seconds since the newest known read was sent; infinite if
+            there was none.
+        since_ask_s: Seconds since another entry was last asked.
+        pace: What the intervals follow from.
+    """
+    ranked = sorted(near | {own})
+    rank = ranked.index(own)
+    if rank == 0:
+        share = ALONE_SHARE if len(ranked) == 1 else READER_SHARE
+        left = share * pace.bound_s - age_s
+        return Read() if left <= 0 else Wait(left)
+    patience = OLD_SHARE + min(RANK_SHARE * rank, RANK_SHARE_MAX)
+    until_old = patience * pace.bound_s - age_s
+    if until_old <= 0:
+        return Read()
+    until_ask = ASK_SHARE * pace.bound_s - since_ask_s
+    if until_ask <= 0:
+        return Ask(ranked[0])
+    return Wait(min(until_old, until_ask))
--- /dev/null
+++ b/src/sesamevale/policy/shared_state.py
@@ -0,0 +1,182 @@
+"""What the store holds, as the entries of a data centre pass it on.
+
+Heartbeats change nothing that matters to requests, so they are not passed on:
+an upstream counts as changed when more than its heartbeat changes.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+
+from sesamevale import routes
+from sesamevale.policy import registered_peers
+
+__all__ = ["Mirror", "SharedState", "StoreView", "Update"]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreView:
+    """What one whole read of the store shows.
+
+    Attributes:
+        configuration: Configuration, if there is a valid one.
+        upstreams: Upstreams whose entries are valid.
+        peers: Entries that are registered.
+    """
+
+    configuration: routes.Configuration | None
+    upstreams: tuple[routes.UpstreamEntry, ...]
+    peers: tuple[registered_peers.Peer, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Update:
+    """Changes since a revision of the sender.
+
+    Attributes:
+        epoch: Number of the sender's process.
+        revision: Revision after the changes.
+        age_s: Seconds since the sender's read of the store was sent.
+        is_full: Whether it holds everything rather than changes.
+        configuration: The configuration, if it has changed.
+        changed: Upstreams that are new or have changed.
+        removed: Identifiers of upstreams that are not there any more.
+        peers: Registered entries, if they have changed.
+    """
+
+    epoch: int
+    revision: int
+    age_s: float
+    is_full: bool
+    configuration: routes.Configuration | None
+    changed: tuple[routes.UpstreamEntry, ...]
+    removed: tuple[str, ...]
+    peers: tuple[registered_peers.Peer, ...] | None
+
+
+class SharedState:
+    """State of one entry for the others.
+
+    Args:
+        epoch: Number of this process.
+    """
+
+    def __init__(self, epoch: int) -> None:
+        self._epoch = epoch
+        self._revision = 0
+        self._read_at: float | None = None
+        self._configuration: tuple[int, routes.Configuration | None] = (0, None)
+        self._peers: tuple[int, tuple[registered_peers.Peer, ...]] = (0, ())
+        self._upstreams: dict[str, tuple[int, routes.UpstreamEntry]] = {}
+        self._removed: dict[str, int] = {}
+
+    @property
+    def read_at(self) -> float | None:
+        """When the newest read of the store was sent; None before it."""
+        return self._read_at
+
+    def take(self, view: StoreView, read_at: float) -> bool:
+        """Takes what a read showed; False if a newer one is known.
+
+        Args:
+            view: What was read, here or by another entry.
+            read_at: When the read was sent, in monotonic seconds.
+        """
+        if self._read_at is not None and read_at <= self._read_at:
+            return False
+        self._read_at = read_at
+        self._revision += 1
+        revision = self._revision
+        if view.configuration != self._configuration[1]:
+            self._configuration = (revision, view.configuration)
+        if view.peers != self._peers[1]:
+            self._peers = (revision, view.peers)
+        found = {each.upstream_id: each for each in view.upstreams}
+        for name in self._upstreams.keys() - found.keys():
+            del self._upstreams[name]
+            self._removed[name] = revision
+        for name, entry in found.items():
+            self._removed.pop(name, None)
+            known = self._upstreams.get(name)
+            if known is None or _matters(known[1], entry):
+                self._upstreams[name] = (revision, entry)
+        return True
+
+    def since(self, epoch: int, revision: int, now: float) -> Update | None:
+        """Returns what has changed; None before the first read.
+
+        Args:
+            epoch: Process that the asker's revision is of.
+            revision: Revision that the asker has.
+            now: Monotonic time in seconds.
+        """
+        if self._read_at is None:
+            return None
+        is_full = epoch != self._epoch or not 0 < revision <= self._revision
+        after = 0 if is_full else revision
+        changed_at, configuration = self._configuration
+        peers_at, peers = self._peers
+        return Update(
+            epoch=self._epoch,
+            revision=self._revision,
+            age_s=now - self._read_at,
+            is_full=is_full,
+            configuration=configuration if changed_at > after else None,
+            changed=tuple(
+                entry for at, entry in self._upstreams.values() if at > after
+            ),
+            removed=tuple(
+                name for name, at in self._removed.items() if at > after
+            ),
+            peers=peers if peers_at > after else None,
+        )
+
+
+class Mirror:
+    """State of another entry, kept up to date by its updates."""
+
+    def __init__(self) -> None:
+        self._epoch = 0
+        self._revision = 0
+        self._configuration: routes.Configuration | None = None
+        self._upstreams: dict[str, routes.UpstreamEntry] = {}
+        self._peers: tuple[registered_peers.Peer, ...] = ()
+
+    @property
+    def epoch(self) -> int:
+        """Process that is mirrored; 0 for none."""
+        return self._epoch
+
+    @property
+    def revision(self) -> int:
+        """Revision that is mirrored."""
+        return self._revision
+
+    def apply(self, update: Update) -> StoreView | None:
+        """Returns what the other entry knows; None if updates are missing."""
+        if update.is_full:
+            self._upstreams.clear()
+            self._configuration = None
+            self._peers = ()
+        elif update.epoch != self._epoch:
+            return None
+        self._epoch, self._revision = update.epoch, update.revision
+        if update.configuration is not None:
+            self._configuration = update.configuration
+        if update.peers is not None:
+            self._peers = update.peers
+        for name in update.removed:
+            self._upstreams.pop(name, None)
+        for entry in update.changed:
+            self._upstreams[entry.upstream_id] = entry
+        return StoreView(
+            self._configuration, tuple(self._upstreams.values()), self._peers
+        )
+
+
+def _matters(known: routes.UpstreamEntry, entry: routes.UpstreamEntry) -> bool:
+    """Whether more than the heartbeat of an upstream has changed."""
+    silent = dataclasses.replace(
+        entry, sequence=known.sequence, warmup_s=known.warmup_s
+    )
+    return silent != known
--- /dev/null
+++ b/tests/entries/test_state_reader.py
@@ -0,0 +1,166 @@
+"""Entries that keep each other informed, over real sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+
+import pytest
+
+from sesamevale import gateway as gateways
+from sesamevale import metrics
+from sesamevale.entries import state_reader
+from sesamevale.policy import reading
+from sesamevale.policy import shared_state
+from tests.builders import gateway
+
+PACE = reading.Pace(bound_s=0.5)
+
+
+class Store:
+    """What entries read; can be away for some of them."""
+
+    def __init__(self):
+        self.version = 1
+        self.draining = False
+        self.reads = 0
+        self.away: set[str] = set()
+
+    def source(self, entry_id):
+        return Source(self, entry_id)
+
+
+class Source:
+    def __init__(self, store, entry_id):
+        self.store = store
+        self.entry_id = entry_id
+
+    async def read(self):
+        self.store.reads += 1
+        if self.entry_id in self.store.away:
+            return state_reader.Unavailable("away")
+        return shared_state.StoreView(
+            gateway.configuration(self.store.version),
+            (gateway.upstream(draining=self.store.draining),),
+            (),
+        )
+
+
+class Listener:
+    """Takes the place of the gateway."""
+
+    def __init__(self, entry_id):
+        self.entry_id = entry_id
+        self.near_entries: dict[str, tuple[str, int]] = {}
+        self.version = 0
+        self.draining = False
+        self.away: list[bool] = []
+
+    def send(self, message):
+        if isinstance(message, gateways.Configured):
+            self.version = message.configuration.version
+        elif isinstance(message, gateways.Discovered):
+            self.draining = message.entries[0].draining
+        elif isinstance(message, gateways.StoreAway):
+            self.away.append(message.away)
+
+
+@contextlib.asynccontextmanager
+async def fleet(store, *names):
+    async with contextlib.AsyncExitStack() as stack:
+        listeners, readers = {}, {}
+        for number, name in enumerate(names):
+            listeners[name] = Listener(name)
+            readers[name] = state_reader.StateReader(
+                store.source(name),
+                listeners[name],
+                PACE,
+                number + 1,
+                "127.0.0.1",
+                0,
+                metrics.Book(),
+            )
+            await stack.enter_async_context(readers[name])
+        for name in names:
+            listeners[name].near_entries = {
+                other: ("127.0.0.1", readers[other].port)
+                for other in names
+                if other != name
+            }
+        yield listeners
+
+
+def run(scenario):
+    asyncio.run(asyncio.wait_for(scenario(), 20))
+
+
+async def until(condition):
+    async with asyncio.timeout(PACE.bound_s):
+        while not condition():
+            await asyncio.sleep(0.005)
+
+
+def test_one_entry_reads_for_all():
+    async def scenario():
+        store = Store()
+        async with fleet(store, "a", "b", "c") as known:
+            await asyncio.sleep(0.4)
+            before = store.reads
+            store.version = 2
+            await until(
+                lambda: all(each.version == 2 for each in known.values())
+            )
+            await asyncio.sleep(2.0)
+            assert store.reads - before <= 12
+
+    run(scenario)
+
+
+def test_a_drain_reaches_all_within_the_bound():
+    async def scenario():
+        store = Store()
+        async with fleet(store, "a", "b", "c") as known:
+            await asyncio.sleep(0.4)
+            store.draining = True
+            await until(lambda: all(each.draining for each in known.values()))
+
+    run(scenario)
+
+
+@pytest.mark.parametrize("lost", [{"a"}, {"a", "b"}])
+def test_the_others_read_when_the_reader_has_lost_the_store(lost):
+    async def scenario():
+        store = Store()
+        async with fleet(store, "a", "b", "c") as known:
+            await asyncio.sleep(0.4)
+            store.away = lost
+            store.version = 3
+            await until(lambda: known["c"].version == 3)
+
+    run(scenario)
+
+
+def test_an_entry_whose_reader_is_gone_reads_by_itself():
+    async def scenario():
+        store = Store()
+        async with fleet(store, "a", "b") as known:
+            await asyncio.sleep(0.4)
+            known["b"].near_entries = {"a": ("127.0.0.1", 1)}
+            store.version = 4
+            await until(lambda: known["b"].version == 4)
+
+    run(scenario)
+
+
+def test_an_outage_is_told_once():
+    async def scenario():
+        store = Store()
+        async with fleet(store, "a") as known:
+            await asyncio.sleep(0.4)
+            store.away = {"a"}
+            await asyncio.sleep(1.5)
+            store.away = set()
+            await asyncio.sleep(1.0)
+            assert known["a"].away == [True, False]
+
+    run(scenario)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -8,12 +8,12 @@
 
 import pytest
 
-from sesamevale import gateway as gateways
 from sesamevale import metrics
 from sesamevale import settings as checked_settings
-from sesamevale.platform import follower
+from sesamevale.entries import state_reader
 from sesamevale.platform import models
 from sesamevale.platform import registration
+from sesamevale.platform import source
 from sesamevale.platform import store
 from tests.builders import store_items
 from tests.standins import platform_store
@@ -26,9 +26,6 @@
         self.messages = []
         self.is_ready = True
 
-    def send(self, message):
-        self.messages.append(message)
-
     def state(self, name, **fields):
         self.messages.append((name, fields))
 
@@ -114,65 +111,29 @@
     run(scenario)
 
 
-def follow(one, interval_s=0.1):
-    return follower.Follower(one.client, one.seen, one.seen, interval_s)
-
-
-def last_entry(one):
-    return one.seen.of(gateways.Discovered)[-1].entries[0]
-
-
-def test_a_drain_is_told_with_the_next_read():
+def test_values_that_make_no_sense_are_logged_once():
     async def scenario():
         async with case() as one:
-            put_upstream(one.store)
-            async with follow(one):
-                await until(lambda: one.seen.of(gateways.Discovered))
-                put_upstream(one.store, state="draining", seqNo=5)
-                await until(
-                    lambda: (
-                        one.seen.of(gateways.Discovered)[-1].entries[0].draining
-                    )
-                )
+            reader = source.StoreSource(one.client, one.seen)
+            put_upstream(one.store, "i-1")
+            put_upstream(one.store, "i-2", state="asleep")
+            for _ in range(3):
+                view = await reader.read()
+                assert [each.upstream_id for each in view.upstreams] == ["i-1"]
+            ((name, logged),) = one.seen.messages
+            assert name == "store_values_rejected"
+            assert list(logged["keys"]) == ["servers/i-2"]
 
     run(scenario)
 
 
-def test_a_version_is_told_and_an_odd_one_is_reported():
+def test_a_store_that_is_away_is_a_value():
     async def scenario():
         async with case() as one:
-            one.store.put(
-                store_items.item("op/config", store_items.config("r3"))
-            )
-            async with follow(one):
-                await until(lambda: one.seen.of(gateways.Configured))
-                one.store.put(store_items.item("op/config", {"version": "x"}))
-                await until(
-                    lambda: any(
-                        each[0] == "store_values_rejected"
-                        for each in one.seen.of(tuple)
-                    )
-                )
-            found = one.seen.of(gateways.Configured)[-1]
-            assert found.configuration.version == 3
-
-    run(scenario)
-
-
-@pytest.mark.parametrize("fault", ["refused", "reset", "silent"])
-def test_an_outage_is_told_once_and_so_is_its_end(fault):
-    async def scenario():
-        async with case() as one, follow(one):
-            await until(lambda: one.seen.of(gateways.Discovered))
-            one.store.down = fault
-            await until(lambda: one.seen.of(gateways.StoreAway))
-            await asyncio.sleep(0.6)
-            reads = len(one.store.calls)
-            one.store.down = ""
-            await until(lambda: len(one.seen.of(gateways.StoreAway)) == 2)
-            away, back = one.seen.of(gateways.StoreAway)
-            assert (away.away, back.away) == (True, False)
-            assert reads < 12
+            reader = source.StoreSource(one.client, one.seen)
+            one.store.faults.append("refused")
+            found = await reader.read()
+            assert isinstance(found, state_reader.Unavailable)
 
     run(scenario)
 
--- /dev/null
+++ b/tests/policy/test_reading.py
@@ -0,0 +1,81 @@
+"""Who reads the store: entries that fail, against the bound on changes."""
+
+from __future__ import annotations
+
+import hypothesis
+from hypothesis import strategies
+
+from sesamevale.policy import reading
+
+PACE = reading.Pace(bound_s=2.0)
+STEP_S = 0.01
+CALL_S = 0.02
+
+
+def move(own, near, age_s=0.0, since_ask_s=0.0):
+    return reading.next_move(own, frozenset(near), age_s, since_ask_s, PACE)
+
+
+def test_the_first_reads_and_the_others_ask_it():
+    assert move("a", "bc", age_s=1.01) == reading.Read()
+    assert move("b", "ac", age_s=1.01, since_ask_s=0.31) == reading.Ask("a")
+    assert isinstance(move("c", "ab", age_s=0.1), reading.Wait)
+
+
+def test_an_entry_alone_reads_less_often():
+    assert isinstance(move("a", "", age_s=1.25), reading.Wait)
+    assert move("a", "", age_s=1.31) == reading.Read()
+
+
+def test_old_knowledge_is_replaced_one_entry_after_the_other():
+    assert move("b", "ac", age_s=1.55) == reading.Read()
+    assert move("c", "ab", age_s=1.55, since_ask_s=1.0) == reading.Ask("a")
+    assert move("c", "ab", age_s=1.59) == reading.Read()
+
+
+def test_nothing_is_known_at_the_start():
+    infinite = float("inf")
+    assert move("c", "ab", age_s=infinite) == reading.Read()
+
+
+@hypothesis.given(
+    count=strategies.integers(1, 16),
+    stuck=strategies.sets(strategies.integers(0, 15)),
+    noticed=strategies.booleans(),
+)
+@hypothesis.settings(deadline=None)
+def test_knowledge_is_never_older_than_the_bound(count, stuck, noticed):
+    """Entries that are stuck answer nobody; others may not have noticed."""
+    names = [f"e-{number:02}" for number in range(count)]
+    alive = [name for number, name in enumerate(names) if number not in stuck]
+    seen = alive if noticed else names
+    read_at = dict.fromkeys(names, 0.0)
+    asked_at = dict.fromkeys(names, 0.0)
+    busy_until = dict.fromkeys(names, 0.0)
+    reads = 0
+    now = 0.0
+    while now < 12.0:
+        now += STEP_S
+        for name in alive:
+            if now < busy_until[name]:
+                continue
+            found = reading.next_move(
+                name,
+                frozenset(seen) - {name},
+                now - read_at[name],
+                now - asked_at[name],
+                PACE,
+            )
+            if isinstance(found, reading.Read):
+                reads += 1
+                read_at[name] = now
+                busy_until[name] = now + CALL_S
+            elif isinstance(found, reading.Ask):
+                asked_at[name] = now
+                if found.entry_id in alive:
+                    known = read_at[found.entry_id]
+                    read_at[name] = max(read_at[name], known)
+        for name in alive:
+            assert now - read_at[name] <= 0.9 * PACE.bound_s
+    if alive and not stuck:
+        assert reads <= 12.0 / (0.5 * PACE.bound_s) + 1
--- /dev/null
+++ b/tests/policy/test_shared_state_machine.py
@@ -0,0 +1,119 @@
+"""Passing on the store's state: a mirror against what was taken."""
+
+from __future__ import annotations
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+
+from sesamevale.policy import registered_peers
+from sesamevale.policy import shared_state
+from tests.builders import gateway
+
+PEER = registered_peers.Peer("e-2", "there", "10.0.0.2", 80, 90)
+
+
+def view(*upstreams, version=1, peers=()):
+    return shared_state.StoreView(
+        gateway.configuration(version), tuple(upstreams), tuple(peers)
+    )
+
+
+def test_nothing_is_told_before_the_first_read():
+    assert shared_state.SharedState(1).since(0, 0, 0.0) is None
+
+
+def test_an_older_read_is_not_taken():
+    state = shared_state.SharedState(1)
+    assert state.take(view(version=2), 5.0)
+    assert not state.take(view(version=1), 4.0)
+    assert state.since(0, 0, 6.0).configuration.version == 2
+
+
+def test_heartbeats_alone_are_not_passed_on():
+    state = shared_state.SharedState(1)
+    state.take(view(gateway.upstream(sequence=1)), 1.0)
+    state.take(view(gateway.upstream(sequence=2)), 2.0)
+    update = state.since(1, 1, 2.5)
+    assert update.changed == ()
+    assert update.age_s == 0.5
+
+
+def test_a_drain_is_passed_on():
+    state = shared_state.SharedState(1)
+    state.take(view(gateway.upstream(sequence=1)), 1.0)
+    state.take(view(gateway.upstream(sequence=2, draining=True)), 2.0)
+    (changed,) = state.since(1, 1, 2.0).changed
+    assert changed.draining
+
+
+def test_updates_of_another_process_are_not_mixed_in():
+    mirror = shared_state.Mirror()
+    first, second = shared_state.SharedState(1), shared_state.SharedState(2)
+    first.take(view(gateway.upstream("u-1")), 1.0)
+    second.take(view(gateway.upstream("u-2")), 1.0)
+    mirror.apply(first.since(0, 0, 1.0))
+    second.take(view(gateway.upstream("u-2"), gateway.upstream("u-3")), 2.0)
+    assert mirror.apply(second.since(2, 1, 2.0)) is None
+    found = mirror.apply(second.since(mirror.epoch, mirror.revision, 2.0))
+    assert {each.upstream_id for each in found.upstreams} == {"u-2", "u-3"}
+
+
+class MirrorMachine(stateful.RuleBasedStateMachine):
+    """Reads, restarts of the reader, and asks at any moment."""
+
+    def __init__(self):
+        super().__init__()
+        self.now = 1.0
+        self.epoch = 1
+        self.state = shared_state.SharedState(1)
+        self.mirror = shared_state.Mirror()
+        self.latest = None
+
+    @stateful.rule(
+        draining=strategies.dictionaries(
+            strategies.sampled_from("abcd"), strategies.booleans()
+        ),
+        version=strategies.integers(1, 3),
+        peers=strategies.booleans(),
+    )
+    def read(self, draining, version, peers):
+        self.now += 1.0
+        self.latest = view(
+            *(
+                gateway.upstream(name, draining=each, sequence=int(self.now))
+                for name, each in draining.items()
+            ),
+            version=version,
+            peers=(PEER,) if peers else (),
+        )
+        self.state.take(self.latest, self.now)
+
+    @stateful.rule()
+    def restart(self):
+        self.epoch += 1
+        self.state = shared_state.SharedState(self.epoch)
+        self.latest = None
+
+    @stateful.rule()
+    def ask(self):
+        update = self.state.since(
+            self.mirror.epoch, self.mirror.revision, self.now
+        )
+        if self.latest is None:
+            assert update is None
+            return
+        found = self.mirror.apply(update)
+        assert found.configuration == self.latest.configuration
+        assert found.peers == self.latest.peers
+        assert {
+            (each.upstream_id, each.draining) for each in found.upstreams
+        } == {
+            (each.upstream_id, each.draining) for each in self.latest.upstreams
+        }
+
+
+MirrorMachine.TestCase.settings = hypothesis.settings(
+    max_examples=120, stateful_step_count=30, deadline=None
+)
+TestMirror = MirrorMachine.TestCase
