--- /dev/null
+++ b/tests/test_gateway_mutants.py
@@ -0,0 +1,200 @@
+"""Mutants of the gateway: without a mechanism, its proof turns red."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import stateful
+
+from sesamevale import http1
+from sesamevale.forwarding import service_task
+from sesamevale.policy import adoption
+from sesamevale.policy import forwarding
+from sesamevale.policy import load_sampling
+from sesamevale.policy import reading
+from sesamevale.policy import retry_budget
+from sesamevale.policy import roster
+from sesamevale.policy import shared_state
+from sesamevale.upstreams import http_link
+from tests.builders import machines
+from tests.forwarding import test_service_task
+from tests.policy import test_forwarding_machine
+from tests.policy import test_load_sampling
+from tests.policy import test_reading
+from tests.policy import test_retry_budget_machine
+from tests.policy import test_roster
+from tests.policy import test_routes
+from tests.policy import test_shared_state_machine
+
+
+def run_machine(machine) -> None:
+    settings = machines.machine_settings(200, 40)
+    stateful.run_state_machine_as_test(machine, settings=settings)
+
+
+def forget_that_it_may_have_run(monkeypatch) -> None:
+    def refuse(self):
+        return forwarding.Refuse(self.why)
+
+    monkeypatch.setattr(forwarding.Progress, "give_up", refuse)
+
+
+def repeat_what_must_not_run_twice(monkeypatch) -> None:
+    def again(self):
+        return forwarding.Retry(pays=True)
+
+    monkeypatch.setattr(forwarding.Progress, "give_up", again)
+
+
+def take_the_whole_budget(monkeypatch) -> None:
+    def spend(self, now):
+        self.note_repeat(now)
+        return True
+
+    monkeypatch.setattr(retry_budget.RetryBudget, "take", spend)
+
+
+def forget_fences(monkeypatch) -> None:
+    monkeypatch.setattr(roster, "_is_older", lambda entry, known: False)
+    monkeypatch.setattr(roster, "_is_new_start", lambda entry, known: True)
+
+
+def drop_lapsed_entries_at_once(monkeypatch) -> None:
+    monkeypatch.setattr(roster, "RETURN_GRACE_S", 0.0)
+
+
+def take_any_version(monkeypatch) -> None:
+    def offer(self, found, now):
+        self._current = found
+        return True
+
+    monkeypatch.setattr(adoption.Adoption, "offer", offer)
+
+
+def take_an_unsampled_upstream_for_calm(monkeypatch) -> None:
+    monkeypatch.setattr(load_sampling, "FIRST_AVERAGE_SLOWDOWN", 1.0)
+
+
+def take_a_full_upstream_for_calm(monkeypatch) -> None:
+    monkeypatch.setattr(
+        load_sampling.Candidate, "has_room", lambda self, now: True
+    )
+
+
+def trust_any_answer(monkeypatch) -> None:
+    found = http1.find
+
+    def find(headers, name):
+        value = found(headers, name)
+        if name == b"x-response-signature":
+            return value or b"any"
+        return None if name == b"content-encoding" else value
+
+    monkeypatch.setattr(http_link.http1, "find", find)
+
+
+def forget_that_it_was_sent(monkeypatch) -> None:
+    monkeypatch.setattr(
+        http_link.HttpLink, "has_sent", property(lambda self: False)
+    )
+
+
+def take_the_deadline_before_the_answer(monkeypatch) -> None:
+    monkeypatch.setattr(
+        http_link.HttpLink, "has_result", property(lambda self: False)
+    )
+
+
+def leave_cancelled_reads_alone(monkeypatch) -> None:
+    monkeypatch.setattr(
+        service_task.ServiceTask,
+        "_stop_attempt",
+        lambda self, running: False,
+    )
+
+
+def never_read_instead_of_the_reader(monkeypatch) -> None:
+    monkeypatch.setattr(reading, "OLD_SHARE", 1000.0)
+
+
+def pass_no_removals_on(monkeypatch) -> None:
+    kept = shared_state.Mirror.apply
+
+    def apply(self, update):
+        before = dict(self._upstreams)
+        view = kept(self, update)
+        self._upstreams = before | self._upstreams
+        if view is None:
+            return None
+        return shared_state.StoreView(
+            view.configuration, tuple(self._upstreams.values()), view.peers
+        )
+
+    monkeypatch.setattr(shared_state.Mirror, "apply", apply)
+
+
+def first_row(test, *arguments):
+    return lambda: test(*arguments)
+
+
+PROMISES = test_forwarding_machine.test_promises_hold_for_every_course
+SPOILT = test_service_task.test_a_spoilt_answer_is_never_passed_on
+UNSIGNED = test_service_task.Step(signed=False)
+
+MUTANTS = [
+    (forget_that_it_may_have_run, PROMISES),
+    (repeat_what_must_not_run_twice, PROMISES),
+    (
+        take_the_whole_budget,
+        lambda: run_machine(test_retry_budget_machine.BudgetMachine),
+    ),
+    (
+        forget_fences,
+        test_roster.test_a_late_heartbeat_does_not_bring_a_leaving_upstream_back,
+    ),
+    (
+        drop_lapsed_entries_at_once,
+        test_roster.test_lapsed_entries_are_kept_right_after_an_outage,
+    ),
+    (
+        take_any_version,
+        test_routes.test_the_version_in_force_never_goes_down,
+    ),
+    (
+        take_an_unsampled_upstream_for_calm,
+        test_load_sampling.test_an_unsampled_upstream_is_not_taken_for_calm,
+    ),
+    (
+        take_a_full_upstream_for_calm,
+        test_load_sampling.test_a_request_that_can_be_in_time_waits_for_a_slot,
+    ),
+    (trust_any_answer, first_row(SPOILT, UNSIGNED)),
+    (
+        forget_that_it_was_sent,
+        test_service_task.test_a_charge_in_time_out_may_have_run,
+    ),
+    (
+        take_the_deadline_before_the_answer,
+        test_service_task.test_an_answer_that_is_there_at_the_deadline_is_delivered,
+    ),
+    (
+        leave_cancelled_reads_alone,
+        test_service_task.test_a_read_that_nobody_waits_for_is_cancelled_at_the_upstream,
+    ),
+    (
+        never_read_instead_of_the_reader,
+        test_reading.test_knowledge_is_never_older_than_the_bound,
+    ),
+    (
+        pass_no_removals_on,
+        lambda: run_machine(test_shared_state_machine.MirrorMachine),
+    ),
+]
+
+
+@pytest.mark.parametrize(
+    ("mutate", "proof"), MUTANTS, ids=[each[0].__name__ for each in MUTANTS]
+)
+def test_mutant_turns_its_proof_red(monkeypatch, mutate, proof):
+    mutate(monkeypatch)
+    with pytest.raises((AssertionError, ExceptionGroup, TimeoutError)):
+        proof()
