--- a/bench/sampling.py
+++ b/bench/sampling.py
@@ -22,6 +22,8 @@
 
 from sesamevale import routes
 from sesamevale.policy import load_sampling
+from sesamevale.policy import searching
+from sesamevale.policy import upstream_state
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -92,9 +94,9 @@
             self._until = steps * NOISE_INTERVAL_S
         return self._slowdown
 
-    def load(self, now: float) -> load_sampling.Load:
+    def load(self, now: float) -> upstream_state.Load:
         """Returns the load report."""
-        return load_sampling.Load(
+        return upstream_state.Load(
             self.running,
             len(self.waiting),
             self.entry.slots,
@@ -155,7 +157,7 @@
         for _ in range(REQUESTS):
             moment += self.rng.expovariate(self.rate)
             data_center, fleet = self.rng.choice(self.fleets)
-            search = load_sampling.Search(
+            search = searching.Search(
                 ROUTE, moment, OBJECTIVE_S, frozenset(), moment
             )
             self.at(moment, self._step(data_center, fleet, search))
@@ -167,18 +169,18 @@
         self,
         data_center: str,
         fleet: load_sampling.Fleet,
-        search: load_sampling.Search,
+        search: searching.Search,
     ) -> Callable[[], None]:
         def decide() -> None:
             if self.way.prior is not None:
                 fleet._average_slowdown = self.way.prior
             step = fleet.next_step(search, self.now)
             again = self._step(data_center, fleet, search)
-            if isinstance(step, load_sampling.Send):
+            if isinstance(step, searching.Send):
                 self._send(data_center, fleet, search, step.best)
-            elif isinstance(step, load_sampling.Sample):
+            elif isinstance(step, searching.Sample):
                 self._sample(data_center, fleet, step, again)
-            elif isinstance(step, load_sampling.LookAgain):
+            elif isinstance(step, searching.LookAgain):
                 self.at(self.now + step.after_s, again)
             else:
                 self.refused += 1
@@ -193,18 +195,18 @@
         self,
         data_center: str,
         fleet: load_sampling.Fleet,
-        step: load_sampling.Sample,
+        step: searching.Sample,
         again: Callable[[], None],
     ) -> None:
         latest = self.now
-        for candidate in step.candidates:
+        for candidate in step.upstreams:
             upstream = self.upstreams[candidate.entry.upstream_id]
             delay = SAMPLE_S + self._distance(data_center, upstream)
             self.samples += 1
             latest = max(latest, self.now + delay)
 
             def arrive(
-                candidate: load_sampling.Candidate = candidate,
+                candidate: upstream_state.Candidate = candidate,
                 upstream: Upstream = upstream,
             ) -> None:
                 fleet.sampled(candidate, upstream.load(self.now), self.now)
@@ -216,8 +218,8 @@
         self,
         data_center: str,
         fleet: load_sampling.Fleet,
-        search: load_sampling.Search,
-        best: load_sampling.Ranked,
+        search: searching.Search,
+        best: upstream_state.Ranked,
     ) -> None:
         candidate = best.candidate
         upstream = self.upstreams[candidate.entry.upstream_id]
--- a/src/sesamevale/entries/state_reader.py
+++ b/src/sesamevale/entries/state_reader.py
@@ -12,6 +12,7 @@
 from typing import TYPE_CHECKING
 
 from sesamevale import gateway as gateways
+from sesamevale import gateway_messages
 from sesamevale.entries import state_pages
 from sesamevale.operators import admin_server
 from sesamevale.policy import reading
@@ -155,16 +156,18 @@
         if not self._state.take(view, read_at):
             return
         gateway = self._gateway
-        gateway.send(gateways.Discovered(view.upstreams, read_at))
+        gateway.send(gateway_messages.Discovered(view.upstreams, read_at))
         if view.configuration is not None:
             self._configured = True
-            gateway.send(gateways.Configured(view.configuration, read_at))
-        gateway.send(gateways.PeersSeen(view.peers, read_at))
+            gateway.send(
+                gateway_messages.Configured(view.configuration, read_at)
+            )
+        gateway.send(gateway_messages.PeersSeen(view.peers, read_at))
 
     def _note_away(self, away: bool, why: str) -> None:
         if away != self._away:
             self._away = away
-            self._gateway.send(gateways.StoreAway(away, why))
+            self._gateway.send(gateway_messages.StoreAway(away, why))
 
 
 @functools.singledispatch
--- a/src/sesamevale/forwarding/front.py
+++ b/src/sesamevale/forwarding/front.py
@@ -6,6 +6,7 @@
 import itertools
 from typing import TYPE_CHECKING
 
+from sesamevale.forwarding import messages
 from sesamevale.forwarding import service_task
 from sesamevale.policy import route_matching
 from sesamevale.policy import splits
@@ -128,11 +129,11 @@
         task = self._tasks.get(request.service)
         if task is None:
             return False
-        task.send(service_task.Submit(request))
+        task.send(messages.Submit(request))
         return True
 
     def caller_gone(self, request: requests.Request) -> None:
         """Tells that nobody waits for an answer any more."""
         task = self._tasks.get(request.service)
         if task is not None:
-            task.send(service_task.CallerGone(request.number))
+            task.send(messages.CallerGone(request.number))
--- /dev/null
+++ b/src/sesamevale/forwarding/messages.py
@@ -0,0 +1,156 @@
+"""Messages to the task of one service, and its state of one request."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+from sesamevale.policy import forwarding
+from sesamevale.policy import searching
+from sesamevale.policy import upstream_state
+
+if TYPE_CHECKING:
+    import asyncio
+
+    from sesamevale import routes
+    from sesamevale.forwarding import requests
+    from sesamevale.upstreams import http_link
+
+__all__ = [
+    "AttemptEnded",
+    "CallerGone",
+    "Deadline",
+    "Message",
+    "RoundOver",
+    "Running",
+    "SampleEnded",
+    "SetEntryCount",
+    "SetService",
+    "SetUpstreams",
+    "Submit",
+    "Sweep",
+]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Submit:
+    """A new request."""
+
+    request: requests.Request
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallerGone:
+    """Nobody waits for the answer of a request any more."""
+
+    number: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SetUpstreams:
+    """Upstreams that may be used from now on."""
+
+    entries: tuple[routes.UpstreamEntry, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SetService:
+    """A new version of the service."""
+
+    service: routes.Service
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SetEntryCount:
+    """Number of entries that share the retry budget."""
+
+    count: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SampleEnded:
+    """An upstream was asked for its load."""
+
+    candidate: upstream_state.Candidate
+    link: http_link.HttpLink
+    sampled: http_link.Sampled
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AttemptEnded:
+    """The exchange of an attempt has ended."""
+
+    number: int
+    attempt: int
+    result: forwarding.Result
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RoundOver:
+    """The longest wait for the samples of a round has passed."""
+
+    number: int
+    round: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Deadline:
+    """The time of a request is over."""
+
+    number: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Sweep:
+    """Time to close connections that have been idle for long."""
+
+
+Message = (
+    Submit
+    | CallerGone
+    | SetUpstreams
+    | SetService
+    | SetEntryCount
+    | SampleEnded
+    | AttemptEnded
+    | RoundOver
+    | Deadline
+    | Sweep
+)
+
+
+@dataclasses.dataclass(slots=True)
+class Running:
+    """State of one request.
+
+    Attributes:
+        request: The request.
+        progress: What has been learnt of it.
+        tried: Upstreams that it was sent to or could not be sent to.
+        round: Number of decisions so far.
+        search: Choice of an upstream for the current attempt.
+        pausing: Whether it waits for an upstream to become calm or free.
+        awaited: Upstreams whose samples the round waits for.
+        candidate: Upstream of the current attempt.
+        expected: Expected time there, as a multiple of the usual.
+        sent_at: Monotonic time in seconds at which the attempt began.
+        link: Connection of the current attempt.
+        attempts: Number of attempts so far.
+        orphaned: Whether the caller has left.
+        timer: Deadline.
+    """
+
+    request: requests.Request
+    progress: forwarding.Progress
+    tried: frozenset[str] = frozenset()
+    round: int = 0
+    search: searching.Search | None = None
+    pausing: bool = False
+    awaited: set[str] = dataclasses.field(default_factory=set)
+    candidate: upstream_state.Candidate | None = None
+    expected: float = 1.0
+    sent_at: float = 0.0
+    link: http_link.HttpLink | None = None
+    attempts: int = 0
+    orphaned: bool = False
+    timer: asyncio.TimerHandle | None = None
--- a/src/sesamevale/forwarding/service_task.py
+++ b/src/sesamevale/forwarding/service_task.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import dataclasses
 import functools
 import time
 from typing import TYPE_CHECKING
@@ -11,9 +10,12 @@
 from sesamevale import calls
 from sesamevale import messaging
 from sesamevale import outcomes
+from sesamevale.forwarding import messages
 from sesamevale.policy import forwarding
 from sesamevale.policy import load_sampling
 from sesamevale.policy import retry_budget
+from sesamevale.policy import searching
+from sesamevale.policy import upstream_state
 from sesamevale.upstreams import http_link
 from sesamevale.upstreams import link_pool
 
@@ -24,17 +26,8 @@
     from sesamevale import http1
     from sesamevale import metrics
     from sesamevale import routes
-    from sesamevale.forwarding import requests
-
-__all__ = [
-    "CallerGone",
-    "Message",
-    "ServiceTask",
-    "SetEntryCount",
-    "SetService",
-    "SetUpstreams",
-    "Submit",
-]
+
+__all__ = ["ServiceTask"]
 
 # Longest wait for the samples of one round. A sample takes the upstream a few
 # milliseconds and a round trip.
@@ -49,125 +42,7 @@
 Reason = outcomes.Reason
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Submit:
-    """A new request."""
-
-    request: requests.Request
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class CallerGone:
-    """Nobody waits for the answer of a request any more."""
-
-    number: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class SetUpstreams:
-    """Upstreams that may be used from now on."""
-
-    entries: tuple[routes.UpstreamEntry, ...]
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class SetService:
-    """A new version of the service."""
-
-    service: routes.Service
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class SetEntryCount:
-    """Number of entries that share the retry budget."""
-
-    count: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class _SampleEnded:
-    candidate: load_sampling.Candidate
-    link: http_link.HttpLink
-    sampled: http_link.Sampled
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class _AttemptEnded:
-    number: int
-    attempt: int
-    result: forwarding.Result
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class _RoundOver:
-    """The longest wait for the samples of a round has passed."""
-
-    number: int
-    round: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Deadline:
-    number: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Sweep:
-    """Time to close connections that have been idle for long."""
-
-
-Message = (
-    Submit
-    | CallerGone
-    | SetUpstreams
-    | SetService
-    | SetEntryCount
-    | _SampleEnded
-    | _AttemptEnded
-    | _RoundOver
-    | _Deadline
-    | _Sweep
-)
-
-
-@dataclasses.dataclass(slots=True)
-class _Running:
-    """State of one request.
-
-    Attributes:
-        request: The request.
-        progress: What has been learnt of it.
-        tried: Upstreams that it was sent to or could not be sent to.
-        round: Number of decisions so far.
-        search: Choice of an upstream for the current attempt.
-        pausing: Whether it waits for an upstream to become calm or free.
-        awaited: Upstreams whose samples the round waits for.
-        candidate: Upstream of the current attempt.
-        expected: Expected time there, as a multiple of the usual.
-        sent_at: Monotonic time in seconds at which the attempt began.
-        link: Connection of the current attempt.
-        attempts: Number of attempts so far.
-        orphaned: Whether the caller has left.
-        timer: Deadline.
-    """
-
-    request: requests.Request
-    progress: forwarding.Progress
-    tried: frozenset[str] = frozenset()
-    round: int = 0
-    search: load_sampling.Search | None = None
-    pausing: bool = False
-    awaited: set[str] = dataclasses.field(default_factory=set)
-    candidate: load_sampling.Candidate | None = None
-    expected: float = 1.0
-    sent_at: float = 0.0
-    link: http_link.HttpLink | None = None
-    attempts: int = 0
-    orphaned: bool = False
-    timer: asyncio.TimerHandle | None = None
-
-
-class ServiceTask(messaging.Actor[Message]):
+class ServiceTask(messaging.Actor[messages.Message]):
     """Forwards the requests of one service.
 
     Args:
@@ -199,7 +74,7 @@
         self._book = book
         self._misplaced = misplaced
         self._pool = link_pool.LinkPool(dialect)
-        self._running: dict[int, _Running] = {}
+        self._running: dict[int, messages.Running] = {}
         self._sampling: set[str] = set()
         self._loop = asyncio.get_running_loop()
         self._sweeper = self._loop.call_later(SWEEP_INTERVAL_S, self._sweep)
@@ -224,20 +99,20 @@
                 running.timer.cancel()
         self._pool.close_all()
 
-    def receive(self, message: Message) -> None:
+    def receive(self, message: messages.Message) -> None:
         """Implements ``messaging.Actor``."""
         _receive(message, self)
 
     def _sweep(self) -> None:
-        self.send(_Sweep())
+        self.send(messages.Sweep())
         self._sweeper = self._loop.call_later(SWEEP_INTERVAL_S, self._sweep)
 
-    def _select(self, running: _Running) -> None:
+    def _select(self, running: messages.Running) -> None:
         """Begins the choice of an upstream for the next attempt."""
         request = running.request
         patience_s = request.caller_deadline - request.arrived
         name = request.route.name
-        running.search = load_sampling.Search(
+        running.search = searching.Search(
             name,
             self._fleet.first_arrival(name, request.arrived, patience_s),
             request.route.objective_s,
@@ -246,7 +121,7 @@
         )
         self._continue(running)
 
-    def _continue(self, running: _Running) -> None:
+    def _continue(self, running: messages.Running) -> None:
         """Goes on with the choice of an upstream."""
         assert running.search is not None
         running.awaited = set()
@@ -261,22 +136,24 @@
         )
         _follow(self._fleet.next_step(running.search, now), self, running)
 
-    def _wake_after(self, running: _Running, seconds: float) -> None:
-        over = _RoundOver(running.request.number, running.round)
+    def _wake_after(self, running: messages.Running, seconds: float) -> None:
+        over = messages.RoundOver(running.request.number, running.round)
         self._loop.call_later(seconds, self.send, over)
 
-    def _sample(self, candidate: load_sampling.Candidate, now: float) -> None:
+    def _sample(self, candidate: upstream_state.Candidate, now: float) -> None:
         entry = candidate.entry
         link = self._pool.take(entry, float("inf"), now)
         self._sampling.add(entry.upstream_id)
         self._book.count("samples")
 
         def report(sampled: http_link.Sampled) -> None:
-            self.send(_SampleEnded(candidate, link, sampled))
+            self.send(messages.SampleEnded(candidate, link, sampled))
 
         link.send(http_link.Sample(self._service.health_path, report))
 
-    def _send(self, running: _Running, best: load_sampling.Ranked) -> None:
+    def _send(
+        self, running: messages.Running, best: upstream_state.Ranked
+    ) -> None:
         request = running.request
         now = time.monotonic()
         candidate = best.candidate
@@ -293,7 +170,7 @@
         candidate.started()
 
         def report(result: forwarding.Result) -> None:
-            self.send(_AttemptEnded(request.number, attempt, result))
+            self.send(messages.AttemptEnded(request.number, attempt, result))
 
         link.send(http_link.Forward(request, report))
         self._events.decision(
@@ -311,7 +188,7 @@
         )
 
     def _attempt_over(
-        self, running: _Running, result: forwarding.Result
+        self, running: messages.Running, result: forwarding.Result
     ) -> None:
         """Takes what an attempt says of its upstream."""
         candidate, link = running.candidate, running.link
@@ -334,8 +211,8 @@
 
     def _note_load(
         self,
-        candidate: load_sampling.Candidate,
-        load: load_sampling.Load | None,
+        candidate: upstream_state.Candidate,
+        load: upstream_state.Load | None,
     ) -> None:
         """Takes a load figure and goes on with what waited for one."""
         if load is None:
@@ -349,35 +226,39 @@
             if name not in running.tried:
                 self._continue(running)
 
-    def _by_urgency(self) -> list[_Running]:
+    def _by_urgency(self) -> list[messages.Running]:
         """Returns the waiting requests, those that can be in time first."""
         now = time.monotonic()
         waiting = [each for each in self._running.values() if each.pausing]
         return sorted(waiting, key=lambda each: self._urgency(each, now))
 
     def _urgency(
-        self, running: _Running, now: float
+        self, running: messages.Running, now: float
     ) -> tuple[int, bool, float]:
         assert running.search is not None
         late = not self._fleet.is_hopeful(running.search, now)
         priority = running.request.route.priority
         return priority, late, running.search.arrived
 
-    def _apply(self, running: _Running, decision: forwarding.Decision) -> None:
+    def _apply(
+        self, running: messages.Running, decision: forwarding.Decision
+    ) -> None:
         _apply(decision, self, running)
 
     def _conclude(
-        self, running: _Running, outcome: outcomes.NotRun | outcomes.Unknown
+        self,
+        running: messages.Running,
+        outcome: outcomes.NotRun | outcomes.Unknown,
     ) -> None:
         running.request.answer.put(calls.Failed(outcome))
         self._finish(running)
 
-    def _finish(self, running: _Running) -> None:
+    def _finish(self, running: messages.Running) -> None:
         self._running.pop(running.request.number, None)
         if running.timer is not None:
             running.timer.cancel()
 
-    def _stop_attempt(self, running: _Running) -> bool:
+    def _stop_attempt(self, running: messages.Running) -> bool:
         """Ends the current attempt; True if it may have been sent."""
         candidate, link = running.candidate, running.link
         if candidate is None or link is None:
@@ -396,33 +277,33 @@
     return result.status < SERVER_ERROR
 
 
-def _describe(load: load_sampling.Load | None) -> str:
+def _describe(load: upstream_state.Load | None) -> str:
     if load is None:
         return ""
     return f"{load.running}+{load.waiting}/{load.slots}x{load.slowdown:g}"
 
 
 @functools.singledispatch
-def _receive(message: Message, task: ServiceTask) -> None:
+def _receive(message: messages.Message, task: ServiceTask) -> None:
     raise TypeError(f"no rule for {type(message).__name__}")
 
 
 @_receive.register
-def _(message: Submit, task: ServiceTask) -> None:
+def _(message: messages.Submit, task: ServiceTask) -> None:
     request = message.request
     task._budget.note_request(request.arrived)
     limits = forwarding.Attempt(
         request.route.repeatable, request.route.upstreams_max
     )
-    running = _Running(request, forwarding.Progress(limits))
+    running = messages.Running(request, forwarding.Progress(limits))
     task._running[request.number] = running
-    deadline = _Deadline(request.number)
+    deadline = messages.Deadline(request.number)
     running.timer = task._loop.call_at(request.deadline, task.send, deadline)
     task._select(running)
 
 
 @_receive.register
-def _(message: CallerGone, task: ServiceTask) -> None:
+def _(message: messages.CallerGone, task: ServiceTask) -> None:
     running = task._running.get(message.number)
     if running is None:
         return
@@ -439,24 +320,24 @@
 
 
 @_receive.register
-def _(message: SetUpstreams, task: ServiceTask) -> None:
+def _(message: messages.SetUpstreams, task: ServiceTask) -> None:
     now = time.monotonic()
     for name in task._fleet.set_entries(message.entries, now):
         task._pool.forget(name)
 
 
 @_receive.register
-def _(message: SetService, task: ServiceTask) -> None:
+def _(message: messages.SetService, task: ServiceTask) -> None:
     task._service = message.service
 
 
 @_receive.register
-def _(message: SetEntryCount, task: ServiceTask) -> None:
+def _(message: messages.SetEntryCount, task: ServiceTask) -> None:
     task._budget.set_entries(message.count, time.monotonic())
 
 
 @_receive.register
-def _(message: _SampleEnded, task: ServiceTask) -> None:
+def _(message: messages.SampleEnded, task: ServiceTask) -> None:
     now = time.monotonic()
     candidate, sampled = message.candidate, message.sampled
     name = candidate.entry.upstream_id
@@ -480,14 +361,14 @@
 
 
 @_receive.register
-def _(message: _RoundOver, task: ServiceTask) -> None:
+def _(message: messages.RoundOver, task: ServiceTask) -> None:
     running = task._running.get(message.number)
     if running is not None and running.round == message.round:
         task._continue(running)
 
 
 @_receive.register
-def _(message: _AttemptEnded, task: ServiceTask) -> None:
+def _(message: messages.AttemptEnded, task: ServiceTask) -> None:
     running = task._running.get(message.number)
     if running is None or running.attempts != message.attempt:
         return
@@ -499,7 +380,7 @@
 
 
 @_receive.register
-def _(message: _Deadline, task: ServiceTask) -> None:
+def _(message: messages.Deadline, task: ServiceTask) -> None:
     running = task._running.get(message.number)
     if running is None:
         return
@@ -519,26 +400,30 @@
 
 
 @_receive.register
-def _(message: _Sweep, task: ServiceTask) -> None:
+def _(message: messages.Sweep, task: ServiceTask) -> None:
     task._pool.close_expired(time.monotonic())
 
 
 @functools.singledispatch
 def _follow(
-    step: load_sampling.Step, task: ServiceTask, running: _Running
+    step: searching.Step, task: ServiceTask, running: messages.Running
 ) -> None:
     raise TypeError(f"no rule for {type(step).__name__}")
 
 
 @_follow.register
-def _(step: load_sampling.Send, task: ServiceTask, running: _Running) -> None:
+def _(
+    step: searching.Send, task: ServiceTask, running: messages.Running
+) -> None:
     task._send(running, step.best)
 
 
 @_follow.register
-def _(step: load_sampling.Sample, task: ServiceTask, running: _Running) -> None:
+def _(
+    step: searching.Sample, task: ServiceTask, running: messages.Running
+) -> None:
     now = time.monotonic()
-    for candidate in step.candidates:
+    for candidate in step.upstreams:
         name = candidate.entry.upstream_id
         running.awaited.add(name)
         if name not in task._sampling:
@@ -547,7 +432,9 @@
 
 
 @_follow.register
-def _(step: load_sampling.NoRoom, task: ServiceTask, running: _Running) -> None:
+def _(
+    step: searching.NoRoom, task: ServiceTask, running: messages.Running
+) -> None:
     if not running.progress.sent:
         running.progress.why = Reason.OVERLOADED
     task._apply(running, running.progress.give_up())
@@ -555,21 +442,23 @@
 
 @_follow.register
 def _(
-    step: load_sampling.LookAgain, task: ServiceTask, running: _Running
+    step: searching.LookAgain, task: ServiceTask, running: messages.Running
 ) -> None:
     running.pausing = True
     task._wake_after(running, step.after_s)
 
 
 @_follow.register
-def _(step: load_sampling.Nobody, task: ServiceTask, running: _Running) -> None:
+def _(
+    step: searching.Nobody, task: ServiceTask, running: messages.Running
+) -> None:
     task._apply(running, running.progress.give_up())
 
 
 @functools.singledispatch
 def _judge(
     result: forwarding.Result,
-    candidate: load_sampling.Candidate,
+    candidate: upstream_state.Candidate,
     task: ServiceTask,
 ) -> None:
     raise TypeError(f"no rule for {type(result).__name__}")
@@ -578,7 +467,7 @@
 @_judge.register
 def _(
     result: forwarding.Answered,
-    candidate: load_sampling.Candidate,
+    candidate: upstream_state.Candidate,
     task: ServiceTask,
 ) -> None:
     if result.status >= SERVER_ERROR:
@@ -590,7 +479,7 @@
 @_judge.register
 def _(
     result: forwarding.Rejected,
-    candidate: load_sampling.Candidate,
+    candidate: upstream_state.Candidate,
     task: ServiceTask,
 ) -> None:
     task._book.count("attempts_rejected")
@@ -602,7 +491,7 @@
 @_judge.register
 def _(
     result: forwarding.NotSent,
-    candidate: load_sampling.Candidate,
+    candidate: upstream_state.Candidate,
     task: ServiceTask,
 ) -> None:
     task._book.count("attempts_not_sent")
@@ -612,7 +501,7 @@
 @_judge.register
 def _(
     result: forwarding.Lost,
-    candidate: load_sampling.Candidate,
+    candidate: upstream_state.Candidate,
     task: ServiceTask,
 ) -> None:
     task._book.count("attempts_lost")
@@ -621,13 +510,15 @@
 
 @functools.singledispatch
 def _apply(
-    decision: forwarding.Decision, task: ServiceTask, running: _Running
+    decision: forwarding.Decision, task: ServiceTask, running: messages.Running
 ) -> None:
     raise TypeError(f"no rule for {type(decision).__name__}")
 
 
 @_apply.register
-def _(decision: forwarding.Retry, task: ServiceTask, running: _Running) -> None:
+def _(
+    decision: forwarding.Retry, task: ServiceTask, running: messages.Running
+) -> None:
     now = time.monotonic()
     progress = running.progress
     if running.request.deadline - now < USEFUL_LEFT_S:
@@ -642,7 +533,7 @@
 
 @_apply.register
 def _(
-    decision: forwarding.Deliver, task: ServiceTask, running: _Running
+    decision: forwarding.Deliver, task: ServiceTask, running: messages.Running
 ) -> None:
     found = decision.answer
     answer = running.request.answer
@@ -658,11 +549,13 @@
 
 @_apply.register
 def _(
-    decision: forwarding.Refuse, task: ServiceTask, running: _Running
+    decision: forwarding.Refuse, task: ServiceTask, running: messages.Running
 ) -> None:
     task._conclude(running, outcomes.NotRun(decision.why))
 
 
 @_apply.register
-def _(decision: forwarding.Fail, task: ServiceTask, running: _Running) -> None:
+def _(
+    decision: forwarding.Fail, task: ServiceTask, running: messages.Running
+) -> None:
     task._conclude(running, outcomes.Unknown(decision.why))
--- a/src/sesamevale/gateway.py
+++ b/src/sesamevale/gateway.py
@@ -12,12 +12,14 @@
 from typing import Self
 from typing import TYPE_CHECKING
 
+from sesamevale import gateway_messages
 from sesamevale import incarnations
 from sesamevale import messaging
 from sesamevale import metrics
 from sesamevale.callers import gateway_server
 from sesamevale.entries import gossip
 from sesamevale.forwarding import front as fronts
+from sesamevale.forwarding import messages
 from sesamevale.forwarding import service_task
 from sesamevale.operators import admin_server
 from sesamevale.policy import adoption
@@ -32,16 +34,8 @@
     from sesamevale import event_log
     from sesamevale import http1
     from sesamevale import routes
-    from sesamevale import settings as checked_settings
 
-__all__ = [
-    "Configured",
-    "Discovered",
-    "Gateway",
-    "GatewaySettings",
-    "PeersSeen",
-    "StoreAway",
-]
+__all__ = ["Gateway"]
 
 DRAIN_STEP_S = 0.05
 # Time kept at the end of the grace to end what is still running.
@@ -52,113 +46,7 @@
 DIRECTORY_OVERUSE = 3
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class GatewaySettings:
-    """Settings of one gateway entry.
-
-    Attributes:
-        entry_id: Identifier, unique among the entries.
-        data_center: Data centre of this entry.
-        environment: Name of the fleet; entries of others are ignored.
-        callers: Address for callers.
-        entry_port: UDP port for other entries.
-        metrics_port: TCP port for metrics and status.
-        budget: What all entries together may repeat.
-        directory_lifetime_s: How long callers keep a directory answer, in
-            seconds.
-        config_bound_s: Time within which a version must be in force, in
-            seconds.
-        grace_s: Time from the signal to stop to the end, in seconds.
-    """
-
-    entry_id: str
-    data_center: str
-    environment: str
-    callers: checked_settings.Endpoint
-    entry_port: int
-    metrics_port: int
-    budget: retry_budget.BudgetTerms
-    directory_lifetime_s: float
-    config_bound_s: float
-    grace_s: float
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Configured:
-    """A configuration was read.
-
-    Attributes:
-        configuration: The configuration.
-        read_at: When the read was sent, in monotonic seconds.
-    """
-
-    configuration: routes.Configuration
-    read_at: float
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Discovered:
-    """All upstreams were read.
-
-    Attributes:
-        entries: The upstreams.
-        read_at: When the read was sent, in monotonic seconds.
-    """
-
-    entries: tuple[routes.UpstreamEntry, ...]
-    read_at: float
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class PeersSeen:
-    """Entries that are registered in the store.
-
-    Attributes:
-        peers: The entries, this one included.
-        read_at: When the read was sent, in monotonic seconds.
-    """
-
-    peers: tuple[peers.Peer, ...]
-    read_at: float
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class StoreAway:
-    """The store was lost or is back."""
-
-    away: bool
-    why: str
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class _MembersChanged:
-    """The gossip has news of members."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Misplaced:
-    """The address of an upstream answers for another one."""
-
-    upstream_id: str
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Stopping:
-    """This entry is leaving."""
-
-
-Message = (
-    Configured
-    | Discovered
-    | PeersSeen
-    | StoreAway
-    | _MembersChanged
-    | _Misplaced
-    | _Stopping
-)
-
-
-class Gateway(messaging.Actor[Message]):
+class Gateway(messaging.Actor[gateway_messages.Message]):
     """Runs one entry while its context is open.
 
     Args:
@@ -170,7 +58,7 @@
 
     def __init__(
         self,
-        settings: GatewaySettings,
+        settings: gateway_messages.GatewaySettings,
         dialect: http1.Dialect,
         events: event_log.EventLog,
         book: metrics.Book,
@@ -213,7 +101,7 @@
             ),
             settings.callers.host,
             settings.entry_port,
-            lambda: self.send(_MembersChanged()),
+            lambda: self.send(gateway_messages.MembersChanged()),
             lambda: None,
             book,
         )
@@ -261,7 +149,7 @@
         for task in self._front.tasks.values():
             await task.__aexit__(*exc_info)
 
-    def receive(self, message: Message) -> None:
+    def receive(self, message: gateway_messages.Message) -> None:
         """Implements ``messaging.Actor``."""
         _receive(message, self)
 
@@ -277,7 +165,7 @@
         settings = self._settings
         limit = started + settings.grace_s - STOP_MARGIN_S
         self._gossip.send(gossip.Leave())
-        self.send(_Stopping())
+        self.send(gateway_messages.Stopping())
         lifetime_s = DIRECTORY_OVERUSE * settings.directory_lifetime_s
         quiet_from = min(limit, started + lifetime_s + STRAGGLER_S)
         while time.monotonic() < quiet_from:
@@ -305,7 +193,7 @@
         for name, service in configuration.services.items():
             known = tasks.get(name)
             if known is not None:
-                known.send(service_task.SetService(service))
+                known.send(messages.SetService(service))
                 continue
             task = service_task.ServiceTask(
                 service,
@@ -314,7 +202,9 @@
                 self._dialect,
                 self._events,
                 self._book,
-                lambda upstream_id: self.send(_Misplaced(upstream_id)),
+                lambda upstream_id: self.send(
+                    gateway_messages.Misplaced(upstream_id)
+                ),
             )
             task.start()
             tasks[name] = task
@@ -324,13 +214,13 @@
     def _apply_upstreams(self) -> None:
         for name, task in self._front.tasks.items():
             entries = self._roster.usable(name)
-            task.send(service_task.SetUpstreams(entries))
+            task.send(messages.SetUpstreams(entries))
 
     def _apply_entry_count(self) -> None:
         near = self._gossip.view.reachable
         count = len(near) + len(self._peers.far)
         for task in self._front.tasks.values():
-            task.send(service_task.SetEntryCount(count))
+            task.send(messages.SetEntryCount(count))
 
     def _log_changes(self, changes: list[roster.Change]) -> None:
         for change in changes:
@@ -416,12 +306,12 @@
 
 
 @functools.singledispatch
-def _receive(message: Message, gateway: Gateway) -> None:
+def _receive(message: gateway_messages.Message, gateway: Gateway) -> None:
     raise TypeError(f"no rule for {type(message).__name__}")
 
 
 @_receive.register
-def _(message: Configured, gateway: Gateway) -> None:
+def _(message: gateway_messages.Configured, gateway: Gateway) -> None:
     found = message.configuration
     previous = gateway._adoption.version
     changed = gateway._adoption.offer(found, message.read_at)
@@ -442,7 +332,7 @@
 
 
 @_receive.register
-def _(message: Discovered, gateway: Gateway) -> None:
+def _(message: gateway_messages.Discovered, gateway: Gateway) -> None:
     changes = gateway._roster.observe(message.entries, message.read_at)
     gateway._apply_upstreams()
     if gateway._front.view.discovered:
@@ -453,7 +343,7 @@
 
 
 @_receive.register
-def _(message: PeersSeen, gateway: Gateway) -> None:
+def _(message: gateway_messages.PeersSeen, gateway: Gateway) -> None:
     gateway._peers.observe(message.peers, message.read_at)
     for peer in gateway._peers.near:
         gateway._gossip.send(gossip.Seed(peer.host, peer.entry_port))
@@ -461,24 +351,24 @@
 
 
 @_receive.register
-def _(message: StoreAway, gateway: Gateway) -> None:
+def _(message: gateway_messages.StoreAway, gateway: Gateway) -> None:
     gateway._events.state(
         "store_lost" if message.away else "store_back", why=message.why
     )
 
 
 @_receive.register
-def _(message: _MembersChanged, gateway: Gateway) -> None:
+def _(message: gateway_messages.MembersChanged, gateway: Gateway) -> None:
     gateway._show_members()
 
 
 @_receive.register
-def _(message: _Misplaced, gateway: Gateway) -> None:
+def _(message: gateway_messages.Misplaced, gateway: Gateway) -> None:
     gateway._log_changes(gateway._roster.fence(message.upstream_id))
     gateway._apply_upstreams()
 
 
 @_receive.register
-def _(message: _Stopping, gateway: Gateway) -> None:
+def _(message: gateway_messages.Stopping, gateway: Gateway) -> None:
     gateway._events.state("stopping", active=gateway._front.active)
     gateway._show(stopping=True)
--- a/src/sesamevale/http1.py
+++ b/src/sesamevale/http1.py
@@ -10,7 +10,7 @@
     from collections.abc import Iterable
 
     from sesamevale import calls
-    from sesamevale.policy import load_sampling
+    from sesamevale.policy import upstream_state
 
 __all__ = [
     "Dialect",
@@ -78,7 +78,7 @@
     not_run: bytes
     upstream_id: bytes
     load: bytes
-    read_load: Callable[[bytes], load_sampling.Load | None]
+    read_load: Callable[[bytes], upstream_state.Load | None]
 
 
 OWN_FIELDS = frozenset(
--- a/src/sesamevale/platform/fields.py
+++ b/src/sesamevale/platform/fields.py
@@ -3,14 +3,14 @@
 from __future__ import annotations
 
 from sesamevale import http1
-from sesamevale.policy import load_sampling
+from sesamevale.policy import upstream_state
 
 __all__ = ["DIALECT", "read_load"]
 
 USUAL_SPEED = 100
 
 
-def read_load(value: bytes) -> load_sampling.Load | None:
+def read_load(value: bytes) -> upstream_state.Load | None:
     """Reads running, waiting and slots, and the slowdown if it is given."""
     parts = value.split(b",")
     try:
@@ -20,7 +20,7 @@
     if len(figures) < 3 or min(figures) < 0:
         return None
     slowdown = figures[3] / USUAL_SPEED if len(figures) > 3 else 1.0
-    return load_sampling.Load(
+    return upstream_state.Load(
         figures[0], figures[1], figures[2], max(0.01, slowdown)
     )
 
--- a/src/sesamevale/platform/settings.py
+++ b/src/sesamevale/platform/settings.py
@@ -11,7 +11,7 @@
 
 import pydantic
 
-from sesamevale import gateway as gateways
+from sesamevale import gateway_messages
 from sesamevale import settings as checked_settings
 from sesamevale.policy import retry_budget
 
@@ -93,10 +93,10 @@
         longest = self.bounds.directory_lifetime_max_s
         return min(DIRECTORY_LIFETIME_S, longest)
 
-    def for_gateway(self) -> gateways.GatewaySettings:
+    def for_gateway(self) -> gateway_messages.GatewaySettings:
         """Returns what the gateway needs to know."""
         bounds = self.bounds
-        return gateways.GatewaySettings(
+        return gateway_messages.GatewaySettings(
             entry_id=self.entry_id,
             data_center=self.data_center,
             environment=ENVIRONMENT,
--- a/src/sesamevale/policy/forwarding.py
+++ b/src/sesamevale/policy/forwarding.py
@@ -10,7 +10,7 @@
 
 if TYPE_CHECKING:
     from sesamevale import calls
-    from sesamevale.policy import load_sampling
+    from sesamevale.policy import upstream_state
 
 __all__ = [
     "Answered",
@@ -51,7 +51,7 @@
     headers: calls.Headers
     body: bytes
     rest: calls.AnswerChannel | None = None
-    load: load_sampling.Load | None = None
+    load: upstream_state.Load | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -64,7 +64,7 @@
     """
 
     misplaced: bool = False
-    load: load_sampling.Load | None = None
+    load: upstream_state.Load | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/sesamevale/policy/load_sampling.py
+++ b/src/sesamevale/policy/load_sampling.py
@@ -11,37 +11,24 @@
 
 from __future__ import annotations
 
-import dataclasses
 import math
 from typing import TYPE_CHECKING
 
+from sesamevale.policy import searching
+from sesamevale.policy import upstream_state
+
 if TYPE_CHECKING:
     import random
     from collections.abc import Iterable
 
     from sesamevale import routes
 
-__all__ = [
-    "Candidate",
-    "Fleet",
-    "Load",
-    "LookAgain",
-    "Nobody",
-    "NoRoom",
-    "Ranked",
-    "Sample",
-    "Search",
-    "Send",
-    "Step",
-]
+__all__ = ["Fleet"]
 
 # Candidates sampled in one round: in this data centre, and in the others,
 # where each sample pays for its bytes. Source: bench/sampling.py.
 SAMPLES_NEAR = 3
 SAMPLES_FAR = 2
-# A slowdown holds for a fraction of a second; within this time a figure of
-# another request still stands for the upstream.
-FRESH_S = 0.02
 # Weight of a new sample in the average slowdown of a service.
 AVERAGE_WEIGHT = 0.05
 FIRST_AVERAGE_SLOWDOWN = 2.0
@@ -53,6 +40,9 @@
 # Part of the latency objective that may be spent on waiting for an upstream
 # of this data centre to become calm before others are looked at.
 PATIENCE_SHARE = 0.2
+# The same if no upstream of this data centre has a free slot: slots become
+# free less often than slowdowns change.
+FULL_PATIENCE_SHARE = 0.05
 # Part of the latency objective after which a request that finds no free slot
 # is refused if its usual duration is not known.
 HOLD_SHARE = 0.5
@@ -64,214 +54,6 @@
 DURATION_MARGIN = 1.4
 # Weight of a new duration in the mean of a route.
 DURATION_WEIGHT = 0.05
-# Growth of the expected time as the slots fill up.
-FULLNESS_WEIGHT = 0.7
-# Weight of the last result in the share of failures.
-FAILURE_WEIGHT = 0.2
-# Factor on the expected time of an upstream that always fails.
-FAILURE_FACTOR = 8.0
-FAILURE_MEMORY_S = 4.0
-# Time for which an upstream that cannot be reached is passed over; doubles.
-FIRST_EJECTION_S = 0.5
-LONGEST_EJECTION_S = 4.0
-WARMUP_FACTOR = 2.0
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Load:
-    """Load that an upstream reports.
-
-    Attributes:
-        running: Requests that it runs.
-        waiting: Requests in its queue.
-        slots: Requests that it can run at a time.
-        slowdown: How long work takes on its machine now; 1 is as usual.
-    """
-
-    running: int
-    waiting: int
-    slots: int
-    slowdown: float = 1.0
-
-
-class Candidate:
-    """What one entry knows of one upstream besides its discovery entry."""
-
-    __slots__ = (
-        "_ejected_until",
-        "_ejections",
-        "_failed_at",
-        "_failures",
-        "_own",
-        "_sampled_at",
-        "_since_sample",
-        "entry",
-        "load",
-        "warm_at",
-    )
-
-    def __init__(self, entry: routes.UpstreamEntry, now: float) -> None:
-        self.entry = entry
-        self.load: Load | None = None
-        self.warm_at = now + entry.warmup_s
-        self._sampled_at = -math.inf
-        self._since_sample = 0
-        self._own = 0
-        self._failures = 0.0
-        self._failed_at = -math.inf
-        self._ejected_until = -math.inf
-        self._ejections = 0
-
-    @property
-    def own(self) -> int:
-        """Requests of this entry that are at the upstream."""
-        return self._own
-
-    def is_fresh(self, now: float) -> bool:
-        """Whether the load figure can still be relied on."""
-        return self.load is not None and now - self._sampled_at <= FRESH_S
-
-    def is_ejected(self, now: float) -> bool:
-        """Whether the upstream is passed over while others can be used."""
-        return now < self._ejected_until
-
-    def sampled(self, load: Load, now: float) -> None:
-        """Takes a load figure."""
-        self.load = load
-        self._sampled_at = now
-        self._since_sample = 0
-
-    def started(self) -> None:
-        """Counts a request that is sent to the upstream."""
-        self._own += 1
-        self._since_sample += 1
-
-    def ended(self) -> None:
-        """Counts a request that has left the upstream."""
-        self._own -= 1
-
-    def succeeded(self) -> None:
-        """Takes a good answer."""
-        self._failures *= 1.0 - FAILURE_WEIGHT
-        self._ejections = 0
-
-    def failed(self, now: float) -> None:
-        """Takes a failed or spoilt answer."""
-        self._failures += FAILURE_WEIGHT * (1.0 - self._failures)
-        self._failed_at = now
-
-    def unreachable(self, now: float) -> None:
-        """Takes a refused or silent connection."""
-        length = FIRST_EJECTION_S * 2.0**self._ejections
-        self._ejections = min(self._ejections + 1, 8)
-        self._ejected_until = now + min(length, LONGEST_EJECTION_S)
-
-    def has_room(self, now: float) -> bool:
-        """Whether a slot seems to be free."""
-        if self.load is not None and self.is_fresh(now):
-            busy = self.load.running + self.load.waiting
-            return busy + self._since_sample < max(1, self.load.slots)
-        return self._own < max(1, self.entry.slots)
-
-    def expected(self, average_slowdown: float, now: float) -> float:
-        """Expected time of a request, as a multiple of the usual.
-
-        Args:
-            average_slowdown: Taken for a machine without a fresh figure.
-            now: Monotonic time in seconds.
-        """
-        slots = max(1, self.entry.slots)
-        busy = self._own + 1
-        slowdown = average_slowdown
-        if self.load is not None and self.is_fresh(now):
-            slots = max(1, self.load.slots)
-            busy = self.load.running + self.load.waiting
-            busy += self._since_sample + 1
-            slowdown = self.load.slowdown
-        fullness = min(1.0, busy / slots)
-        factor = 1.0 + FULLNESS_WEIGHT * fullness**4
-        factor += max(0, busy - slots) / slots
-        if now < self.warm_at:
-            factor *= WARMUP_FACTOR
-        if now - self._failed_at < FAILURE_MEMORY_S:
-            factor *= 1.0 + FAILURE_FACTOR * self._failures
-        return slowdown * factor
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Ranked:
-    """The best candidate of a round.
-
-    Attributes:
-        candidate: The candidate.
-        expected: Its expected time as a multiple of the usual.
-        is_calm: Whether no better one needs to be looked for.
-    """
-
-    candidate: Candidate
-    expected: float
-    is_calm: bool
-
-
-@dataclasses.dataclass(slots=True)
-class Search:
-    """State of the choice of an upstream for one attempt.
-
-    Attributes:
-        route: Name of the route.
-        arrived: Monotonic time in seconds at which the caller first asked.
-        objective_s: Latency objective in seconds.
-        excluded: Upstreams that were tried already.
-        started: Monotonic time in seconds at which the search began.
-        looked_near: Whether this data centre was sampled just now.
-        looked_far: Whether the others were sampled.
-        pauses: Times that the search has waited.
-        must_yield: Whether requests that can still be in time wait too.
-    """
-
-    route: str
-    arrived: float
-    objective_s: float
-    excluded: frozenset[str]
-    started: float
-    looked_near: bool = False
-    looked_far: bool = False
-    pauses: int = 0
-    must_yield: bool = False
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Send:
-    """Send the request."""
-
-    best: Ranked
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Sample:
-    """Ask upstreams for their load, then decide again."""
-
-    candidates: tuple[Candidate, ...]
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class LookAgain:
-    """Decide again after some seconds."""
-
-    after_s: float
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Nobody:
-    """There is no upstream left to try."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class NoRoom:
-    """No upstream has a free slot in time."""
-
-
-Step = Send | Sample | LookAgain | Nobody | NoRoom
 
 
 class Fleet:
@@ -285,14 +67,14 @@
     def __init__(self, data_center: str, rng: random.Random) -> None:
         self._data_center = data_center
         self._rng = rng
-        self._candidates: dict[str, Candidate] = {}
+        self._candidates: dict[str, upstream_state.Candidate] = {}
         self._average_slowdown = FIRST_AVERAGE_SLOWDOWN
         self._durations: dict[str, float] = {}
         self._patience: dict[str, float] = {}
         self._reports_load: bool | None = None
 
     @property
-    def candidates(self) -> dict[str, Candidate]:
+    def candidates(self) -> dict[str, upstream_state.Candidate]:
         """Upstreams by identifier."""
         return self._candidates
 
@@ -305,11 +87,11 @@
         self, entries: Iterable[routes.UpstreamEntry], now: float
     ) -> list[str]:
         """Takes the upstreams that may be used; returns those that left."""
-        kept: dict[str, Candidate] = {}
+        kept: dict[str, upstream_state.Candidate] = {}
         for entry in entries:
             known = self._candidates.get(entry.upstream_id)
             if known is None or _is_other(known.entry, entry):
-                known = Candidate(entry, now)
+                known = upstream_state.Candidate(entry, now)
             known.entry = entry
             kept[entry.upstream_id] = known
         left = [
@@ -320,7 +102,12 @@
         self._candidates = kept
         return left
 
-    def sampled(self, candidate: Candidate, load: Load, now: float) -> None:
+    def sampled(
+        self,
+        candidate: upstream_state.Candidate,
+        load: upstream_state.Load,
+        now: float,
+    ) -> None:
         """Takes a load figure of one upstream."""
         self._reports_load = True
         candidate.sampled(load, now)
@@ -345,23 +132,25 @@
         known = self._durations.setdefault(route, usual)
         self._durations[route] = known + DURATION_WEIGHT * (usual - known)
 
-    def next_step(self, search: Search, now: float) -> Step:
+    def next_step(self, search: searching.Search, now: float) -> searching.Step:
         """Decides how the search for an upstream goes on."""
         best = self.best(search.excluded, now)
         if best is None:
-            return Nobody()
+            return searching.Nobody()
         if best.is_calm or self._reports_load is False:
-            return Send(best)
+            return searching.Send(best)
         if not search.looked_near:
             search.looked_near = True
             wanted = self._to_sample(search.excluded, near=True, now=now)
             if wanted:
-                return Sample(tuple(wanted))
+                return searching.Sample(tuple(wanted))
         if self._is_in_time(search, best, now):
-            return Send(best)
+            return searching.Send(best)
         return self._look_further(search, best, now)
 
-    def _look_further(self, search: Search, best: Ranked, now: float) -> Step:
+    def _look_further(
+        self, search: searching.Search, best: upstream_state.Ranked, now: float
+    ) -> searching.Step:
         """Decides what follows if this data centre has nothing good."""
         if not search.looked_far:
             if self._may_wait(search, now):
@@ -369,23 +158,23 @@
             search.looked_far = True
             wanted = self._to_sample(search.excluded, near=False, now=now)
             if wanted:
-                return Sample(tuple(wanted))
+                return searching.Sample(tuple(wanted))
         hopeful = self.is_hopeful(search, now)
         has_room = best.candidate.has_room(now)
         if has_room and (hopeful or not search.must_yield):
-            return Send(best)
+            return searching.Send(best)
         held = now - search.started
         if hopeful or held < HOLD_SHARE * search.objective_s:
             search.looked_far = False
             return self._pause(search)
-        return NoRoom()
+        return searching.NoRoom()
 
-    def _pause(self, search: Search) -> Step:
+    def _pause(self, search: searching.Search) -> searching.Step:
         """Waits before the search goes on with fresh samples."""
         search.looked_near = False
         search.pauses += 1
         seconds = LOOK_AGAIN_S * search.pauses
-        return LookAgain(min(seconds, LOOK_AGAIN_MAX_S))
+        return searching.LookAgain(min(seconds, LOOK_AGAIN_MAX_S))
 
     def first_arrival(
         self, route: str, arrived: float, patience_s: float
@@ -406,7 +195,7 @@
         self._patience[route] = longest
         return arrived - (longest - patience_s)
 
-    def is_hopeful(self, search: Search, now: float) -> bool:
+    def is_hopeful(self, search: searching.Search, now: float) -> bool:
         """Whether a request can still be in time."""
         usual = self._durations.get(search.route)
         needed = (1.0 - HOLD_SHARE) * search.objective_s
@@ -414,7 +203,9 @@
             needed = usual * DURATION_MARGIN
         return now - search.arrived + needed < search.objective_s
 
-    def _is_in_time(self, search: Search, best: Ranked, now: float) -> bool:
+    def _is_in_time(
+        self, search: searching.Search, best: upstream_state.Ranked, now: float
+    ) -> bool:
         """Whether an upstream should answer within the objective."""
         usual = self._durations.get(search.route)
         if usual is None or not best.candidate.is_fresh(now):
@@ -422,25 +213,30 @@
         needed = usual * best.expected * DURATION_MARGIN
         return now - search.arrived + needed <= search.objective_s
 
-    def _may_wait(self, search: Search, now: float) -> bool:
+    def _may_wait(self, search: searching.Search, now: float) -> bool:
         """Whether it is early enough to wait for this data centre."""
-        if not any(
-            each.entry.data_center == self._data_center
+        near = [
+            each
             for name, each in self._candidates.items()
             if name not in search.excluded
-        ):
+            and each.entry.data_center == self._data_center
+        ]
+        if not near:
             return False
+        patience = FULL_PATIENCE_SHARE
+        if any(each.has_room(now) for each in near):
+            patience = PATIENCE_SHARE
         usual = self._durations.get(search.route, 0.0)
         needed = usual * DURATION_MARGIN + LOOK_AGAIN_S
         waited = now - search.started
         return (
-            waited < PATIENCE_SHARE * search.objective_s
+            waited < patience * search.objective_s
             and now - search.arrived + needed < search.objective_s
         )
 
     def _to_sample(
         self, excluded: frozenset[str], *, near: bool, now: float
-    ) -> list[Candidate]:
+    ) -> list[upstream_state.Candidate]:
         """Returns the candidates to sample in one round.
 
         Args:
@@ -460,7 +256,9 @@
         wanted = pool[: SAMPLES_NEAR if near else SAMPLES_FAR]
         return [each for each in wanted if not each.is_fresh(now)]
 
-    def best(self, excluded: frozenset[str], now: float) -> Ranked | None:
+    def best(
+        self, excluded: frozenset[str], now: float
+    ) -> upstream_state.Ranked | None:
         """Returns the best upstream by what is known now."""
         pool = [
             candidate
@@ -468,7 +266,7 @@
             if name not in excluded
         ]
         open_pool = [each for each in pool if not each.is_ejected(now)]
-        best: Candidate | None = None
+        best: upstream_state.Candidate | None = None
         least = math.inf
         for candidate in open_pool or pool:
             expected = candidate.expected(self._average_slowdown, now)
@@ -480,7 +278,9 @@
         if best is None:
             return None
         is_calm = best.is_fresh(now) and best.has_room(now)
-        return Ranked(best, least, is_calm and least <= CALM_EXPECTED)
+        return upstream_state.Ranked(
+            best, least, is_calm and least <= CALM_EXPECTED
+        )
 
 
 def _is_other(known: routes.UpstreamEntry, entry: routes.UpstreamEntry) -> bool:
--- /dev/null
+++ b/src/sesamevale/policy/searching.py
@@ -0,0 +1,80 @@
+"""Search for an upstream: its state and its steps."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from sesamevale.policy import upstream_state
+
+__all__ = [
+    "LookAgain",
+    "Nobody",
+    "NoRoom",
+    "Sample",
+    "Search",
+    "Send",
+    "Step",
+]
+
+
+@dataclasses.dataclass(slots=True)
+class Search:
+    """State of the choice of an upstream for one attempt.
+
+    Attributes:
+        route: Name of the route.
+        arrived: Monotonic time in seconds at which the caller first asked.
+        objective_s: Latency objective in seconds.
+        excluded: Upstreams that were tried already.
+        started: Monotonic time in seconds at which the search began.
+        looked_near: Whether this data centre was sampled just now.
+        looked_far: Whether the others were sampled.
+        pauses: Times that the search has waited.
+        must_yield: Whether requests that can still be in time wait too.
+    """
+
+    route: str
+    arrived: float
+    objective_s: float
+    excluded: frozenset[str]
+    started: float
+    looked_near: bool = False
+    looked_far: bool = False
+    pauses: int = 0
+    must_yield: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Send:
+    """Send the request."""
+
+    best: upstream_state.Ranked
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Sample:
+    """Ask upstreams for their load, then decide again."""
+
+    upstreams: tuple[upstream_state.Candidate, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LookAgain:
+    """Decide again after some seconds."""
+
+    after_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Nobody:
+    """There is no upstream left to try."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NoRoom:
+    """No upstream has a free slot in time."""
+
+
+Step = Send | Sample | LookAgain | Nobody | NoRoom
--- a/src/sesamevale/upstreams/http_link.py
+++ b/src/sesamevale/upstreams/http_link.py
@@ -24,7 +24,7 @@
 
     from sesamevale import routes
     from sesamevale.forwarding import requests
-    from sesamevale.policy import load_sampling
+    from sesamevale.policy import upstream_state
 
 __all__ = ["Forward", "HttpLink", "Sample", "Sampled"]
 
@@ -76,7 +76,7 @@
 
     reached: bool
     healthy: bool = False
-    load: load_sampling.Load | None = None
+    load: upstream_state.Load | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -324,7 +324,7 @@
         self,
         status: int,
         headers: calls.Headers,
-        load: load_sampling.Load | None,
+        load: upstream_state.Load | None,
     ) -> forwarding.Rejected:
         answerer = http1.find(headers, self._dialect.upstream_id)
         own = self._entry.upstream_id.encode()
@@ -389,7 +389,7 @@
         healthy = response.status_code in SUCCESS
         return Sampled(True, healthy, self._load(headers))
 
-    def _load(self, headers: calls.Headers) -> load_sampling.Load | None:
+    def _load(self, headers: calls.Headers) -> upstream_state.Load | None:
         value = http1.find(headers, self._dialect.load)
         return self._dialect.read_load(value) if value else None
 
--- a/tests/builders/gateway.py
+++ b/tests/builders/gateway.py
@@ -9,7 +9,7 @@
 from sesamevale import calls
 from sesamevale import routes
 from sesamevale.forwarding import requests
-from sesamevale.policy import load_sampling
+from sesamevale.policy import upstream_state
 
 _numbers = itertools.count(1)
 
@@ -61,8 +61,8 @@
     return routes.UpstreamEntry(**(values | changes))
 
 
-def load(running=0, waiting=0, slots=4, slowdown=1.0) -> load_sampling.Load:
-    return load_sampling.Load(running, waiting, slots, slowdown)
+def load(running=0, waiting=0, slots=4, slowdown=1.0) -> upstream_state.Load:
+    return upstream_state.Load(running, waiting, slots, slowdown)
 
 
 def request(of_route=None, *, within_s=None, **changes) -> requests.Request:
--- a/tests/entries/test_state_reader.py
+++ b/tests/entries/test_state_reader.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from sesamevale import gateway as gateways
+from sesamevale import gateway_messages
 from sesamevale import metrics
 from sesamevale.entries import state_reader
 from sesamevale.policy import reading
@@ -57,11 +57,11 @@
         self.away: list[bool] = []
 
     def send(self, message):
-        if isinstance(message, gateways.Configured):
+        if isinstance(message, gateway_messages.Configured):
             self.version = message.configuration.version
-        elif isinstance(message, gateways.Discovered):
+        elif isinstance(message, gateway_messages.Discovered):
             self.draining = message.entries[0].draining
-        elif isinstance(message, gateways.StoreAway):
+        elif isinstance(message, gateway_messages.StoreAway):
             self.away.append(message.away)
 
 
--- a/tests/forwarding/test_service_task.py
+++ b/tests/forwarding/test_service_task.py
@@ -14,6 +14,7 @@
 from sesamevale import metrics
 from sesamevale import outcomes
 from sesamevale import routes
+from sesamevale.forwarding import messages
 from sesamevale.forwarding import service_task
 from sesamevale.platform import fields
 from sesamevale.policy import load_sampling
@@ -54,7 +55,7 @@
         )
         await self.stack.enter_async_context(self.task)
         self.task.send(
-            service_task.SetUpstreams(
+            messages.SetUpstreams(
                 tuple(
                     gateway.upstream(
                         each.upstream_id,
@@ -74,7 +75,7 @@
 
     async def ask(self, request):
         """Returns status and body, or the outcome without an answer."""
-        self.task.send(service_task.Submit(request))
+        self.task.send(messages.Submit(request))
         async with asyncio.timeout(5):
             return await read_answer(request)
 
@@ -270,9 +271,9 @@
         one = upstream(Step(after_s=3.0))
         async with Case(one) as case:
             request = gateway.request()
-            case.task.send(service_task.Submit(request))
+            case.task.send(messages.Submit(request))
             await asyncio.sleep(0.1)
-            case.task.send(service_task.CallerGone(request.number))
+            case.task.send(messages.CallerGone(request.number))
             await asyncio.sleep(0.1)
             assert one.dropped == 1
             assert case.task.active == 0
@@ -285,9 +286,9 @@
         one = upstream(Step(after_s=0.3))
         async with Case(one) as case:
             request = gateway.request(CHARGE)
-            case.task.send(service_task.Submit(request))
+            case.task.send(messages.Submit(request))
             await asyncio.sleep(0.1)
-            case.task.send(service_task.CallerGone(request.number))
+            case.task.send(messages.CallerGone(request.number))
             await asyncio.sleep(0.4)
             assert one.dropped == 0
             assert case.task.active == 0
@@ -315,12 +316,12 @@
             deliver = task._inbox.put
 
             def put_deadline_first(message):
-                if isinstance(message, service_task._AttemptEnded):
-                    deliver(service_task._Deadline(request.number))
+                if isinstance(message, messages.AttemptEnded):
+                    deliver(messages.Deadline(request.number))
                 deliver(message)
 
             task.send = put_deadline_first
-            task.send(service_task.Submit(request))
+            task.send(messages.Submit(request))
             assert await read_answer(request) == (200, b"charged")
 
     run(scenario)
@@ -386,7 +387,7 @@
         one = upstream(step)
         async with Case(one) as case:
             entry = gateway.upstream("u-9", port=one.port)
-            case.task.send(service_task.SetUpstreams((entry,)))
+            case.task.send(messages.SetUpstreams((entry,)))
             outcome = await case.ask(gateway.request(CHARGE))
             assert isinstance(outcome, outcomes.NotRun)
             assert case.misplaced == ["u-9"]
@@ -403,7 +404,7 @@
                 gateway.upstream("u-1", port=one.port, data_center="there"),
                 gateway.upstream("u-2", port=1),
             )
-            case.task.send(service_task.SetUpstreams(entries))
+            case.task.send(messages.SetUpstreams(entries))
             assert await case.ask(gateway.request()) == (200, b"done")
 
     run(scenario)
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -9,7 +9,7 @@
 from sesamevale.platform import decoding
 from sesamevale.platform import fields
 from sesamevale.platform import models
-from sesamevale.policy import load_sampling
+from sesamevale.policy import upstream_state
 from tests.builders import store_items
 
 
@@ -129,8 +129,8 @@
 @pytest.mark.parametrize(
     ("value", "load"),
     [
-        (b"3,0,8", load_sampling.Load(3, 0, 8)),
-        (b"3, 1, 8, 250", load_sampling.Load(3, 1, 8, 2.5)),
+        (b"3,0,8", upstream_state.Load(3, 0, 8)),
+        (b"3, 1, 8, 250", upstream_state.Load(3, 1, 8, 2.5)),
         (b"3,0", None),
         (b"-1,0,8", None),
         (b"busy", None),
--- a/tests/policy/test_load_sampling.py
+++ b/tests/policy/test_load_sampling.py
@@ -5,6 +5,8 @@
 import random
 
 from sesamevale.policy import load_sampling
+from sesamevale.policy import searching
+from sesamevale.policy import upstream_state
 from tests.builders import gateway
 
 
@@ -22,7 +24,7 @@
         "excluded": frozenset(),
         "started": now,
     }
-    return load_sampling.Search(**(values | changes))
+    return searching.Search(**(values | changes))
 
 
 def sample(made, name, now, **figures):
@@ -37,16 +39,16 @@
         for number in range(5)
     ]
     step = fleet(*near, *far).next_step(search(), 0.0)
-    assert isinstance(step, load_sampling.Sample)
-    assert {each.entry.data_center for each in step.candidates} == {"here"}
-    assert len(step.candidates) == load_sampling.SAMPLES_NEAR
+    assert isinstance(step, searching.Sample)
+    assert {each.entry.data_center for each in step.upstreams} == {"here"}
+    assert len(step.upstreams) == load_sampling.SAMPLES_NEAR
 
 
 def test_a_calm_upstream_is_taken_at_once():
     made = fleet(gateway.upstream("a"), gateway.upstream("b"))
     sample(made, "b", 0.0)
     step = made.next_step(search(), 0.001)
-    assert isinstance(step, load_sampling.Send)
+    assert isinstance(step, searching.Send)
     assert step.best.candidate.entry.upstream_id == "b"
 
 
@@ -60,10 +62,8 @@
 def test_an_old_figure_does_not_count():
     made = fleet(gateway.upstream("a"))
     sample(made, "a", 0.0)
-    later = load_sampling.FRESH_S * 1.01
-    assert isinstance(
-        made.next_step(search(later), later), load_sampling.Sample
-    )
+    later = upstream_state.FRESH_S * 1.01
+    assert isinstance(made.next_step(search(later), later), searching.Sample)
 
 
 def test_a_noisy_data_centre_is_waited_for_before_others_are_sampled():
@@ -73,13 +73,13 @@
     looking = search()
     made.next_step(looking, 0.0)
     sample(made, "a", 0.005, slowdown=5.0)
-    assert isinstance(made.next_step(looking, 0.006), load_sampling.LookAgain)
+    assert isinstance(made.next_step(looking, 0.006), searching.LookAgain)
     late = load_sampling.PATIENCE_SHARE * 0.6 + 0.01
     looking.looked_near = True
     sample(made, "a", late, slowdown=5.0)
     step = made.next_step(looking, late)
-    assert isinstance(step, load_sampling.Sample)
-    assert step.candidates[0].entry.upstream_id == "b"
+    assert isinstance(step, searching.Sample)
+    assert step.upstreams[0].entry.upstream_id == "b"
 
 
 def test_a_slow_upstream_that_is_in_time_is_good_enough():
@@ -88,7 +88,7 @@
     looking = search()
     made.next_step(looking, 0.0)
     sample(made, "a", 0.005, slowdown=3.0)
-    assert isinstance(made.next_step(looking, 0.006), load_sampling.Send)
+    assert isinstance(made.next_step(looking, 0.006), searching.Send)
 
 
 def test_a_request_that_can_be_in_time_waits_for_a_slot():
@@ -96,7 +96,7 @@
     looking = search()
     made.next_step(looking, 0.0)
     sample(made, "a", 0.005, running=4)
-    assert isinstance(made.next_step(looking, 0.006), load_sampling.LookAgain)
+    assert isinstance(made.next_step(looking, 0.006), searching.LookAgain)
 
 
 def test_a_request_without_a_slot_is_given_up_in_the_end():
@@ -104,7 +104,7 @@
     looking = search()
     looking.looked_near = looking.looked_far = True
     sample(made, "a", 0.55, running=4)
-    assert isinstance(made.next_step(looking, 0.551), load_sampling.NoRoom)
+    assert isinstance(made.next_step(looking, 0.551), searching.NoRoom)
 
 
 def test_a_late_request_yields_to_those_that_can_be_in_time():
@@ -112,10 +112,10 @@
     looking = search(0.0, arrived=-1.0, must_yield=True)
     looking.looked_near = looking.looked_far = True
     sample(made, "a", 0.0, slowdown=5.0)
-    assert isinstance(made.next_step(looking, 0.001), load_sampling.LookAgain)
+    assert isinstance(made.next_step(looking, 0.001), searching.LookAgain)
     looking.must_yield = False
     looking.looked_near = looking.looked_far = True
-    assert isinstance(made.next_step(looking, 0.002), load_sampling.Send)
+    assert isinstance(made.next_step(looking, 0.002), searching.Send)
 
 
 def test_a_caller_that_asks_again_has_waited_already():
@@ -162,4 +162,4 @@
 def test_nobody_is_left_when_all_were_tried():
     made = fleet(gateway.upstream("a"))
     step = made.next_step(search(excluded=frozenset("a")), 0.0)
-    assert isinstance(step, load_sampling.Nobody)
+    assert isinstance(step, searching.Nobody)
--- a/tests/test_gateway_mutants.py
+++ b/tests/test_gateway_mutants.py
@@ -14,6 +14,7 @@
 from sesamevale.policy import retry_budget
 from sesamevale.policy import roster
 from sesamevale.policy import shared_state
+from sesamevale.policy import upstream_state
 from sesamevale.upstreams import http_link
 from tests.builders import machines
 from tests.forwarding import test_service_task
@@ -76,7 +77,7 @@
 
 def take_a_full_upstream_for_calm(monkeypatch) -> None:
     monkeypatch.setattr(
-        load_sampling.Candidate, "has_room", lambda self, now: True
+        upstream_state.Candidate, "has_room", lambda self, now: True
     )
 
 
