--- a/tests/policy/test_load_sampling.py
+++ b/tests/policy/test_load_sampling.py
@@ -82,6 +82,19 @@
     assert step.upstreams[0].entry.upstream_id == "b"
 
 
+def test_a_full_data_centre_is_left_sooner():
+    made = fleet(
+        gateway.upstream("a"), gateway.upstream("b", data_center="there")
+    )
+    looking = search()
+    looking.looked_near = True
+    later = load_sampling.PATIENCE_SHARE * 0.6 / 2
+    sample(made, "a", later, running=4)
+    step = made.next_step(looking, later)
+    assert isinstance(step, searching.Sample)
+    assert step.upstreams[0].entry.upstream_id == "b"
+
+
 def test_a_slow_upstream_that_is_in_time_is_good_enough():
     made = fleet(gateway.upstream("a"))
     made.answered("read", 0.1, 1.0)
