--- a/tests/standins/platform_store.py
+++ b/tests/standins/platform_store.py
@@ -14,11 +14,14 @@
 
 import h11
 
+from tests.standins import served
+
 SLOW_S = 0.2
 
 
-class PlatformStore:
+class PlatformStore(served.Served):
     def __init__(self, page=500):
+        super().__init__()
         self.items: dict[str, dict] = {}
         self.leases: set[int] = set()
         self.faults: collections.deque[str] = collections.deque()
@@ -27,22 +30,6 @@
         self.revision = 10
         self.page = page
         self._next_lease = 100
-        self._server = None
-        self._tasks: set[asyncio.Task] = set()
-
-    @property
-    def port(self) -> int:
-        return self._server.sockets[0].getsockname()[1]
-
-    async def __aenter__(self):
-        self._server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
-        return self
-
-    async def __aexit__(self, *exc_info):
-        self._server.close()
-        for task in list(self._tasks):
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
 
     def put(self, item: dict) -> None:
         self.revision += 1
@@ -58,17 +45,6 @@
             if item["lease"] == lease:
                 self.remove(key)
 
-    async def _accept(self, reader, writer):
-        task = asyncio.current_task()
-        self._tasks.add(task)
-        try:
-            await self._serve(reader, writer)
-        except (ConnectionError, asyncio.CancelledError):
-            pass
-        finally:
-            self._tasks.discard(task)
-            writer.close()
-
     async def _serve(self, reader, writer):
         http = h11.Connection(h11.SERVER)
         while True:
@@ -79,21 +55,6 @@
                 return
             http.start_next_cycle()
 
-    async def _read(self, http, reader):
-        request, body = None, b""
-        while True:
-            event = http.next_event()
-            if event is h11.NEED_DATA:
-                http.receive_data(await reader.read(65536))
-            elif isinstance(event, h11.Request):
-                request = event
-            elif isinstance(event, h11.Data):
-                body += bytes(event.data)
-            elif isinstance(event, h11.EndOfMessage):
-                return request, body
-            else:
-                return None, b""
-
     async def _answer(self, http, writer, request, body):
         target = request.target.decode()
         self.calls.append(f"{request.method.decode()} {target}")
--- a/tests/standins/scripted_upstream.py
+++ b/tests/standins/scripted_upstream.py
@@ -14,6 +14,8 @@
 
 import h11
 
+from tests.standins import served
+
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
@@ -36,8 +38,9 @@
     extra: bytes = b""
 
 
-class ScriptedUpstream:
+class ScriptedUpstream(served.Served):
     def __init__(self, upstream_id="u-1", steps=(), load="0,0,4,100"):
+        super().__init__()
         self.upstream_id = upstream_id
         self.steps = list(steps)
         self.load = load
@@ -45,36 +48,7 @@
         self.seen: list[h11.Request] = []
         self.bodies: list[bytes] = []
         self.dropped = 0
-        self.connections = 0
         self.samples = 0
-        self._server = None
-        self._tasks: set[asyncio.Task] = set()
-
-    @property
-    def port(self) -> int:
-        return self._server.sockets[0].getsockname()[1]
-
-    async def __aenter__(self):
-        self._server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
-        return self
-
-    async def __aexit__(self, *exc_info):
-        self._server.close()
-        for task in list(self._tasks):
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
-
-    async def _accept(self, reader, writer):
-        task = asyncio.current_task()
-        self._tasks.add(task)
-        self.connections += 1
-        try:
-            await self._serve(reader, writer)
-        except (ConnectionError, asyncio.CancelledError):
-            pass
-        finally:
-            self._tasks.discard(task)
-            writer.close()
 
     async def _serve(self, reader, writer):
         http = h11.Connection(h11.SERVER)
@@ -142,22 +116,6 @@
         writer.write(http.send(h11.Data(data=step.body)))
         writer.write(http.send(h11.EndOfMessage()))
 
-    async def _read(self, http, reader):
-        request, body = None, b""
-        while True:
-            event = http.next_event()
-            if event is h11.NEED_DATA:
-                data = await reader.read(65536)
-                http.receive_data(data)
-            elif isinstance(event, h11.Request):
-                request = event
-            elif isinstance(event, h11.Data):
-                body += bytes(event.data)
-            elif isinstance(event, h11.EndOfMessage):
-                return request, body
-            else:
-                return None, b""
-
 
 def rejection(status=503, **changes) -> Step:
     """An answer that says that the request did not run."""
