Reserve test ports across processes

Cause: a port was bound to 0, read and closed before its daemon listened. Two processes drawing at once for 4 s got 6,228 ports in common of about 9,320 each; the kernel may also give such a port to the local end of an outgoing connection. Ruled out: trying a start again, which would hide a daemon that can't start. Change: tests/builders/loopback.py draws below the range of outgoing ports and holds an abstract socket of the port's name until the process ends.

--- a/bench/added_latency.py
+++ b/bench/added_latency.py
@@ -13,6 +13,7 @@
 from bench import measuring
 from tests.builders import documents
 from tests.builders import fleet
+from tests.builders import loopback
 
 REQUEST = b"GET /svc/x HTTP/1.1\r\nhost: bench\r\n\r\n"
 END_OF_HEAD = b"\r\n\r\n"
@@ -123,7 +124,7 @@
 
     async def start(self) -> None:
         """Starts upstream, relay, platform and one entry."""
-        upstream_port, relay_port = fleet.free_ports(2)
+        upstream_port, relay_port = loopback.free_ports(2)
         parts = {
             "direct": ["upstream", f"--port={upstream_port}"],
             "relay": [
--- a/bench/overload.py
+++ b/bench/overload.py
@@ -10,6 +10,7 @@
 from bench import measuring
 from tests.builders import documents
 from tests.builders import fleet
+from tests.builders import loopback
 
 UPSTREAMS = 6
 SLOTS = 4
@@ -67,7 +68,7 @@
     capacity = UPSTREAMS * SLOTS / (mean_ms / 1000)
     rows = []
     async with fleet.Fleet() as running:
-        ports = fleet.free_ports(UPSTREAMS)
+        ports = loopback.free_ports(UPSTREAMS)
         await running.start_platform()
         await running.start_upstreams(ports, SLOTS, mean_ms)
         await running.submit(build(ports))
--- a/bench/recovery.py
+++ b/bench/recovery.py
@@ -15,6 +15,7 @@
 from sesamevale.etcd import store
 from tests.builders import documents
 from tests.builders import fleet
+from tests.builders import loopback
 
 ENTRIES = 6
 KILL_EVERY = 40
@@ -26,7 +27,7 @@
 
 async def start(running: fleet.Fleet) -> dict[str, list[int]]:
     """Starts a fleet with two services."""
-    ports = {name: fleet.free_ports(6) for name in ("till", "roundsheet")}
+    ports = {name: loopback.free_ports(6) for name in ("till", "roundsheet")}
     await running.start_platform()
     everything = [port for each in ports.values() for port in each]
     await running.start_upstreams(everything, 4, 10.0)
--- a/bench/routing.py
+++ b/bench/routing.py
@@ -17,6 +17,7 @@
 from bench import measuring
 from tests.builders import documents
 from tests.builders import fleet
+from tests.builders import loopback
 
 WAYS = ("homes", "homes-2", "own-count", "two-choices", "random")
 DEADLINE_MS = 8000
@@ -117,7 +118,7 @@
         user = self._user
         await running.start_platform()
         for service, count in user.upstreams.items():
-            ports = fleet.free_ports(count)
+            ports = loopback.free_ports(count)
             self._ports[service] = ports
             await running.start_upstreams(ports, user.slots, user.mean_ms)
         everything = [port for each in self._ports.values() for port in each]
--- a/demo/run.py
+++ b/demo/run.py
@@ -12,6 +12,7 @@
 from demo import callers
 from sesamevale import document_models
 from tests.builders import fleet
+from tests.builders import loopback
 
 DOCUMENT = "examples/pritchard.toml"
 ACTIONS = {"till": "/till/charges/1", "bookdesk": "/bookdesk/bookings/1"}
@@ -26,7 +27,7 @@
     """Returns the document with ports that are free on this machine."""
     content = model.model_dump(mode="json")
     for service in content["services"].values():
-        ports = fleet.free_ports(len(service["upstreams"]))
+        ports = loopback.free_ports(len(service["upstreams"]))
         for upstream, port in zip(service["upstreams"], ports, strict=True):
             upstream["port"] = port
     return document_models.DocumentModel.model_validate(content)
--- a/tests/builders/fleet.py
+++ b/tests/builders/fleet.py
@@ -8,7 +8,6 @@
 import os
 import pathlib
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -18,35 +17,13 @@
 from sesamevale.etcd import client
 from sesamevale.etcd import store
 from sesamevale.operators import document_files
+from tests.builders import loopback
 from tests.standins import http_client
 
 HOST = "127.0.0.1"
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 START_TIMEOUT_S = 20.0
 
-_handed_out: set[int] = set()
-
-
-def free_ports(count: int) -> list[int]:
-    """Returns TCP ports that are free for TCP and UDP at this moment."""
-    ports: list[int] = []
-    with contextlib.ExitStack() as stack:
-        while len(ports) < count:
-            tcp = stack.enter_context(socket.socket())
-            tcp.bind((HOST, 0))
-            port = tcp.getsockname()[1]
-            udp = stack.enter_context(
-                socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-            )
-            try:
-                udp.bind((HOST, port))
-            except OSError:
-                continue
-            if port not in _handed_out:
-                _handed_out.add(port)
-                ports.append(port)
-    return ports
-
 
 class Process:
     """One child process with its log in a temporary file."""
@@ -149,7 +126,7 @@
             process.close()
 
     async def start_platform(self) -> None:
-        (self.platform_port,) = free_ports(1)
+        (self.platform_port,) = loopback.free_ports(1)
         self.platform = Process(
             "platform",
             [f"--port={self.platform_port}"],
@@ -199,7 +176,7 @@
             entry_id,
             environment,
             data_center,
-            ports or free_ports(3),
+            ports or loopback.free_ports(3),
             arguments,
             module,
         )
--- a/tests/features/steps/chain_steps.py
+++ b/tests/features/steps/chain_steps.py
@@ -8,6 +8,7 @@
 
 from tests.builders import documents
 from tests.builders import fleet
+from tests.builders import loopback
 from tests.features.steps import call_steps
 
 
@@ -17,7 +18,7 @@
 
 
 async def start_chain(context, depth: int, copy: bool) -> None:
-    context.layers = fleet.free_ports(depth + 1)
+    context.layers = loopback.free_ports(depth + 1)
     await context.fleet.start_platform()
     await context.fleet.start_upstreams(context.layers, 4, 1.0)
     for port in context.layers:
--- a/tests/features/steps/command_steps.py
+++ b/tests/features/steps/command_steps.py
@@ -14,6 +14,7 @@
 
 from tests.builders import documents
 from tests.builders import fleet
+from tests.builders import loopback
 
 GOOD_FLAGS = {
     "--entry-id": "e1",
@@ -133,7 +134,7 @@
 
 
 async def start_with_file(context) -> None:
-    ports = fleet.free_ports(2)
+    ports = loopback.free_ports(2)
     await context.fleet.start_upstreams(ports, 2, 5.0)
     lines = ['environment = "test"', "[services.till]"]
     for port in ports:
--- a/tests/features/steps/fleet_steps.py
+++ b/tests/features/steps/fleet_steps.py
@@ -11,6 +11,7 @@
 
 from tests.builders import documents
 from tests.builders import fleet
+from tests.builders import loopback
 
 SERVICES = ("till", "roundsheet")
 WAIT_S = 20.0
@@ -38,7 +39,7 @@
 ):
     context.slots = slots
     context.service_options = {}
-    context.ports = {name: fleet.free_ports(upstreams) for name in SERVICES}
+    context.ports = {name: loopback.free_ports(upstreams) for name in SERVICES}
     ports = [port for each in context.ports.values() for port in each]
     await context.fleet.start_platform()
     await context.fleet.start_upstreams(ports, slots, mean_ms=5.0)
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -9,11 +9,11 @@
 import os
 import pathlib
 import signal
-import socket
 import subprocess
 import sys
 import time
 
+from tests.builders import loopback
 from tests.builders import store_items
 from tests.soak import proxy
 from tests.standins import platform_store
@@ -71,11 +71,7 @@
         self.disturbed_at = 0.0
         self.store = proxy.Proxy(store_port)
         self.process = None
-        with contextlib.ExitStack() as stack:
-            taken = [stack.enter_context(socket.socket()) for _ in range(5)]
-            for each in taken:
-                each.bind((HOST, 0))
-            self.ports = [each.getsockname()[1] for each in taken]
+        self.ports = loopback.free_ports(5)
 
     @property
     def port(self):
--- a/tests/system/test_embedding.py
+++ b/tests/system/test_embedding.py
@@ -7,6 +7,7 @@
 
 from examples import partitions
 from tests.builders import fleet
+from tests.builders import loopback
 
 
 def start(name: str, port: int, seed: int) -> subprocess.Popen:
@@ -22,7 +23,7 @@
 
 
 def test_two_workers_share_all_partitions():
-    ports = fleet.free_ports(2)
+    ports = loopback.free_ports(2)
     workers = [start("a", *ports), start("b", *reversed(ports))]
     outputs = [worker.communicate(timeout=60)[0] for worker in workers]
     last = [output.strip().splitlines()[-1].split()[1:] for output in outputs]
--- a/tests/system/test_fleet_fuzz.py
+++ b/tests/system/test_fleet_fuzz.py
@@ -12,6 +12,7 @@
 
 from tests.builders import documents
 from tests.builders import fleet
+from tests.builders import loopback
 from tests.standins import http_client
 
 STEPS = 30
@@ -35,7 +36,7 @@
         self.running = running
         self.module = module
         self.rng = random.Random(seed)
-        self.ports = fleet.free_ports(3)
+        self.ports = loopback.free_ports(3)
         self.told: dict[str, Told] = collections.defaultdict(Told)
         self.identities: list[str] = []
         self.frozen: set[str] = set()
--- a/tests/system/test_gateway.py
+++ b/tests/system/test_gateway.py
@@ -8,11 +8,11 @@
 import os
 import pathlib
 import signal
-import socket
 import sys
 
 import pytest
 
+from tests.builders import loopback
 from tests.builders import store_items
 from tests.standins import platform_store
 from tests.standins import scripted_upstream
@@ -29,14 +29,6 @@
 ]
 
 
-def free_ports(count):
-    with contextlib.ExitStack() as stack:
-        taken = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for each in taken:
-            each.bind((HOST, 0))
-        return [each.getsockname()[1] for each in taken]
-
-
 class Entry:
     """One daemon with a store and one upstream."""
 
@@ -53,7 +45,7 @@
         self.stack = contextlib.AsyncExitStack()
         await self.stack.enter_async_context(self.store)
         await self.stack.enter_async_context(self.upstream)
-        self.ports = free_ports(5)
+        self.ports = loopback.free_ports(5)
         self.beat()
         if self.config:
             self.configure(self.config)
