Split the service task and its link; one sweeper for both servers of callers

Change: judging, sampling, waiting and link messages are modules of their own; callers/swept_server.py serves both servers. Roster.find and is_usable, which nothing used, are gone, and LinkPool.drop, which repeated another method.

--- a/src/sesamevale/callers/gateway_server.py
+++ b/src/sesamevale/callers/gateway_server.py
@@ -2,14 +2,11 @@
 
 from __future__ import annotations
 
-import asyncio
-import time
-from typing import Self
 from typing import TYPE_CHECKING
 
 from sesamevale import routes
-from sesamevale import servers
 from sesamevale.callers import gateway_connection
+from sesamevale.callers import swept_server
 
 if TYPE_CHECKING:
     from sesamevale import event_log
@@ -19,10 +16,8 @@
 
 __all__ = ["GatewayServer"]
 
-SWEEP_INTERVAL_S = 0.25
 
-
-class GatewayServer(servers.ConnectionServer):
+class GatewayServer(swept_server.SweptServer):
     """Listens for callers while its context is open.
 
     Args:
@@ -43,35 +38,19 @@
         events: event_log.EventLog,
         book: metrics.Book,
     ) -> None:
-        super().__init__(host, port)
+        super().__init__(host, port, book)
         self._front = front
         self._entry_id = entry_id
         self._events = events
-        self._book = book
-        self._connections: set[gateway_connection.GatewayConnection] = set()
-
-    @property
-    def open_connections(self) -> int:
-        """Connections of callers that are open."""
-        return len(self._connections)
-
-    async def __aenter__(self) -> Self:
-        await super().__aenter__()
-        sweeper = asyncio.create_task(self._sweep(), name="caller-sweeper")
-        self._stack.callback(sweeper.cancel)
-        return self
 
-    def close_idle(self) -> None:
-        """Closes the connections on which nothing is being served."""
-        for each in list(self._connections):
-            each.close_if_idle()
-
-    async def _serve(self, stream: sockets.ByteStream) -> None:
+    def _open(
+        self, stream: sockets.ByteStream
+    ) -> gateway_connection.GatewayConnection:
         configuration = self._front.view.configuration
         limits = routes.CallerLimits()
         if configuration is not None:
             limits = configuration.limits
-        serving = gateway_connection.GatewayConnection(
+        return gateway_connection.GatewayConnection(
             stream,
             self._front,
             self._entry_id,
@@ -79,18 +58,3 @@
             self._events,
             self._book,
         )
-        self._connections.add(serving)
-        try:
-            await serving.run()
-        finally:
-            self._connections.discard(serving)
-
-    async def _sweep(self) -> None:
-        """Ends connections whose callers were silent for too long."""
-        while True:
-            await asyncio.sleep(SWEEP_INTERVAL_S)
-            now = time.monotonic()
-            for each in list(self._connections):
-                if each.expires <= now:
-                    self._book.count("connections_expired")
-                    each.expire()
--- /dev/null
+++ b/src/sesamevale/callers/swept_server.py
@@ -0,0 +1,74 @@
+"""Server that ends the connections of callers that are silent for too long."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import Self
+from typing import TYPE_CHECKING
+
+from sesamevale import servers
+
+if TYPE_CHECKING:
+    from sesamevale import metrics
+    from sesamevale import sockets
+    from sesamevale.callers import http_connection
+
+__all__ = ["SweptServer"]
+
+# A small part of the shortest time-out that a configuration may set.
+SWEEP_INTERVAL_S = 0.25
+
+
+class SweptServer(servers.ConnectionServer):
+    """Owns the connections of callers; subclasses open them.
+
+    Args:
+        host: IP address to listen on.
+        port: TCP port to listen on; 0 picks a free one.
+        book: Measurements.
+    """
+
+    def __init__(self, host: str, port: int, book: metrics.Book) -> None:
+        super().__init__(host, port)
+        self._book = book
+        self._connections: set[http_connection.HttpConnection] = set()
+
+    @property
+    def open_connections(self) -> int:
+        """Connections of callers that are open."""
+        return len(self._connections)
+
+    async def __aenter__(self) -> Self:
+        await super().__aenter__()
+        sweeper = asyncio.create_task(self._sweep(), name="caller-sweeper")
+        self._stack.callback(sweeper.cancel)
+        return self
+
+    def close_idle(self) -> None:
+        """Closes the connections on which nothing is being served."""
+        for each in list(self._connections):
+            each.close_if_idle()
+
+    def _open(
+        self, stream: sockets.ByteStream
+    ) -> http_connection.HttpConnection:
+        """Returns the connection that will serve an accepted stream."""
+        raise NotImplementedError
+
+    async def _serve(self, stream: sockets.ByteStream) -> None:
+        serving = self._open(stream)
+        self._connections.add(serving)
+        try:
+            await serving.run()
+        finally:
+            self._connections.discard(serving)
+
+    async def _sweep(self) -> None:
+        while True:
+            await asyncio.sleep(SWEEP_INTERVAL_S)
+            now = time.monotonic()
+            for each in list(self._connections):
+                if each.expires <= now:
+                    self._book.count("connections_expired")
+                    each.expire()
--- /dev/null
+++ b/src/sesamevale/forwarding/judging.py
@@ -0,0 +1,82 @@
+"""What the result of an attempt says of its upstream."""
+
+from __future__ import annotations
+
+import functools
+import time
+from collections.abc import Callable
+
+from sesamevale import metrics
+from sesamevale.policy import forwarding
+from sesamevale.policy import upstream_state
+
+__all__ = ["judge"]
+
+SERVER_ERROR = 500
+
+
+@functools.singledispatch
+def judge(
+    result: forwarding.Result,
+    candidate: upstream_state.Candidate,
+    book: metrics.Book,
+    misplaced: Callable[[str], None],
+) -> None:
+    """Takes the result of an attempt as a sign of its upstream's health.
+
+    Args:
+        result: The result.
+        candidate: The upstream.
+        book: Measurements.
+        misplaced: Called with the identifier of an upstream whose address
+            answers for another one.
+    """
+    raise TypeError(f"no rule for {type(result).__name__}")
+
+
+@judge.register
+def _(
+    result: forwarding.Answered,
+    candidate: upstream_state.Candidate,
+    book: metrics.Book,
+    misplaced: Callable[[str], None],
+) -> None:
+    if result.status >= SERVER_ERROR:
+        candidate.failed(time.monotonic())
+    else:
+        candidate.succeeded()
+
+
+@judge.register
+def _(
+    result: forwarding.Rejected,
+    candidate: upstream_state.Candidate,
+    book: metrics.Book,
+    misplaced: Callable[[str], None],
+) -> None:
+    book.count("attempts_rejected")
+    candidate.failed(time.monotonic())
+    if result.misplaced:
+        misplaced(candidate.entry.upstream_id)
+
+
+@judge.register
+def _(
+    result: forwarding.NotSent,
+    candidate: upstream_state.Candidate,
+    book: metrics.Book,
+    misplaced: Callable[[str], None],
+) -> None:
+    book.count("attempts_not_sent")
+    candidate.unreachable(time.monotonic())
+
+
+@judge.register
+def _(
+    result: forwarding.Lost,
+    candidate: upstream_state.Candidate,
+    book: metrics.Book,
+    misplaced: Callable[[str], None],
+) -> None:
+    book.count("attempts_lost")
+    candidate.failed(time.monotonic())
--- a/src/sesamevale/forwarding/messages.py
+++ b/src/sesamevale/forwarding/messages.py
@@ -15,6 +15,7 @@
     from sesamevale import routes
     from sesamevale.forwarding import requests
     from sesamevale.upstreams import http_link
+    from sesamevale.upstreams import link_messages
 
 __all__ = [
     "AttemptEnded",
@@ -73,7 +74,7 @@
 
     candidate: upstream_state.Candidate
     link: http_link.HttpLink
-    sampled: http_link.Sampled
+    sampled: link_messages.Sampled
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/src/sesamevale/forwarding/sampling.py
@@ -0,0 +1,66 @@
+"""Questions to the upstreams of one service for their load."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from sesamevale.forwarding import messages
+from sesamevale.upstreams import link_messages
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from sesamevale import metrics
+    from sesamevale.policy import upstream_state
+    from sesamevale.upstreams import link_pool
+
+__all__ = ["Sampler"]
+
+
+class Sampler:
+    """Asks each upstream at most once at a time.
+
+    Args:
+        path: Path of the upstreams' load report.
+        pool: Connections to the upstreams.
+        book: Measurements.
+        send: Takes the message that tells of an answer.
+    """
+
+    def __init__(
+        self,
+        path: str,
+        pool: link_pool.LinkPool,
+        book: metrics.Book,
+        send: Callable[[messages.SampleEnded], None],
+    ) -> None:
+        self.path = path
+        self._pool = pool
+        self._book = book
+        self._send = send
+        self._asked: set[str] = set()
+
+    def ask(self, candidate: upstream_state.Candidate, now: float) -> None:
+        """Asks an upstream for its load unless it is being asked."""
+        entry = candidate.entry
+        if entry.upstream_id in self._asked:
+            return
+        link = self._pool.take(entry, float("inf"), now)
+        self._asked.add(entry.upstream_id)
+        self._book.count("samples")
+
+        def report(sampled: link_messages.Sampled) -> None:
+            self._send(messages.SampleEnded(candidate, link, sampled))
+
+        link.send(link_messages.Sample(self.path, report))
+
+    def ended(self, message: messages.SampleEnded, now: float) -> None:
+        """Takes back the connection and notes whether the upstream lives."""
+        candidate, sampled = message.candidate, message.sampled
+        name = candidate.entry.upstream_id
+        self._asked.discard(name)
+        self._pool.give_back(name, message.link)
+        if not sampled.reached:
+            candidate.unreachable(now)
+        elif not sampled.healthy:
+            candidate.failed(now)
--- a/src/sesamevale/forwarding/service_task.py
+++ b/src/sesamevale/forwarding/service_task.py
@@ -10,13 +10,16 @@
 from sesamevale import calls
 from sesamevale import messaging
 from sesamevale import outcomes
+from sesamevale.forwarding import judging
 from sesamevale.forwarding import messages
+from sesamevale.forwarding import sampling
+from sesamevale.forwarding import waiting
 from sesamevale.policy import forwarding
 from sesamevale.policy import load_sampling
 from sesamevale.policy import retry_budget
 from sesamevale.policy import searching
 from sesamevale.policy import upstream_state
-from sesamevale.upstreams import http_link
+from sesamevale.upstreams import link_messages
 from sesamevale.upstreams import link_pool
 
 if TYPE_CHECKING:
@@ -67,15 +70,16 @@
         misplaced: Callable[[str], None],
     ) -> None:
         super().__init__(f"service-{service.name}")
-        self._service = service
         self._fleet = fleet
         self._budget = budget
         self._events = events
         self._book = book
         self._misplaced = misplaced
         self._pool = link_pool.LinkPool(dialect)
+        self._sampler = sampling.Sampler(
+            service.health_path, self._pool, book, self.send
+        )
         self._running: dict[int, messages.Running] = {}
-        self._sampling: set[str] = set()
         self._loop = asyncio.get_running_loop()
         self._sweeper = self._loop.call_later(SWEEP_INTERVAL_S, self._sweep)
 
@@ -128,11 +132,8 @@
         running.pausing = False
         running.round += 1
         now = time.monotonic()
-        running.search.must_yield = any(
-            each.pausing
-            and each.search is not None
-            and self._fleet.is_hopeful(each.search, now)
-            for each in self._running.values()
+        running.search.must_yield = waiting.has_hopeful(
+            self._running.values(), self._fleet, now
         )
         _follow(self._fleet.next_step(running.search, now), self, running)
 
@@ -140,17 +141,6 @@
         over = messages.RoundOver(running.request.number, running.round)
         self._loop.call_later(seconds, self.send, over)
 
-    def _sample(self, candidate: upstream_state.Candidate, now: float) -> None:
-        entry = candidate.entry
-        link = self._pool.take(entry, float("inf"), now)
-        self._sampling.add(entry.upstream_id)
-        self._book.count("samples")
-
-        def report(sampled: http_link.Sampled) -> None:
-            self.send(messages.SampleEnded(candidate, link, sampled))
-
-        link.send(http_link.Sample(self._service.health_path, report))
-
     def _send(
         self, running: messages.Running, best: upstream_state.Ranked
     ) -> None:
@@ -172,7 +162,7 @@
         def report(result: forwarding.Result) -> None:
             self.send(messages.AttemptEnded(request.number, attempt, result))
 
-        link.send(http_link.Forward(request, report))
+        link.send(link_messages.Forward(request, report))
         self._events.decision(
             "attempt",
             request=request.request_id.decode("ascii", "replace"),
@@ -207,7 +197,7 @@
             self._fleet.answered(route, seconds, running.expected)
         if isinstance(result, forwarding.Answered | forwarding.Rejected):
             self._note_load(candidate, result.load)
-        _judge(result, candidate, self)
+        judging.judge(result, candidate, self._book, self._misplaced)
 
     def _note_load(
         self,
@@ -220,26 +210,13 @@
         now = time.monotonic()
         self._fleet.sampled(candidate, load, now)
         name = candidate.entry.upstream_id
-        for running in self._by_urgency():
+        everybody = self._running.values()
+        for running in waiting.by_urgency(everybody, self._fleet, now):
             if not candidate.has_room(now):
                 return
             if name not in running.tried:
                 self._continue(running)
 
-    def _by_urgency(self) -> list[messages.Running]:
-        """Returns the waiting requests, those that can be in time first."""
-        now = time.monotonic()
-        waiting = [each for each in self._running.values() if each.pausing]
-        return sorted(waiting, key=lambda each: self._urgency(each, now))
-
-    def _urgency(
-        self, running: messages.Running, now: float
-    ) -> tuple[int, bool, float]:
-        assert running.search is not None
-        late = not self._fleet.is_hopeful(running.search, now)
-        priority = running.request.route.priority
-        return priority, late, running.search.arrived
-
     def _apply(
         self, running: messages.Running, decision: forwarding.Decision
     ) -> None:
@@ -266,7 +243,7 @@
         sent = link.has_sent
         running.candidate = running.link = None
         candidate.ended()
-        self._pool.drop(candidate.entry.upstream_id, link)
+        self._pool.discard(candidate.entry.upstream_id, link)
         running.attempts += 1
         return sent
 
@@ -328,7 +305,7 @@
 
 @_receive.register
 def _(message: messages.SetService, task: ServiceTask) -> None:
-    task._service = message.service
+    task._sampler.path = message.service.health_path
 
 
 @_receive.register
@@ -341,12 +318,7 @@
     now = time.monotonic()
     candidate, sampled = message.candidate, message.sampled
     name = candidate.entry.upstream_id
-    task._sampling.discard(name)
-    task._pool.give_back(name, message.link)
-    if not sampled.reached:
-        candidate.unreachable(now)
-    elif not sampled.healthy:
-        candidate.failed(now)
+    task._sampler.ended(message, now)
     if sampled.load is not None:
         task._note_load(candidate, sampled.load)
     elif sampled.healthy:
@@ -424,10 +396,8 @@
 ) -> None:
     now = time.monotonic()
     for candidate in step.upstreams:
-        name = candidate.entry.upstream_id
-        running.awaited.add(name)
-        if name not in task._sampling:
-            task._sample(candidate, now)
+        running.awaited.add(candidate.entry.upstream_id)
+        task._sampler.ask(candidate, now)
     task._wake_after(running, SAMPLE_WAIT_S)
 
 
@@ -455,59 +425,6 @@
     task._apply(running, running.progress.give_up())
 
 
-@functools.singledispatch
-def _judge(
-    result: forwarding.Result,
-    candidate: upstream_state.Candidate,
-    task: ServiceTask,
-) -> None:
-    raise TypeError(f"no rule for {type(result).__name__}")
-
-
-@_judge.register
-def _(
-    result: forwarding.Answered,
-    candidate: upstream_state.Candidate,
-    task: ServiceTask,
-) -> None:
-    if result.status >= SERVER_ERROR:
-        candidate.failed(time.monotonic())
-    else:
-        candidate.succeeded()
-
-
-@_judge.register
-def _(
-    result: forwarding.Rejected,
-    candidate: upstream_state.Candidate,
-    task: ServiceTask,
-) -> None:
-    task._book.count("attempts_rejected")
-    candidate.failed(time.monotonic())
-    if result.misplaced:
-        task._misplaced(candidate.entry.upstream_id)
-
-
-@_judge.register
-def _(
-    result: forwarding.NotSent,
-    candidate: upstream_state.Candidate,
-    task: ServiceTask,
-) -> None:
-    task._book.count("attempts_not_sent")
-    candidate.unreachable(time.monotonic())
-
-
-@_judge.register
-def _(
-    result: forwarding.Lost,
-    candidate: upstream_state.Candidate,
-    task: ServiceTask,
-) -> None:
-    task._book.count("attempts_lost")
-    candidate.failed(time.monotonic())
-
-
 @functools.singledispatch
 def _apply(
     decision: forwarding.Decision, task: ServiceTask, running: messages.Running
--- /dev/null
+++ b/src/sesamevale/forwarding/waiting.py
@@ -0,0 +1,42 @@
+"""Requests that wait for an upstream to become calm or free."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from sesamevale.forwarding import messages
+    from sesamevale.policy import load_sampling
+
+__all__ = ["by_urgency", "has_hopeful"]
+
+
+def has_hopeful(
+    requests: Iterable[messages.Running],
+    fleet: load_sampling.Fleet,
+    now: float,
+) -> bool:
+    """Whether one that waits can still be answered in time."""
+    return any(
+        each.pausing
+        and each.search is not None
+        and fleet.is_hopeful(each.search, now)
+        for each in requests
+    )
+
+
+def by_urgency(
+    requests: Iterable[messages.Running],
+    fleet: load_sampling.Fleet,
+    now: float,
+) -> list[messages.Running]:
+    """Returns those that wait, by priority, hope and age."""
+
+    def urgency(each: messages.Running) -> tuple[int, bool, float]:
+        assert each.search is not None
+        late = not fleet.is_hopeful(each.search, now)
+        return each.request.route.priority, late, each.search.arrived
+
+    return sorted((each for each in requests if each.pausing), key=urgency)
--- a/src/sesamevale/policy/roster.py
+++ b/src/sesamevale/policy/roster.py
@@ -60,20 +60,6 @@
         """Returns the upstreams of a service that may get requests."""
         return self._by_service.get(service, ())
 
-    def find(self, upstream_id: str) -> routes.UpstreamEntry | None:
-        """Returns a known upstream, leaving or not."""
-        known = self._known.get(upstream_id)
-        return None if known is None else known.entry
-
-    def is_usable(self, upstream_id: str) -> bool:
-        """Whether an upstream may get requests."""
-        known = self._known.get(upstream_id)
-        return (
-            known is not None
-            and known.departed_at is None
-            and (not known.leaving)
-        )
-
     def observe(
         self, entries: Iterable[routes.UpstreamEntry], now: float
     ) -> list[Change]:
--- a/src/sesamevale/upstreams/http_link.py
+++ b/src/sesamevale/upstreams/http_link.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import dataclasses
 import functools
 import re
 import time
@@ -18,15 +17,14 @@
 from sesamevale import sockets
 from sesamevale import tracing
 from sesamevale.policy import forwarding
+from sesamevale.upstreams import link_messages
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from sesamevale import routes
     from sesamevale.forwarding import requests
     from sesamevale.policy import upstream_state
 
-__all__ = ["Forward", "HttpLink", "Sample", "Sampled"]
+__all__ = ["HttpLink"]
 
 # Several round trips between data centres and a handshake.
 CONNECT_TIMEOUT_S = 0.4
@@ -51,50 +49,6 @@
 BODY_FIELDS = frozenset((http1.Field.CONTENT_LENGTH,))
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Forward:
-    """Send a request.
-
-    Attributes:
-        request: The request.
-        report: Called with the result.
-    """
-
-    request: requests.Request
-    report: Callable[[forwarding.Result], None]
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Sampled:
-    """Answer to a question for an upstream's load.
-
-    Attributes:
-        reached: Whether the upstream answered.
-        healthy: Whether it says that it is well.
-        load: Its load; None if it does not report any.
-    """
-
-    reached: bool
-    healthy: bool = False
-    load: upstream_state.Load | None = None
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Sample:
-    """Ask for the upstream's load.
-
-    Attributes:
-        path: Path of the load report.
-        report: Called with the answer.
-    """
-
-    path: str
-    report: Callable[[Sampled], None]
-
-
-Message = Forward | Sample
-
-
 class HttpLink:
     """One connection; runs until it is closed.
 
@@ -109,7 +63,7 @@
         self._entry = entry
         self._dialect = dialect
         self._http = h11.Connection(h11.CLIENT)
-        self._inbox: messaging.Inbox[Message] = messaging.Inbox()
+        self._inbox: messaging.Inbox[link_messages.Message] = messaging.Inbox()
         self._stream: sockets.ByteStream | None = None
         self._keep_alive_s = DEFAULT_KEEP_ALIVE_S
         self._last_used = time.monotonic()
@@ -146,7 +100,7 @@
         """Whether the upstream may be about to close the connection."""
         return self.idle_s(now) > self._keep_alive_s - KEEP_ALIVE_MARGIN_S
 
-    def send(self, message: Message) -> None:
+    def send(self, message: link_messages.Message) -> None:
         """Starts an exchange; one at a time."""
         self._has_sent = False
         self._exchanging = True
@@ -351,20 +305,20 @@
             return
         self._http.start_next_cycle()
 
-    async def _sample(self, path: str) -> Sampled:
+    async def _sample(self, path: str) -> link_messages.Sampled:
         try:
             async with asyncio.timeout(SAMPLE_TIMEOUT_S):
                 return await self._ask_load(path)
         except (TimeoutError, h11.ProtocolError):
             self._end()
-            return Sampled(reached=False)
+            return link_messages.Sampled(reached=False)
         finally:
             self._last_used = time.monotonic()
 
-    async def _ask_load(self, path: str) -> Sampled:
+    async def _ask_load(self, path: str) -> link_messages.Sampled:
         stream = await self._connect()
         if stream is None:
-            return Sampled(reached=False)
+            return link_messages.Sampled(reached=False)
         entry = self._entry
         host = f"{entry.host}:{entry.port}"
         request = h11.Request(
@@ -374,20 +328,20 @@
         response = await self._next_response()
         if response is None:
             self._end()
-            return Sampled(reached=False)
+            return link_messages.Sampled(reached=False)
         headers = tuple(response.headers)
         if await self._read_body() is None:
             self._end()
-            return Sampled(reached=False)
+            return link_messages.Sampled(reached=False)
         answerer = http1.find(headers, self._dialect.upstream_id)
         stray = http1.find(headers, self._dialect.request_id) is not None
         if stray or answerer != entry.upstream_id.encode():
             self._end()
-            return Sampled(reached=not stray)
+            return link_messages.Sampled(reached=not stray)
         self._note_keep_alive(headers)
         self._next_cycle()
         healthy = response.status_code in SUCCESS
-        return Sampled(True, healthy, self._load(headers))
+        return link_messages.Sampled(True, healthy, self._load(headers))
 
     def _load(self, headers: calls.Headers) -> upstream_state.Load | None:
         value = http1.find(headers, self._dialect.load)
@@ -425,12 +379,12 @@
 
 
 @functools.singledispatch
-async def _perform(message: Message, link: HttpLink) -> None:
+async def _perform(message: link_messages.Message, link: HttpLink) -> None:
     raise TypeError(f"no rule for {type(message).__name__}")
 
 
 @_perform.register
-async def _(message: Forward, link: HttpLink) -> None:
+async def _(message: link_messages.Forward, link: HttpLink) -> None:
     request = message.request
     started = time.monotonic()
     with tracing.attempt_span(request, link._entry.upstream_id):
@@ -440,5 +394,5 @@
 
 
 @_perform.register
-async def _(message: Sample, link: HttpLink) -> None:
+async def _(message: link_messages.Sample, link: HttpLink) -> None:
     message.report(await link._sample(message.path))
--- a/src/sesamevale/upstreams/link_pool.py
+++ b/src/sesamevale/upstreams/link_pool.py
@@ -47,7 +47,7 @@
         while idle:
             link = idle.pop()
             if link.is_expired(now) or not link.is_open:
-                self._discard(entry.upstream_id, link)
+                self.discard(entry.upstream_id, link)
             elif link.idle_s(now) <= idle_max_s:
                 return link
             else:
@@ -60,7 +60,7 @@
         """Keeps a connection for later if it can carry another exchange."""
         idle = self._idle.setdefault(upstream_id, [])
         if not link.is_open or len(idle) >= IDLE_MAX:
-            self._discard(upstream_id, link)
+            self.discard(upstream_id, link)
             return
         idle.append(link)
 
@@ -68,14 +68,15 @@
         """Counts a connection as closed that passes a long answer on."""
         self._open[upstream_id] = max(0, self.open_links(upstream_id) - 1)
 
-    def drop(self, upstream_id: str, link: http_link.HttpLink) -> None:
+    def discard(self, upstream_id: str, link: http_link.HttpLink) -> None:
         """Closes a connection at once."""
-        self._discard(upstream_id, link)
+        link.close()
+        self.release(upstream_id)
 
     def forget(self, upstream_id: str) -> None:
         """Closes the idle connections to an upstream."""
         for link in self._idle.pop(upstream_id, []):
-            self._discard(upstream_id, link)
+            self.discard(upstream_id, link)
 
     def close_expired(self, now: float) -> None:
         """Closes connections that the upstream is about to close."""
@@ -83,7 +84,7 @@
             kept = []
             for link in idle:
                 if link.is_expired(now) or not link.is_open:
-                    self._discard(upstream_id, link)
+                    self.discard(upstream_id, link)
                 else:
                     kept.append(link)
             self._idle[upstream_id] = kept
@@ -92,7 +93,3 @@
         """Closes all idle connections."""
         for upstream_id in list(self._idle):
             self.forget(upstream_id)
-
-    def _discard(self, upstream_id: str, link: http_link.HttpLink) -> None:
-        link.close()
-        self.release(upstream_id)
