--- /dev/null
+++ b/bench/report/__init__.py
@@ -0,0 +1,1 @@
+"""Tables and plots of the journal of bench runs."""
--- /dev/null
+++ b/bench/report/__main__.py
@@ -0,0 +1,65 @@
+"""Shows the journal: worth by day, what binds, and what the hunts found."""
+
+from __future__ import annotations
+
+import pathlib
+from typing import Annotated
+
+import rich
+import typer
+
+from bench.report import journal
+from bench.report import plots
+from bench.report import summaries
+from bench.report import tables
+
+UNREADABLE = 2
+
+
+def main(
+    folder: Annotated[
+        pathlib.Path, typer.Argument(help="The journal.")
+    ] = pathlib.Path("journal"),
+    site: Annotated[
+        list[str] | None,
+        typer.Option(help="Only this deployment; may be repeated."),
+    ] = None,
+    draw: Annotated[
+        pathlib.Path | None, typer.Option(help="Folder for plots.")
+    ] = None,
+) -> None:
+    """Shows the journal of bench runs as tables and plots."""
+    try:
+        plays = journal.read_folder(folder)
+    except journal.JournalError as error:
+        typer.echo(f"error: {error}", err=True)
+        raise typer.Exit(UNREADABLE) from error
+    known = summaries.sites_of(plays)
+    for name in site or known:
+        if name not in known:
+            typer.echo(f"error: {name}: not in {folder}", err=True)
+            raise typer.Exit(UNREADABLE)
+        _show(name, plays, draw)
+
+
+def _show(
+    site: str, plays: list[journal.Play], draw: pathlib.Path | None
+) -> None:
+    standings = summaries.standings_of(plays, site)
+    found = summaries.hunts_of(plays, site)
+    if standings:
+        losses = summaries.losses_of(standings[-1].play)
+        rich.print(
+            tables.standings(site, standings, summaries.FRESH_PREFIX),
+            tables.losses(site, losses),
+        )
+        if draw is not None:
+            draw.mkdir(parents=True, exist_ok=True)
+            plots.draw_standings(draw / f"{site}-worth.svg", site, standings)
+            plots.draw_losses(draw / f"{site}-losses.svg", site, losses)
+    if found:
+        rich.print(tables.hunts(site, found))
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- /dev/null
+++ b/bench/report/journal.py
@@ -0,0 +1,147 @@
+"""The journal of bench runs: its files, checked and decoded once.
+
+Names of the files' fields are those of the users' bench.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import datetime
+import pathlib
+
+import pydantic
+
+__all__ = ["Day", "JournalError", "Play", "read_folder"]
+
+DIGITS = 4
+
+
+class JournalError(Exception):
+    """A file of the journal that cannot be read; the text names it."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Day:
+    """One day that was played.
+
+    Attributes:
+        name: Name of the day.
+        seed: Seed that it was drawn with.
+        worth: Credit without the prices.
+        credit: Share of the credit that was earned over the whole day.
+        parts: Parts of the credit by name, from 0 to 1.
+        prices: What is taken off, by name.
+        broken: Rules that were broken, or the fault that ended the day.
+    """
+
+    name: str
+    seed: int
+    worth: float
+    credit: float
+    parts: dict[str, float]
+    prices: dict[str, float]
+    broken: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Play:
+    """One run of the bench.
+
+    Attributes:
+        identifier: Identifier of the journal's entry.
+        started: When it began.
+        verb: What was run, such as a score or a hunt.
+        site: Deployment that was played.
+        commit: Commit of the sources.
+        why: What the run was for.
+        days: The days.
+    """
+
+    identifier: str
+    started: datetime.datetime
+    verb: str
+    site: str
+    commit: str
+    why: str
+    days: tuple[Day, ...]
+
+
+_Part = tuple[str, float | None, float | None]
+
+
+class _DayFile(pydantic.BaseModel):
+    name: str
+    seed: int | None = None
+    parts: list[_Part] = []
+    prices: list[_Part] = []
+    rules: dict[str, object] = {}
+    fault: object = None
+    served: float | None = None
+
+    def decoded(self) -> Day:
+        weighted = sum(
+            weight * value
+            for _, weight, value in self.parts
+            if weight is not None and value is not None
+        )
+        prices = {name: cost for name, _, cost in self.prices if cost}
+        broken = tuple(sorted(self.rules))
+        if self.fault:
+            broken += ("fault",)
+        return Day(
+            self.name,
+            self.seed or 0,
+            round(weighted - sum(prices.values()), DIGITS),
+            self.served or 0.0,
+            {name: value for name, _, value in self.parts if value is not None},
+            prices,
+            broken,
+        )
+
+
+class _PlayFile(pydantic.BaseModel):
+    identifier: str = pydantic.Field(alias="id")
+    # Begin and end; the end of a run that was interrupted is empty.
+    times: tuple[datetime.datetime, str] = pydantic.Field(alias="at")
+    verb: str = pydantic.Field(alias="cmd")
+    site: str | None = None
+    commit: str | None = pydantic.Field(alias="head", default=None)
+    why: str | None = ""
+    days: list[_DayFile] = []
+
+    def decoded(self) -> Play:
+        return Play(
+            self.identifier,
+            self.times[0],
+            self.verb,
+            self.site or "several",
+            (self.commit or "")[:7],
+            self.why or "",
+            tuple(day.decoded() for day in self.days),
+        )
+
+
+def read_folder(folder: pathlib.Path) -> list[Play]:
+    """Reads all entries of a journal, the oldest first.
+
+    Args:
+        folder: The journal.
+
+    Raises:
+        JournalError: An entry cannot be read, or the folder has none.
+    """
+    plays = [_read(path) for path in sorted(folder.glob("*.json"))]
+    if not plays:
+        raise JournalError(f"{folder}: no entries")
+    return sorted(plays, key=lambda play: play.started)
+
+
+def _read(path: pathlib.Path) -> Play:
+    try:
+        return _PlayFile.model_validate_json(path.read_bytes()).decoded()
+    except pydantic.ValidationError as error:
+        first = error.errors()[0]
+        place = ".".join(str(each) for each in first["loc"]) or "text"
+        raise JournalError(f"{path}: {place}: {first['msg']}") from error
+    except OSError as error:
+        raise JournalError(f"{path}: {error.strerror}") from error
--- /dev/null
+++ b/bench/report/plots.py
@@ -0,0 +1,63 @@
+"""Plots of the report, as SVG files."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import matplotlib
+from matplotlib import figure
+
+if TYPE_CHECKING:
+    import pathlib
+    from collections.abc import Sequence
+
+    from bench.report import summaries
+
+__all__ = ["draw_losses", "draw_standings"]
+
+INCHES = (9.0, 4.5)
+# Prices below this are left out of a bar; they would be thinner than a line.
+LEAST_SHOWN = 0.002
+# Keeps the identifiers in a file the same from one drawing to the next.
+matplotlib.rcParams["svg.hashsalt"] = "sesamevale"
+
+
+def draw_standings(
+    path: pathlib.Path, site: str, found: Sequence[summaries.Standing]
+) -> None:
+    """Draws worth by day over the scores of a deployment."""
+    drawn = figure.Figure(figsize=INCHES, layout="constrained")
+    axes = drawn.add_subplot(title=f"{site}: worth by day", ylabel="worth")
+    commits = [standing.play.commit for standing in found]
+    names = {name: None for each in found for name in each.worth}
+    for name in names:
+        points = [each.worth.get(name, float("nan")) for each in found]
+        axes.plot(range(len(found)), points, marker="o", label=name)
+    axes.set_xticks(range(len(found)), commits, rotation=45)
+    axes.legend(loc="center left", bbox_to_anchor=(1.0, 0.5))
+    _save(drawn, path)
+
+
+def draw_losses(
+    path: pathlib.Path, site: str, found: Sequence[summaries.Loss]
+) -> None:
+    """Draws what each day of one play lost as stacked bars."""
+    drawn = figure.Figure(figsize=INCHES, layout="constrained")
+    axes = drawn.add_subplot(title=f"{site}: worth lost", ylabel="worth")
+    days = [loss.day for loss in found]
+    parts = {"credit not earned": [max(0.0, loss.credit) for loss in found]}
+    for name in {name: None for loss in found for name, _ in loss.prices}:
+        costs = [dict(loss.prices).get(name, 0.0) for loss in found]
+        if max(costs) >= LEAST_SHOWN:
+            parts[name] = costs
+    bottom = [0.0] * len(found)
+    for name, heights in parts.items():
+        axes.bar(days, heights, bottom=bottom, label=name)
+        bottom = [low + high for low, high in zip(bottom, heights, strict=True)]
+    axes.legend(loc="center left", bbox_to_anchor=(1.0, 0.5))
+    axes.tick_params(axis="x", rotation=45)
+    _save(drawn, path)
+
+
+def _save(drawn: figure.Figure, path: pathlib.Path) -> None:
+    drawn.savefig(path, metadata={"Date": None})
--- /dev/null
+++ b/bench/report/summaries.py
@@ -0,0 +1,125 @@
+"""What the tables and plots of the report show, drawn from the journal."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from bench.report import journal
+
+__all__ = [
+    "Hunts",
+    "Loss",
+    "Standing",
+    "hunts_of",
+    "losses_of",
+    "sites_of",
+    "standings_of",
+]
+
+SCORE = "score"
+HUNT = "hunt"
+# The day that a score draws afresh has another name each time.
+FRESH_PREFIX = "fresh-"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Standing:
+    """Worth by day of one score.
+
+    Attributes:
+        play: The score.
+        worth: Worth by name of the day.
+        mean: Mean over the standard days.
+    """
+
+    play: journal.Play
+    worth: dict[str, float]
+    mean: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Hunts:
+    """All hunts on one commit.
+
+    Attributes:
+        commit: The commit.
+        days: Days that were played.
+        broken: Days with a broken rule, by rule.
+    """
+
+    commit: str
+    days: int
+    broken: dict[str, int]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Loss:
+    """Worth that a day lost, and to what.
+
+    Attributes:
+        day: Name of the day.
+        credit: Credit that was not earned.
+        prices: Prices by name, the dearest first.
+    """
+
+    day: str
+    credit: float
+    prices: tuple[tuple[str, float], ...]
+
+
+def sites_of(plays: Iterable[journal.Play]) -> list[str]:
+    """Returns the deployments that were played."""
+    return sorted({play.site for play in plays})
+
+
+def standings_of(plays: Iterable[journal.Play], site: str) -> list[Standing]:
+    """Returns the scores on a deployment, the oldest first."""
+    return [
+        _standing(play)
+        for play in plays
+        if play.site == site and play.verb == SCORE and play.days
+    ]
+
+
+def hunts_of(plays: Iterable[journal.Play], site: str) -> list[Hunts]:
+    """Returns what the hunts on a deployment found, by commit."""
+    by_commit: dict[str, list[journal.Day]] = {}
+    for play in plays:
+        if play.site == site and play.verb == HUNT:
+            by_commit.setdefault(play.commit, []).extend(play.days)
+    return [
+        Hunts(
+            commit,
+            len(days),
+            dict(collections.Counter(rule for d in days for rule in d.broken)),
+        )
+        for commit, days in by_commit.items()
+    ]
+
+
+def losses_of(play: journal.Play) -> list[Loss]:
+    """Returns what each day of a play lost, the day that lost most first."""
+    ranked = sorted(play.days, key=lambda day: day.worth)
+    return [
+        Loss(
+            day.name,
+            round(1.0 - day.worth - sum(day.prices.values()), 4),
+            tuple(sorted(day.prices.items(), key=lambda price: -price[1])),
+        )
+        for day in ranked
+    ]
+
+
+def _standing(play: journal.Play) -> Standing:
+    worth = {day.name: day.worth for day in play.days}
+    standard = [
+        value
+        for name, value in worth.items()
+        if not name.startswith(FRESH_PREFIX)
+    ]
+    return Standing(play, worth, sum(standard) / max(1, len(standard)))
--- /dev/null
+++ b/bench/report/tables.py
@@ -0,0 +1,67 @@
+"""Tables of the report."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from rich import table
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from bench.report import summaries
+
+__all__ = ["hunts", "losses", "standings"]
+
+PRICES_SHOWN = 3
+
+
+def standings(
+    site: str, found: Iterable[summaries.Standing], fresh_prefix: str
+) -> table.Table:
+    """Returns the worth of each score by day."""
+    found = list(found)
+    names = sorted(
+        {
+            name
+            for standing in found
+            for name in standing.worth
+            if not name.startswith(fresh_prefix)
+        }
+    )
+    shown = table.Table(title=f"{site}: worth by day")
+    for name in ["when", "commit", *names, "mean"]:
+        shown.add_column(name)
+    for standing in found:
+        cells = [standing.worth.get(name) for name in names]
+        shown.add_row(
+            f"{standing.play.started:%m-%d %H:%M}",
+            standing.play.commit,
+            *("-" if cell is None else f"{cell:.3f}" for cell in cells),
+            f"{standing.mean:.3f}",
+        )
+    return shown
+
+
+def losses(site: str, found: Iterable[summaries.Loss]) -> table.Table:
+    """Returns what each day of one play lost."""
+    shown = table.Table(title=f"{site}: what the last score lost")
+    for name in ["day", "credit", *["price"] * PRICES_SHOWN]:
+        shown.add_column(name)
+    for loss in found:
+        dearest = [
+            f"{cost:.3f} {name}" for name, cost in loss.prices[:PRICES_SHOWN]
+        ]
+        shown.add_row(loss.day, f"{loss.credit:.3f}", *dearest)
+    return shown
+
+
+def hunts(site: str, found: Iterable[summaries.Hunts]) -> table.Table:
+    """Returns how many days each commit was hunted, and what broke."""
+    shown = table.Table(title=f"{site}: hunts")
+    for name in ["commit", "days", "days with a broken rule"]:
+        shown.add_column(name)
+    for each in found:
+        broken = ", ".join(f"{rule} {n}" for rule, n in each.broken.items())
+        shown.add_row(each.commit, str(each.days), broken or "none")
+    return shown
