Soak: troubled links between entries, wrong clocks, and no orphans

Entries reach each other through proxies of the soak that delay, silence, cut one way, refuse and reset; each start has a wall clock up to 30 s wrong. These faults have draws of their own, so that a seed's other faults stay as they were. Every process that the soak starts ends with it, however it ends. The sizes of the fleet are arguments.

--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -3,18 +3,22 @@
 from __future__ import annotations
 
 import asyncio
+import base64
 import collections
 import contextlib
 import json
 import os
 import pathlib
+import random
 import signal
 import subprocess
 import sys
 import time
 
+from sesamevale.platform import decoding
 from tests.builders import loopback
 from tests.builders import store_items
+from tests.soak import launch
 from tests.soak import proxy
 from tests.standins import platform_store
 from tests.standins import scripted_upstream
@@ -22,10 +26,13 @@
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 HOST = "127.0.0.1"
+CLOCK = pathlib.Path(__file__).parent / "shifted_clock"
 MODULE = "sesamevale.platform"
 BOUND_MS = 2000
 TIMEOUT_MS = 1500
 BEAT_S = 0.5
+# The clocks of two processes differ by at most twice as much.
+CLOCK_SHIFT_MAX_S = 30.0
 
 
 class Upstream(scripted_upstream.ScriptedUpstream):
@@ -58,10 +65,27 @@
         return await super()._follow(http, reader, writer, step, request)
 
 
+class Store(platform_store.PlatformStore):
+    """Tells entries to reach each other through their proxies."""
+
+    def __init__(self):
+        super().__init__()
+        self.links = {}
+
+    def put(self, item):
+        if item["key"].startswith(decoding.REGISTRATION_PREFIX):
+            address = json.loads(base64.b64decode(item["value"]))
+            address["entry_port"] = self.links[address["entry_id"]].port
+            value = base64.b64encode(json.dumps(address).encode()).decode()
+            item = item | {"value": value}
+        super().put(item)
+
+
 class Entry:
-    """One daemon, reached by signals; its store is behind a proxy."""
+    """One daemon, reached by signals; it and its store are behind proxies."""
 
-    def __init__(self, name, data_center, store_port, folder):
+    def __init__(self, name, data_center, store_port, folder, rng):
+        self.rng = rng
         self.name = name
         self.data_center = data_center
         self.folder = folder
@@ -72,6 +96,7 @@
         self.store = proxy.Proxy(store_port)
         self.process = None
         self.ports = loopback.free_ports(5)
+        self.link = proxy.Proxy(self.ports[3])
 
     @property
     def port(self):
@@ -99,8 +124,10 @@
         }
         path = self.folder / f"{self.name}.json"
         path.write_text(json.dumps(settings))
+        shift_s = self.rng.uniform(-CLOCK_SHIFT_MAX_S, CLOCK_SHIFT_MAX_S)
         environment = os.environ | {
-            "PYTHONPATH": str(ROOT / "src"),
+            "PYTHONPATH": f"{ROOT / 'src'}:{CLOCK}",
+            "SOAK_CLOCK_SHIFT_S": str(shift_s),
             "SESAMEVALE_NODE_FILE": str(path),
             "SESAMEVALE_METRICS_PORT": str(metrics),
         }
@@ -108,7 +135,9 @@
         with log:
             self.process = subprocess.Popen(
                 [sys.executable, "-m", MODULE],
+                cwd=ROOT,
                 env=environment,
+                preexec_fn=launch.end_with_parent,
                 stdout=log,
                 stderr=log,
             )
@@ -149,11 +178,12 @@
 class Fleet:
     """Everything that one soak starts; ends just what it started."""
 
-    def __init__(self, rng, folder, *, entries, upstreams):
-        self.rng = rng
+    def __init__(self, seed, folder, *, entries, upstreams):
+        self.seed = seed
+        rng = random.Random(seed)
         self.folder = folder
         self.runs = collections.Counter()
-        self.store = platform_store.PlatformStore()
+        self.store = Store()
         self.version = 0
         self.upstreams = [
             Upstream(f"i-{number}", rng, self.runs)
@@ -181,9 +211,15 @@
         self._beating = asyncio.create_task(self._beat())
         for number in range(self._count):
             entry = Entry(
-                f"e-{number}", "ab"[number % 2], self.store.port, self.folder
+                f"e-{number}",
+                "ab"[number % 2],
+                self.store.port,
+                self.folder,
+                random.Random(f"{self.seed} {number}"),
             )
             await self._stack.enter_async_context(entry.store)
+            await self._stack.enter_async_context(entry.link)
+            self.store.links[entry.name] = entry.link
             entry.start()
             self.entries.append(entry)
         return self
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -19,6 +19,7 @@
 import time
 
 from tests.soak import fleet as fleets
+from tests.soak import launch
 
 CALLERS = 12
 SETTLE_S = 5.0
@@ -34,9 +35,10 @@
     def __init__(self, seed, seconds, folder, entries=4, upstreams=6):
         self.rng = random.Random(seed)
         self.calls = random.Random(seed + 1_000_000)
+        self.links = random.Random(seed + 3_000_000)
         self.seconds = seconds
         self.fleet = fleets.Fleet(
-            random.Random(seed + 2_000_000),
+            seed + 2_000_000,
             folder,
             entries=entries,
             upstreams=upstreams,
@@ -54,7 +56,7 @@
             watch = asyncio.create_task(self._watch_stalls())
             await self._until_ready()
             end = time.monotonic() + self.seconds
-            faults = asyncio.create_task(self._faults(end))
+            faults = asyncio.gather(self._faults(end), self._entry_links(end))
             callers = [
                 asyncio.create_task(self._caller(end + SETTLE_S))
                 for _ in range(CALLERS)
@@ -163,7 +165,11 @@
 
     def _calm(self):
         self.fleet.store.down = ""
-        for each in [*self.fleet.proxies, *self._store_proxies()]:
+        for each in [
+            *self.fleet.proxies,
+            *self._store_proxies(),
+            *self._entry_proxies(),
+        ]:
             each.mode = "pass"
         for each in self.fleet.upstreams:
             each.trouble = 0.0
@@ -171,6 +177,9 @@
     def _store_proxies(self):
         return [each.store for each in self.fleet.entries]
 
+    def _entry_proxies(self):
+        return [each.link for each in self.fleet.entries]
+
     async def _faults(self, end):
         """Starts faults that come in series and overlap."""
         running = set()
@@ -235,10 +244,23 @@
     async def _store_links(self):
         await self._mode(self.rng.choice(self._store_proxies()))
 
-    async def _mode(self, between):
-        modes = ["delay", "silent", "deaf", "refuse"]
-        between.mode = self.rng.choice(modes)
-        await asyncio.sleep(self.rng.uniform(0.3, 2.0))
+    async def _entry_links(self, end):
+        """Troubles the links between entries, one after the other.
+
+        They have draws of their own, so that the other faults of a seed stay
+        as they were when it failed.
+        """
+        while time.monotonic() < end:
+            between = self.links.choice(self._entry_proxies())
+            if self.links.random() < 0.2:
+                between.reset_all()
+            await self._mode(between, self.links)
+            await asyncio.sleep(self.links.uniform(0.0, 0.5))
+
+    async def _mode(self, between, rng=None):
+        rng = rng or self.rng
+        between.mode = rng.choice(["delay", "silent", "deaf", "refuse"])
+        await asyncio.sleep(rng.uniform(0.3, 2.0))
         between.mode = "pass"
 
     async def _reset(self):
@@ -290,9 +312,9 @@
         writer.close()
 
 
-def soak(seed, seconds, folder):
+def soak(seed, seconds, folder, **sizes):
     """Runs one seed; returns what broke and how requests ended."""
-    one = Soak(seed, seconds, pathlib.Path(folder))
+    one = Soak(seed, seconds, pathlib.Path(folder), **sizes)
     broken = asyncio.run(one.run())
     return broken, dict(one.statuses)
 
@@ -302,9 +324,15 @@
     return list(range(int(first), int(last or first) + 1))
 
 
-def _alone(seed, seconds):
+def _alone(seed, arguments):
     folder = tempfile.mkdtemp(prefix=f"soak-{seed}-")
-    broken, statuses = soak(seed, seconds, folder)
+    broken, statuses = soak(
+        seed,
+        arguments.seconds,
+        folder,
+        entries=arguments.entries,
+        upstreams=arguments.upstreams,
+    )
     print(f"seed {seed}: {len(broken)} broken, statuses {statuses}", flush=True)
     for each in broken[:10]:
         print(f"  {each} (logs in {folder})", flush=True)
@@ -316,16 +344,22 @@
     parser.add_argument("--seeds", default="1")
     parser.add_argument("--seconds", type=float, default=10.0)
     parser.add_argument("--jobs", type=int, default=1)
+    parser.add_argument("--entries", type=int, default=4)
+    parser.add_argument("--upstreams", type=int, default=6)
     arguments = parser.parse_args()
     seeds = _seeds(arguments.seeds)
     if len(seeds) == 1:
-        return _alone(seeds[0], arguments.seconds)
+        return _alone(seeds[0], arguments)
     waiting, running, failed = seeds[::-1], [], 0
     while waiting or running:
         while waiting and len(running) < arguments.jobs:
-            command = [sys.executable, "-m", "tests.soak.run", "--seeds"]
-            command += [str(waiting.pop()), "--seconds", str(arguments.seconds)]
-            running.append(subprocess.Popen(command))
+            command = [sys.executable, "-m", "tests.soak.run"]
+            for name in ("seconds", "entries", "upstreams"):
+                command += [f"--{name}", str(getattr(arguments, name))]
+            command += ["--seeds", str(waiting.pop())]
+            running.append(
+                subprocess.Popen(command, preexec_fn=launch.end_with_parent)
+            )
         time.sleep(0.2)
         failed += sum(each.poll() not in (None, 0) for each in running)
         running = [each for each in running if each.poll() is None]
