An entry without a document says nothing of other entries' actions

'Not run' also means never, which only the issuer can say. Ruled out: the register, whose refusals are settled outcomes; the relay, which asks for a bar. Change: such a call with an identity of ours is unknown (502); the relay's receiver does the same if it finds no rule.

--- a/src/sesamevale/callers/answers.py
+++ b/src/sesamevale/callers/answers.py
@@ -27,6 +27,9 @@
 }
 DEADLINE_STATUS = 504
 DEFAULT_STATUS = 503
+# A caller that is told 404 would take its action as not run.
+UNKNOWN_STATUS = 502
+UNKNOWN_STATUSES = frozenset((409, UNKNOWN_STATUS))
 
 PROXY_ERROR_BY_REASON = {
     Reason.BAD_REQUEST: "http_request_error",
@@ -83,5 +86,6 @@
     if isinstance(outcome, outcomes.Unknown):
         if outcome.reason is Reason.DEADLINE:
             return DEADLINE_STATUS
-        return STATUS_BY_REASON.get(outcome.reason, 502)
+        status = STATUS_BY_REASON.get(outcome.reason, UNKNOWN_STATUS)
+        return status if status in UNKNOWN_STATUSES else UNKNOWN_STATUS
     return STATUS_BY_REASON.get(outcome.reason, DEFAULT_STATUS)
--- a/src/sesamevale/callers/connection.py
+++ b/src/sesamevale/callers/connection.py
@@ -18,6 +18,7 @@
 from sesamevale.callers import answers
 from sesamevale.callers import entry_directory
 from sesamevale.callers import http_connection
+from sesamevale.policy import identity as identities
 from sesamevale.policy import matching
 
 if TYPE_CHECKING:
@@ -96,11 +97,11 @@
         method = request.method.decode("ascii", "replace")
         environment = self._front.view.environment
         if environment is None:
-            self._refuse(outcomes.Reason.NO_DOCUMENT)
+            self._refuse_unplaced(outcomes.Reason.NO_DOCUMENT, headers)
             return
         match = matching.match_request(environment, method, target)
         if match is None:
-            self._refuse(outcomes.Reason.NO_RULE)
+            self._refuse_unplaced(outcomes.Reason.NO_RULE, headers)
             return
         span = tracing.start_call(
             "call", http1.find(headers, http1.Field.TRACEPARENT)
@@ -312,6 +313,20 @@
         self._book.count(f"refused_{reason}")
         self._send_failure(outcomes.NotRun(reason), status)
 
+    def _refuse_unplaced(
+        self, reason: outcomes.Reason, headers: calls.Headers
+    ) -> None:
+        """Refuses a call whose service is not known here.
+
+        Only the issuer of an action's identity can say that it has not run.
+        """
+        key = http1.find(headers, http1.Field.IDEMPOTENCY_KEY) or b""
+        if identities.parse(key.decode("ascii", "replace")) is None:
+            self._refuse(reason)
+            return
+        self._book.count(f"refused_{reason}")
+        self._send_failure(outcomes.Unknown(reason))
+
     def _refuse_malformed(self, error: h11.RemoteProtocolError) -> None:
         """Answers a request that cannot be read and gives up."""
         self._book.count("malformed_requests")
--- a/src/sesamevale/entries/relay_server.py
+++ b/src/sesamevale/entries/relay_server.py
@@ -112,7 +112,13 @@
         self._book.count("relayed_calls_received")
         rule = self._find_rule(head)
         if rule is None:
-            self._send_failed(outcomes.NotRun(outcomes.Reason.NO_RULE), "")
+            # A later relay of the same action may find a rule and run it.
+            if head.identity is None:
+                refused = outcomes.NotRun(outcomes.Reason.NO_RULE)
+                self._send_failed(refused, "")
+            else:
+                unknown = outcomes.Unknown(outcomes.Reason.NO_RULE)
+                self._send_failed(unknown, "")
             return
         call = self._new_call(head, rule)
         span = tracing.start_call("relayed", head.traceparent)
