A large configuration is read and passed on once, compressed

Ruled out: a store that is down (it was busy for some until 11.5 s only). Change: a read leaves a large configuration out if the store says that it is the same; calls time out by silence; updates carry the configuration compressed and encoded once; a late answer keeps what is mirrored.

--- a/src/sesamevale/entries/state_pages.py
+++ b/src/sesamevale/entries/state_pages.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import urllib.parse
+import zlib
 from typing import TYPE_CHECKING
 
 import h11
 import pydantic
 
+from sesamevale import routes
 from sesamevale import sockets
 from sesamevale.operators import admin_client
 from sesamevale.operators import admin_server
@@ -20,13 +23,36 @@
 __all__ = ["PATH", "ask", "page"]
 
 PATH = "/state"
-JSON_TYPE = "application/json"
-# Entries of one data centre answer each other within a few milliseconds; a
-# whole state takes longer on a slow link.
-ASK_TIMEOUT_S = 0.4
+CONTENT_TYPE = "application/octet-stream"
+# Entries of one data centre answer each other within a few milliseconds.
+SILENCE_TIMEOUT_S = 0.4
+# Time for a whole answer; a large configuration may have a slow link.
+ASK_TIMEOUT_S = 1.0
 NO_CONTENT = 204
+# Repeated names make up most of a configuration, so the fastest level does.
+COMPRESSION_LEVEL = 1
+# More than a configuration can have in the platform's store.
+CONFIGURATION_BYTES_MAX = 16 * 1024 * 1024
 
 _UPDATE = pydantic.TypeAdapter(shared_state.Update)
+_CONFIGURATION = pydantic.TypeAdapter(routes.Configuration)
+
+
+class _Packer:
+    """Encodes a configuration once for all that ask for it."""
+
+    def __init__(self) -> None:
+        self._packed: tuple[routes.Configuration | None, bytes] = (None, b"")
+
+    def pack(self, configuration: routes.Configuration | None) -> bytes:
+        if configuration is None:
+            return b""
+        known, packed = self._packed
+        if known is not configuration:
+            plain = _CONFIGURATION.dump_json(configuration)
+            packed = zlib.compress(plain, COMPRESSION_LEVEL)
+            self._packed = configuration, packed
+        return packed
 
 
 def page(
@@ -34,10 +60,14 @@
 ) -> Callable[[str], admin_server.Page]:
     """Returns the page that tells other entries what was read.
 
+    An answer is the update as one line of JSON, followed by the configuration
+    as compressed JSON if it has changed.
+
     Args:
         state: What this entry knows.
         clock: Source of monotonic time in seconds.
     """
+    packer = _Packer()
 
     def make(query: str) -> admin_server.Page:
         asked = dict(urllib.parse.parse_qsl(query))
@@ -48,8 +78,11 @@
             return admin_server.Page(400, "text/plain", b"two numbers\n")
         update = state.since(epoch, revision, clock())
         if update is None:
-            return admin_server.Page(NO_CONTENT, JSON_TYPE, b"")
-        return admin_server.Page(200, JSON_TYPE, _UPDATE.dump_json(update))
+            return admin_server.Page(NO_CONTENT, CONTENT_TYPE, b"")
+        rest = dataclasses.replace(update, configuration=None)
+        packed = packer.pack(update.configuration)
+        body = b"\n".join((_UPDATE.dump_json(rest), packed))
+        return admin_server.Page(200, CONTENT_TYPE, body)
 
     return make
 
@@ -61,20 +94,35 @@
     stream = None
     try:
         async with asyncio.timeout(ASK_TIMEOUT_S):
-            stream = await sockets.connect(host, port, ASK_TIMEOUT_S)
+            stream = await sockets.connect(host, port, SILENCE_TIMEOUT_S)
             if stream is None:
                 return None
             body = await admin_client.fetch(
                 stream,
                 f"{host}:{port}",
                 f"{PATH}?epoch={mirror.epoch}&revision={mirror.revision}",
+                SILENCE_TIMEOUT_S,
             )
     except (TimeoutError, h11.ProtocolError):
         return None
     finally:
         if stream is not None:
             stream.abort()
+    return _decoded(body) if body else None
+
+
+def _decoded(body: bytes) -> shared_state.Update | None:
+    """Returns the update of an answer; None if it makes no sense."""
+    line, _, packed = body.partition(b"\n")
     try:
-        return _UPDATE.validate_json(body) if body else None
-    except pydantic.ValidationError:
+        update = _UPDATE.validate_json(line)
+        if not packed:
+            return update
+        unpacker = zlib.decompressobj()
+        plain = unpacker.decompress(packed, CONFIGURATION_BYTES_MAX)
+        if not unpacker.eof or unpacker.unused_data:
+            return None
+        configuration = _CONFIGURATION.validate_json(plain)
+    except (pydantic.ValidationError, zlib.error):
         return None
+    return dataclasses.replace(update, configuration=configuration)
--- a/src/sesamevale/entries/state_reader.py
+++ b/src/sesamevale/entries/state_reader.py
@@ -144,11 +144,14 @@
             return
         mirror = self._mirrors.setdefault(entry_id, shared_state.Mirror())
         update = await state_pages.ask(*address, mirror)
-        view = None if update is None else mirror.apply(update)
-        if update is None or view is None:
-            self._mirrors.pop(entry_id, None)
+        if update is None:
             self._book.count("state_asks_failed")
             return
+        view = mirror.apply(update)
+        if view is None:
+            self._mirrors.pop(entry_id)
+            self._book.count("state_asks_out_of_step")
+            return
         self._book.count("state_asks")
         self._tell(view, self._asked_at - update.age_s)
 
--- a/src/sesamevale/operators/admin_client.py
+++ b/src/sesamevale/operators/admin_client.py
@@ -22,7 +22,7 @@
         return None
     try:
         async with asyncio.timeout(TIMEOUT_S):
-            body = await fetch(stream, f"{host}:{port}", "/status")
+            body = await fetch(stream, f"{host}:{port}", "/status", TIMEOUT_S)
     except (TimeoutError, h11.ProtocolError):
         return None
     finally:
@@ -31,18 +31,31 @@
 
 
 async def fetch(
-    stream: sockets.ByteStream, host: str, path: str
+    stream: sockets.ByteStream, host: str, path: str, silence_s: float
 ) -> bytes | None:
-    """Returns the body of a page; None if the connection ends early."""
+    """Returns the body of a page; None if the connection ends early.
+
+    Args:
+        stream: Open connection to the entry.
+        host: Value of the Host field.
+        path: The page.
+        silence_s: Longest time in seconds without a byte of the answer.
+
+    Raises:
+        TimeoutError: The entry fell silent.
+        h11.ProtocolError: The answer is not HTTP.
+    """
     http = h11.Connection(h11.CLIENT)
     request = h11.Request(method="GET", target=path, headers=[("Host", host)])
-    data = http.send(request) or b""
-    stream.write(data + (http.send(h11.EndOfMessage()) or b""))
+    head = http.send(request) or b""
+    stream.write(head + (http.send(h11.EndOfMessage()) or b""))
     body = bytearray()
     while True:
         event = http.next_event()
         if event is h11.NEED_DATA:
-            http.receive_data(await stream.read())
+            async with asyncio.timeout(silence_s):
+                data = await stream.read()
+            http.receive_data(data)
         elif isinstance(event, h11.Data):
             body += event.data
         elif isinstance(event, h11.EndOfMessage):
--- a/src/sesamevale/platform/models.py
+++ b/src/sesamevale/platform/models.py
@@ -9,6 +9,7 @@
 import pydantic
 
 __all__ = [
+    "Changes",
     "Heartbeat",
     "Item",
     "LeaseGranted",
@@ -48,6 +49,14 @@
 
     items: list[Item]
     more: bool = pydantic.Field(alias="hasMore")
+    store_revision: int = pydantic.Field(alias="currentRev", default=0)
+
+
+class Changes(_Model):
+    """Answer to a watch: what has changed since a revision of the store."""
+
+    events: list[object]
+    store_revision: int = pydantic.Field(alias="currentRev")
 
 
 class LeaseGranted(_Model):
--- a/src/sesamevale/platform/source.py
+++ b/src/sesamevale/platform/source.py
@@ -6,6 +6,7 @@
 
 from sesamevale.entries import state_reader
 from sesamevale.platform import decoding
+from sesamevale.platform import models
 from sesamevale.platform import store
 from sesamevale.policy import shared_state
 
@@ -14,12 +15,17 @@
 
 __all__ = ["StoreSource"]
 
+# Length of an encoded configuration above which it is worth another call to
+# leave it out of a read: about as much as the rest of a read.
+LARGE_CONFIG_CHARS = 64 * 1024
+
 
 class StoreSource:
     """Reads all keys at once, so that one call serves every purpose.
 
     Reads are linearizable, so a drain or a version that the store has
-    acknowledged is in the next read, whatever becomes of its history.
+    acknowledged is in the next read, whatever becomes of its history. A large
+    configuration is left out of a read if the store says that it is the same.
 
     Args:
         client: Client of the store.
@@ -33,10 +39,12 @@
         self._events = events
         self._decoder = decoding.Decoder()
         self._rejected: dict[str, str] = {}
+        self._large: models.Item | None = None
+        self._checked_revision = 0
 
     async def read(self) -> shared_state.StoreView | state_reader.Unavailable:
         """Reads everything at once."""
-        found = await self._client.read_all()
+        found = await self._read_items()
         if isinstance(found, store.Failed):
             return state_reader.Unavailable(found.why)
         decoded = self._decoder.decode(found)
@@ -44,3 +52,40 @@
             self._rejected = decoded.rejected
             self._events.state("store_values_rejected", keys=decoded.rejected)
         return decoded.view
+
+    async def _read_items(self) -> list[models.Item] | store.Failed:
+        if self._large is not None:
+            changes = await self._client.changes(
+                decoding.CONFIG_KEY, self._checked_revision
+            )
+            if isinstance(changes, store.Failed):
+                return changes
+            if isinstance(changes, models.Changes) and not changes.events:
+                self._checked_revision = changes.store_revision
+                return await self._read_rest(self._large)
+        return await self._read_all()
+
+    async def _read_rest(
+        self, known: models.Item
+    ) -> list[models.Item] | store.Failed:
+        """Reads what comes after the configuration."""
+        found = await self._client.read_all(after=decoding.CONFIG_KEY)
+        if isinstance(found, store.Failed):
+            return found
+        return [known, *found.items]
+
+    async def _read_all(self) -> list[models.Item] | store.Failed:
+        found = await self._client.read_all()
+        if isinstance(found, store.Failed):
+            return found
+        self._checked_revision = found.store_revision
+        self._large = next(
+            (
+                item
+                for item in found.items
+                if item.key == decoding.CONFIG_KEY
+                and len(item.value) >= LARGE_CONFIG_CHARS
+            ),
+            None,
+        )
+        return found.items
--- a/src/sesamevale/platform/store.py
+++ b/src/sesamevale/platform/store.py
@@ -22,18 +22,23 @@
     from sesamevale import metrics
     from sesamevale import settings as checked_settings
 
-__all__ = ["Failed", "LeaseLost", "StoreClient"]
+__all__ = ["Failed", "HistoryLost", "LeaseLost", "Listing", "StoreClient"]
 
 Model = TypeVar("Model", bound=pydantic.BaseModel)
 
-# The store answers in milliseconds; longer means that the answer is lost.
-CALL_TIMEOUT_S = 0.5
+# The store answers in milliseconds; a longer silence means that the answer is
+# lost.
+SILENCE_TIMEOUT_S = 0.5
 # A store that is merely slow gets this much time before calls fail for good.
-CALL_TIMEOUT_MAX_S = 2.0
+SILENCE_TIMEOUT_MAX_S = 2.0
+# Longest time for a whole answer; enough for a megabyte on a slow link.
+CALL_TIMEOUT_S = 2.0
+# A watch that does not wait tells what has changed so far.
+NO_WAIT_MS = 1
 CONNECT_TIMEOUT_S = 0.5
 OK = 200
 NOT_FOUND = 404
-CONFLICT = 412
+GONE = 410
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -54,6 +59,24 @@
     """The lease has ended."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class HistoryLost:
+    """The store does not know any more what has changed."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Listing:
+    """Keys of the store in their order.
+
+    Attributes:
+        items: The keys with their values.
+        store_revision: Revision of the store before the first was read.
+    """
+
+    items: list[models.Item]
+    store_revision: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Reply:
     status: int
@@ -85,16 +108,20 @@
         self._book = book
         self._stream: sockets.ByteStream | None = None
         self._http = h11.Connection(h11.CLIENT)
-        self._timeout_s = CALL_TIMEOUT_S
+        self._silence_s = SILENCE_TIMEOUT_S
 
     async def __aexit__(self, *exc_info: object) -> None:
         await super().__aexit__(*exc_info)
         self._close()
 
-    async def read_all(self) -> list[models.Item] | Failed:
-        """Reads every key, page by page, without stale answers."""
+    async def read_all(self, after: str = "") -> Listing | Failed:
+        """Reads every key, page by page, without stale answers.
+
+        Args:
+            after: Key that the first one read follows; empty for all.
+        """
         items: list[models.Item] = []
-        after = ""
+        first_revision: int | None = None
         while True:
             query = {"prefix": ""} | ({"after": after} if after else {})
             reply = await self._call("GET", "/api/kv-range", query)
@@ -102,10 +129,31 @@
             if isinstance(page, Failed):
                 return page
             items += page.items
+            if first_revision is None:
+                first_revision = page.store_revision
             if not page.more or not page.items:
-                return items
+                return Listing(items, first_revision)
             after = page.items[-1].key
 
+    async def changes(
+        self, prefix: str, revision: int
+    ) -> models.Changes | HistoryLost | Failed:
+        """Asks what has changed, without waiting for a change.
+
+        Args:
+            prefix: What the keys begin with.
+            revision: Revision of the store after which changes count.
+        """
+        query = {
+            "prefix": prefix,
+            "after": str(revision),
+            "waitMs": str(NO_WAIT_MS),
+        }
+        reply = await self._call("GET", "/api/kv-watch", query)
+        if isinstance(reply, _Reply) and reply.status == GONE:
+            return HistoryLost()
+        return _parsed(reply, models.Changes)
+
     async def grant_lease(self, ttl_ms: int) -> models.LeaseGranted | Failed:
         """Asks for a lease."""
         body = {"ttlMs": ttl_ms}
@@ -186,16 +234,16 @@
     async def _exchange(self, call: _Call) -> _Reply | Failed:
         """Performs one call; the connection is kept if it is still good."""
         try:
-            async with asyncio.timeout(self._timeout_s):
+            async with asyncio.timeout(CALL_TIMEOUT_S):
                 reply = await self._send_and_read(call)
         except TimeoutError:
             self._close()
-            self._timeout_s = min(2 * self._timeout_s, CALL_TIMEOUT_MAX_S)
+            self._silence_s = min(2 * self._silence_s, SILENCE_TIMEOUT_MAX_S)
             return Failed("no answer in time", unsure=True)
         except h11.ProtocolError as error:
             self._close()
             return Failed(f"answer not understood: {error}", unsure=True)
-        self._timeout_s = CALL_TIMEOUT_S
+        self._silence_s = SILENCE_TIMEOUT_S
         return reply
 
     async def _send_and_read(self, call: _Call) -> _Reply | Failed:
@@ -223,7 +271,8 @@
         while True:
             event = self._http.next_event()
             if event is h11.NEED_DATA:
-                data = await stream.read()
+                async with asyncio.timeout(self._silence_s):
+                    data = await stream.read()
                 if not data:
                     self._close()
                     return Failed("connection lost", unsure=True)
--- a/tests/standins/platform_store.py
+++ b/tests/standins/platform_store.py
@@ -17,6 +17,8 @@
 from tests.standins import served
 
 SLOW_S = 0.2
+# Interval at which a slow link passes its next bytes on.
+SLOW_STEP_S = 0.05
 
 
 class PlatformStore(served.Served):
@@ -29,6 +31,9 @@
         self.calls: list[str] = []
         self.revision = 10
         self.page = page
+        self.history_from = 0
+        self.sent_bytes = 0
+        self.bytes_per_s = 0.0
         self._next_lease = 100
 
     def put(self, item: dict) -> None:
@@ -78,10 +83,20 @@
             status_code=status, headers=[("content-length", str(len(data)))]
         )
         writer.write(http.send(response))
-        writer.write(http.send(h11.Data(data=data)))
+        await self._send_body(http, writer, data)
         writer.write(http.send(h11.EndOfMessage()))
         return True
 
+    async def _send_body(self, http, writer, data):
+        self.sent_bytes += len(data)
+        if not self.bytes_per_s:
+            writer.write(http.send(h11.Data(data=data)))
+            return
+        step = int(self.bytes_per_s * SLOW_STEP_S)
+        for start in range(0, len(data), step):
+            writer.write(http.send(h11.Data(data=data[start : start + step])))
+            await asyncio.sleep(SLOW_STEP_S)
+
     def _handle(self, fault, request, target, body):
         if fault == "refused":
             return 503, {}
@@ -92,6 +107,8 @@
         content = json.loads(body) if body else {}
         if path == "/api/kv-range":
             return 200, self._range(asked)
+        if path == "/api/kv-watch":
+            return self._changes(asked)
         if path == "/api/kv-lease":
             self._next_lease += 1
             self.leases.add(self._next_lease)
@@ -119,6 +136,18 @@
             "currentRev": self.revision,
         }
 
+    def _changes(self, asked):
+        """Answers at once; a real store would wait for the first event."""
+        after = int(asked["after"])
+        if after < self.history_from:
+            return 410, {}
+        events = [
+            item
+            for key, item in sorted(self.items.items())
+            if key.startswith(asked["prefix"]) and item["revision"] > after
+        ]
+        return 200, {"events": events, "currentRev": self.revision}
+
     def _write(self, content):
         for each in content["writes"]:
             if each["lease"] and each["lease"] not in self.leases:
