Idle connections keep to this entry's share of an upstream's limit

Cause: the limit on an upstream's connections was decoded and not used. Change: at most half of an equal share of it may be idle here, and six as before. Test failed first: 8 connections stayed where the share was two.

--- a/src/sesamevale/forwarding/service_task.py
+++ b/src/sesamevale/forwarding/service_task.py
@@ -75,6 +75,7 @@
         self._events = events
         self._book = book
         self._misplaced = misplaced
+        self._connections_max = service.connections_max
         self._pool = link_pool.LinkPool(dialect)
         self._sampler = sampling.Sampler(
             service.health_path, self._pool, book, self.send
@@ -107,6 +108,10 @@
         """Implements ``messaging.Actor``."""
         _receive(message, self)
 
+    def _share_connections(self) -> None:
+        """Divides the connections of each upstream among the entries."""
+        self._pool.set_share(self._connections_max / self._budget.entries)
+
     def _sweep(self) -> None:
         self.send(messages.Sweep())
         self._sweeper = self._loop.call_later(SWEEP_INTERVAL_S, self._sweep)
@@ -306,11 +311,14 @@
 @_receive.register
 def _(message: messages.SetService, task: ServiceTask) -> None:
     task._sampler.path = message.service.health_path
+    task._connections_max = message.service.connections_max
+    task._share_connections()
 
 
 @_receive.register
 def _(message: messages.SetEntryCount, task: ServiceTask) -> None:
     task._budget.set_entries(message.count, time.monotonic())
+    task._share_connections()
 
 
 @_receive.register
--- a/src/sesamevale/upstreams/link_pool.py
+++ b/src/sesamevale/upstreams/link_pool.py
@@ -14,6 +14,8 @@
 
 # Idle connections kept to one upstream.
 IDLE_MAX = 6
+# Part of this entry's share of an upstream's connections that may be idle.
+IDLE_SHARE = 0.5
 
 
 class LinkPool:
@@ -25,9 +27,14 @@
 
     def __init__(self, dialect: http1.Dialect) -> None:
         self._dialect = dialect
+        self._idle_max = IDLE_MAX
         self._idle: dict[str, list[http_link.HttpLink]] = {}
         self._open: dict[str, int] = {}
 
+    def set_share(self, connections: float) -> None:
+        """Takes how many connections an upstream accepts from this entry."""
+        self._idle_max = max(1, min(IDLE_MAX, int(IDLE_SHARE * connections)))
+
     def open_links(self, upstream_id: str) -> int:
         """Connections to an upstream, busy ones included."""
         return self._open.get(upstream_id, 0)
@@ -59,7 +66,7 @@
     def give_back(self, upstream_id: str, link: http_link.HttpLink) -> None:
         """Keeps a connection for later if it can carry another exchange."""
         idle = self._idle.setdefault(upstream_id, [])
-        if not link.is_open or len(idle) >= IDLE_MAX:
+        if not link.is_open or len(idle) >= self._idle_max:
             self.discard(upstream_id, link)
             return
         idle.append(link)
--- a/tests/forwarding/test_service_task.py
+++ b/tests/forwarding/test_service_task.py
@@ -417,3 +417,18 @@
             assert await case.ask(gateway.request()) == (200, body)
 
     run(scenario)
+
+
+def test_an_entry_keeps_to_its_share_of_an_upstreams_connections():
+    async def scenario():
+        steps = [Step(after_s=0.05)] * 16
+        async with Case(upstream(*steps, load="0,0,20,100")) as case:
+            asked = [case.ask(gateway.request()) for _ in range(8)]
+            await asyncio.gather(*asked)
+            assert case.task._pool.open_links("u-1") > 1
+            case.task.send(messages.SetEntryCount(50))
+            asked = [case.ask(gateway.request()) for _ in range(8)]
+            await asyncio.gather(*asked)
+            assert case.task._pool.open_links("u-1") == 1
+
+    run(scenario)
