An entry that starts while the store is away asks the seeds

Ruled out: gossip with the seeds, which would join the data centres' groups. Change: while nothing is known and a read fails, the entry asks the state pages of the seeds in its settings and takes the newest answer, with its age. Five tests failed first; a mutant each for this and for large configurations.

--- a/src/sesamevale/entries/state_reader.py
+++ b/src/sesamevale/entries/state_reader.py
@@ -57,6 +57,7 @@
         host: IP address for other entries.
         port: TCP port for other entries.
         book: Measurements.
+        seeds: Addresses of entries to ask at a start without the store.
     """
 
     def __init__(
@@ -68,7 +69,9 @@
         host: str,
         port: int,
         book: metrics.Book,
+        seeds: tuple[tuple[str, int], ...] = (),
     ) -> None:
+        self._seeds = seeds
         self._source = source
         self._gateway = gateway
         self._pace = pace
@@ -127,6 +130,8 @@
         if isinstance(found, Unavailable):
             self._failures += 1
             self._note_away(True, found.why)
+            if not self._configured:
+                await self._ask_seeds()
             pause = RETRY_INTERVAL_S * self._failures
             await asyncio.sleep(min(pause, RETRY_INTERVAL_MAX_S))
             return
@@ -137,6 +142,16 @@
         if not self._configured:
             await asyncio.sleep(RETRY_INTERVAL_S)
 
+    async def _ask_seeds(self) -> None:
+        """Takes the newest of what the entries know that may be there."""
+        asked_at = time.monotonic()
+        asked = [_ask_afresh(*address) for address in self._seeds]
+        found = [each for each in await asyncio.gather(*asked) if each]
+        if found:
+            age_s, view = min(found, key=lambda each: each[0])
+            self._book.count("state_from_seeds")
+            self._tell(view, asked_at - age_s)
+
     async def _ask(self, entry_id: str) -> None:
         self._asked_at = time.monotonic()
         address = self._gateway.near_entries.get(entry_id)
@@ -173,6 +188,18 @@
             self._gateway.send(gateway_messages.StoreAway(away, why))
 
 
+async def _ask_afresh(
+    host: str, port: int
+) -> tuple[float, shared_state.StoreView] | None:
+    """Returns all that another entry knows, and its age in seconds."""
+    mirror = shared_state.Mirror()
+    update = await state_pages.ask(host, port, mirror)
+    view = None if update is None else mirror.apply(update)
+    if update is None or view is None:
+        return None
+    return update.age_s, view
+
+
 @functools.singledispatch
 async def _follow(move: reading.Move, task: StateReader) -> None:
     raise TypeError(f"no rule for {type(move).__name__}")
--- a/src/sesamevale/platform/daemon.py
+++ b/src/sesamevale/platform/daemon.py
@@ -111,6 +111,7 @@
         deployed.host,
         deployed.entry_ports[0],
         book,
+        deployed.seeds,
     )
     await stack.enter_async_context(reader)
     address = models.Registration(
--- a/src/sesamevale/platform/settings.py
+++ b/src/sesamevale/platform/settings.py
@@ -80,6 +80,23 @@
     entry_ports: tuple[int, int]
     bounds: _Bounds
     store: _Store
+    # Control addresses of the first machines; entries have other ports there.
+    seed_addresses: tuple[Endpoint, ...] | None = pydantic.Field(
+        alias="seeds", default=None
+    )
+
+    @property
+    def seeds(self) -> tuple[tuple[str, int], ...]:
+        """Where entries may be that know what this one does not yet.
+
+        The ports of entries are the same on all machines.
+        """
+        found = self.seed_addresses or ()
+        return tuple(
+            (each.host, self.entry_ports[0])
+            for each in found
+            if each.host != self.host
+        )
 
     @property
     def change_bound_s(self) -> float:
--- a/tests/entries/test_state_reader.py
+++ b/tests/entries/test_state_reader.py
@@ -65,6 +65,24 @@
             self.away.append(message.away)
 
 
+@contextlib.asynccontextmanager
+async def late_starter(store, name, seeds):
+    """Yields what an entry knows that starts after the others."""
+    listener = Listener(name)
+    reader = state_reader.StateReader(
+        store.source(name),
+        listener,
+        PACE,
+        99,
+        "127.0.0.1",
+        0,
+        metrics.Book(),
+        seeds,
+    )
+    async with reader:
+        yield listener
+
+
 @contextlib.asynccontextmanager
 async def fleet(store, *names):
     async with contextlib.AsyncExitStack() as stack:
@@ -164,3 +182,53 @@
             assert known["a"].away == [True, False]
 
     run(scenario)
+
+
+def test_an_entry_that_starts_without_the_store_asks_the_seeds():
+    async def scenario():
+        store = Store()
+        store.version = 6
+        async with fleet(store, "a", "b") as known:
+            await asyncio.sleep(0.3)
+            store.away = {"z"}
+            port = known["b"].near_entries["a"][1]
+            seeds = (("127.0.0.1", 1), ("127.0.0.1", port))
+            async with late_starter(store, "z", seeds) as late:
+                await until(lambda: late.version == 6)
+
+    run(scenario)
+
+
+def test_the_newest_of_what_the_seeds_know_is_taken():
+    async def scenario():
+        store = Store()
+        async with fleet(store, "a", "b") as known:
+            await asyncio.sleep(0.3)
+            addresses = (
+                known["b"].near_entries["a"],
+                known["a"].near_entries["b"],
+            )
+            known["a"].near_entries = known["b"].near_entries = {}
+            store.away = {"a", "z"}
+            store.version = 7
+            await until(lambda: known["b"].version == 7)
+            async with late_starter(store, "z", addresses) as late:
+                await until(lambda: late.version)
+                assert late.version == 7
+
+    run(scenario)
+
+
+def test_seeds_that_know_nothing_leave_an_entry_waiting_for_the_store():
+    async def scenario():
+        store = Store()
+        store.away = {"z"}
+        seeds = (("127.0.0.1", 1), ("127.0.0.1", 2))
+        async with late_starter(store, "z", seeds) as late:
+            await asyncio.sleep(0.3)
+            assert late.version == 0
+            store.away = set()
+            await asyncio.sleep(0.7)
+            assert late.version == 1
+
+    run(scenario)
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -93,3 +93,15 @@
     monkeypatch.setenv(settings.METRICS_VARIABLE, "http")
     with pytest.raises(settings.SettingsError, match="METRICS"):
         load(content()).for_gateway()
+
+
+def test_the_first_entries_of_a_fleet_are_seeds(load):
+    deployed = load(content(seeds=["10.1.0.18:8382", "10.2.0.34:8382"]))
+    assert deployed.seeds == (("10.2.0.34", 7200),)
+    assert load(content()).seeds == ()
+    assert load(content(seeds=None)).seeds == ()
+
+
+def test_a_seed_that_is_no_address_is_named(load):
+    with pytest.raises(settings.SettingsError, match=r"seed_addresses|seeds"):
+        load(content(seeds=["nowhere"]))
--- a/tests/test_gateway_mutants.py
+++ b/tests/test_gateway_mutants.py
@@ -6,7 +6,10 @@
 from hypothesis import stateful
 
 from sesamevale import http1
+from sesamevale.entries import state_reader
 from sesamevale.forwarding import service_task
+from sesamevale.platform import models
+from sesamevale.platform import store
 from sesamevale.policy import adoption
 from sesamevale.policy import forwarding
 from sesamevale.policy import load_sampling
@@ -17,7 +20,9 @@
 from sesamevale.policy import upstream_state
 from sesamevale.upstreams import http_link
 from tests.builders import machines
+from tests.entries import test_state_reader
 from tests.forwarding import test_service_task
+from tests.platform import test_source
 from tests.policy import test_forwarding_machine
 from tests.policy import test_load_sampling
 from tests.policy import test_reading
@@ -133,6 +138,20 @@
     monkeypatch.setattr(shared_state.Mirror, "apply", apply)
 
 
+def believe_that_a_large_configuration_stays(monkeypatch) -> None:
+    async def unchanged(self, prefix, revision):
+        return models.Changes(events=[], currentRev=revision)
+
+    monkeypatch.setattr(store.StoreClient, "changes", unchanged)
+
+
+def ask_no_seeds(monkeypatch) -> None:
+    async def nothing(self):
+        pass
+
+    monkeypatch.setattr(state_reader.StateReader, "_ask_seeds", nothing)
+
+
 def first_row(test, *arguments):
     return lambda: test(*arguments)
 
@@ -189,6 +208,14 @@
         pass_no_removals_on,
         lambda: run_machine(test_shared_state_machine.MirrorMachine),
     ),
+    (
+        believe_that_a_large_configuration_stays,
+        test_source.test_a_change_of_a_large_configuration_is_in_the_next_read,
+    ),
+    (
+        ask_no_seeds,
+        test_state_reader.test_an_entry_that_starts_without_the_store_asks_the_seeds,
+    ),
 ]
 
 
