Ask the reader once for each of its reads

Cause: entries asked every 0.15 of the bound, 3.3 times for each read, though there can be news only after one. Change: an entry waits until the reader should have read again, a little longer by rank, and falls back to the former interval while it is late.

--- a/src/sesamevale/policy/reading.py
+++ b/src/sesamevale/policy/reading.py
@@ -1,9 +1,10 @@
 """Who reads the store, and when.
 
 Of the entries of a data centre, the first by identifier reads the store and
-the others ask it. An entry whose knowledge grows old reads the store itself,
-one after the other by rank, so that a reader that is gone, stuck or cut off
-from the store is replaced before the bound on changes has passed.
+the others ask it, once for each of its reads if it is in time. An entry whose
+knowledge grows old reads the store itself, one after the other by rank, so
+that a reader that is gone, stuck or cut off from the store is replaced before
+the bound on changes has passed.
 """
 
 from __future__ import annotations
@@ -17,6 +18,10 @@
 ALONE_SHARE = 0.65
 READER_SHARE = 0.5
 ASK_SHARE = 0.15
+# Time that a read takes, after which the reader is asked for its result; a
+# little more by rank, so that not all ask at the same moment.
+NEWS_SHARE = 0.02
+NEWS_RANK_SHARE = 0.004
 OLD_SHARE = 0.75
 RANK_SHARE = 0.02
 RANK_SHARE_MAX = 0.1
@@ -86,7 +91,9 @@
     until_old = patience * pace.bound_s - age_s
     if until_old <= 0:
         return Read()
-    until_ask = ASK_SHARE * pace.bound_s - since_ask_s
+    news_share = READER_SHARE + NEWS_SHARE + NEWS_RANK_SHARE * rank
+    until_news = min(news_share, OLD_SHARE) * pace.bound_s - age_s
+    until_ask = max(until_news, ASK_SHARE * pace.bound_s - since_ask_s)
     if until_ask <= 0:
         return Ask(ranked[0])
     return Wait(min(until_old, until_ask))
