Log how old the knowledge is that an entry starts with

An entry that takes what its seeds know logs nothing that tells it from a read of the store; config_in_force and upstreams_known say the age of the read now. The test failed first.

--- a/src/sesamevale/gateway.py
+++ b/src/sesamevale/gateway.py
@@ -305,6 +305,11 @@
         return admin_server.Page(200, "application/json", body)
 
 
+def _age_s(read_at: float) -> float:
+    """Returns the age of a read of the store for a log line, in seconds."""
+    return round(time.monotonic() - read_at, 3)
+
+
 @functools.singledispatch
 def _receive(message: gateway_messages.Message, gateway: Gateway) -> None:
     raise TypeError(f"no rule for {type(message).__name__}")
@@ -326,7 +331,10 @@
     )
     if changed:
         gateway._events.state(
-            "config_in_force", version=found.version, previous=previous
+            "config_in_force",
+            version=found.version,
+            previous=previous,
+            age_s=_age_s(message.read_at),
         )
         gateway._apply_services(found)
 
@@ -338,7 +346,9 @@
     if gateway._front.view.discovered:
         gateway._log_changes(changes)
         return
-    gateway._events.state("upstreams_known", count=len(changes))
+    gateway._events.state(
+        "upstreams_known", count=len(changes), age_s=_age_s(message.read_at)
+    )
     gateway._show(discovered=True)
 
 
--- a/tests/system/test_gateway.py
+++ b/tests/system/test_gateway.py
@@ -169,6 +169,8 @@
             names = [each["event"] for each in events]
             assert names[-1] == "stopped"
             assert {"started", "ready", "stopping"} <= set(names)
+            for name in ("config_in_force", "upstreams_known"):
+                assert 0 <= events[names.index(name)]["age_s"] < 1
 
     run(scenario())
 
