Ask by a condition, not a watch, whether a large configuration changed

Cause: a reread. A watch may hear nothing for a second while changes are made (the store then drops its history), which added to the interval between reads comes close to the bound on changes. Ruled out: reading large configurations more often, which costs calls and does not close the gap. Change: a transaction without writes, on the condition of the known revision, is answered 'unchanged' or with the present value.

--- a/src/sesamevale/platform/models.py
+++ b/src/sesamevale/platform/models.py
@@ -9,7 +9,7 @@
 import pydantic
 
 __all__ = [
-    "Changes",
+    "Conflict",
     "Heartbeat",
     "Item",
     "LeaseGranted",
@@ -49,14 +49,15 @@
 
     items: list[Item]
     more: bool = pydantic.Field(alias="hasMore")
-    store_revision: int = pydantic.Field(alias="currentRev", default=0)
 
 
-class Changes(_Model):
-    """Answer to a watch: what has changed since a revision of the store."""
+class Conflict(_Model):
+    """Answer to a transaction whose condition does not hold.
 
-    events: list[object]
-    store_revision: int = pydantic.Field(alias="currentRev")
+    ``items`` are the keys of the condition as they are now.
+    """
+
+    items: list[Item]
 
 
 class LeaseGranted(_Model):
--- a/src/sesamevale/platform/source.py
+++ b/src/sesamevale/platform/source.py
@@ -40,7 +40,6 @@
         self._decoder = decoding.Decoder()
         self._rejected: dict[str, str] = {}
         self._large: models.Item | None = None
-        self._checked_revision = 0
 
     async def read(self) -> shared_state.StoreView | state_reader.Unavailable:
         """Reads everything at once."""
@@ -54,38 +53,31 @@
         return decoded.view
 
     async def _read_items(self) -> list[models.Item] | store.Failed:
-        if self._large is not None:
-            changes = await self._client.changes(
-                decoding.CONFIG_KEY, self._checked_revision
-            )
-            if isinstance(changes, store.Failed):
-                return changes
-            if isinstance(changes, models.Changes) and not changes.events:
-                self._checked_revision = changes.store_revision
-                return await self._read_rest(self._large)
-        return await self._read_all()
-
-    async def _read_rest(
-        self, known: models.Item
-    ) -> list[models.Item] | store.Failed:
-        """Reads what comes after the configuration."""
-        found = await self._client.read_all(after=decoding.CONFIG_KEY)
-        if isinstance(found, store.Failed):
-            return found
-        return [known, *found.items]
+        if self._large is None:
+            return await self._read_all()
+        config = await self._client.refresh(self._large)
+        if isinstance(config, store.Failed):
+            # A store that does not say what became of it is read as a whole.
+            return config if config.unsure else await self._read_all()
+        if isinstance(config, models.Item):
+            self._large = config if _is_large(config) else None
+        else:
+            config = self._large
+        rest = await self._client.read_all(after=decoding.CONFIG_KEY)
+        return rest if isinstance(rest, store.Failed) else [config, *rest]
 
     async def _read_all(self) -> list[models.Item] | store.Failed:
         found = await self._client.read_all()
         if isinstance(found, store.Failed):
             return found
-        self._checked_revision = found.store_revision
-        self._large = next(
-            (
-                item
-                for item in found.items
-                if item.key == decoding.CONFIG_KEY
-                and len(item.value) >= LARGE_CONFIG_CHARS
-            ),
-            None,
-        )
-        return found.items
+        large = (each for each in found if _is_large(each))
+        self._large = next(large, None)
+        return found
+
+
+def _is_large(item: models.Item) -> bool:
+    """Whether an item is a configuration that reads should leave out."""
+    return (
+        item.key == decoding.CONFIG_KEY
+        and len(item.value) >= LARGE_CONFIG_CHARS
+    )
--- a/src/sesamevale/platform/store.py
+++ b/src/sesamevale/platform/store.py
@@ -22,7 +22,7 @@
     from sesamevale import metrics
     from sesamevale import settings as checked_settings
 
-__all__ = ["Failed", "HistoryLost", "LeaseLost", "Listing", "StoreClient"]
+__all__ = ["Failed", "LeaseLost", "StoreClient", "Unchanged"]
 
 Model = TypeVar("Model", bound=pydantic.BaseModel)
 
@@ -33,12 +33,10 @@
 SILENCE_TIMEOUT_MAX_S = 2.0
 # Longest time for a whole answer; enough for a megabyte on a slow link.
 CALL_TIMEOUT_S = 2.0
-# A watch that does not wait tells what has changed so far.
-NO_WAIT_MS = 1
 CONNECT_TIMEOUT_S = 0.5
 OK = 200
 NOT_FOUND = 404
-GONE = 410
+CONFLICT = 412
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -60,21 +58,8 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class HistoryLost:
-    """The store does not know any more what has changed."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Listing:
-    """Keys of the store in their order.
-
-    Attributes:
-        items: The keys with their values.
-        store_revision: Revision of the store before the first was read.
-    """
-
-    items: list[models.Item]
-    store_revision: int
+class Unchanged:
+    """A key still has the revision that was asked about."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -114,14 +99,13 @@
         await super().__aexit__(*exc_info)
         self._close()
 
-    async def read_all(self, after: str = "") -> Listing | Failed:
+    async def read_all(self, after: str = "") -> list[models.Item] | Failed:
         """Reads every key, page by page, without stale answers.
 
         Args:
             after: Key that the first one read follows; empty for all.
         """
         items: list[models.Item] = []
-        first_revision: int | None = None
         while True:
             query = {"prefix": ""} | ({"after": after} if after else {})
             reply = await self._call("GET", "/api/kv-range", query)
@@ -129,30 +113,35 @@
             if isinstance(page, Failed):
                 return page
             items += page.items
-            if first_revision is None:
-                first_revision = page.store_revision
             if not page.more or not page.items:
-                return Listing(items, first_revision)
+                return items
             after = page.items[-1].key
 
-    async def changes(
-        self, prefix: str, revision: int
-    ) -> models.Changes | HistoryLost | Failed:
-        """Asks what has changed, without waiting for a change.
+    async def refresh(
+        self, known: models.Item
+    ) -> models.Item | Unchanged | Failed:
+        """Asks for a key's value unless it is the known one.
 
-        Args:
-            prefix: What the keys begin with.
-            revision: Revision of the store after which changes count.
+        A transaction without writes says so without sending the value, and
+        unlike a watch it does not depend on the store's history.
         """
-        query = {
-            "prefix": prefix,
-            "after": str(revision),
-            "waitMs": str(NO_WAIT_MS),
+        body = {
+            "precondition": [{"key": known.key, "revision": known.revision}],
+            "writes": [],
+            "remove": [],
         }
-        reply = await self._call("GET", "/api/kv-watch", query)
-        if isinstance(reply, _Reply) and reply.status == GONE:
-            return HistoryLost()
-        return _parsed(reply, models.Changes)
+        reply = await self._call("POST", "/api/kv-txn", body=body)
+        if isinstance(reply, Failed):
+            return reply
+        if reply.status == OK:
+            return Unchanged()
+        found = _parsed(reply, models.Conflict, expected=CONFLICT)
+        if isinstance(found, Failed):
+            return found
+        for item in found.items:
+            if item.key == known.key:
+                return item
+        return Failed("the key is gone", unsure=False)
 
     async def grant_lease(self, ttl_ms: int) -> models.LeaseGranted | Failed:
         """Asks for a lease."""
@@ -299,11 +288,13 @@
         self._http = h11.Connection(h11.CLIENT)
 
 
-def _parsed(reply: _Reply | Failed, model: type[Model]) -> Model | Failed:
-    """Returns the body of a good answer as a model."""
+def _parsed(
+    reply: _Reply | Failed, model: type[Model], expected: int = OK
+) -> Model | Failed:
+    """Returns the body of an answer with the expected status as a model."""
     if isinstance(reply, Failed):
         return reply
-    if reply.status != OK:
+    if reply.status != expected:
         return Failed(f"status {reply.status}", unsure=False)
     try:
         return model.model_validate_json(reply.body)
