One base for tasks that run while their context is open

Change: messaging.Runner has them once, and Actor is a Runner with an inbox. Task names, the order of opening and closing, and all tests are as before.

--- a/src/sesamevale/entries/state_reader.py
+++ b/src/sesamevale/entries/state_reader.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import dataclasses
 import functools
 import time
@@ -13,6 +12,7 @@
 
 from sesamevale import gateway as gateways
 from sesamevale import gateway_messages
+from sesamevale import messaging
 from sesamevale.entries import state_pages
 from sesamevale.operators import admin_server
 from sesamevale.policy import reading
@@ -46,7 +46,7 @@
         """Reads everything at once; never stale."""
 
 
-class StateReader:
+class StateReader(messaging.Runner):
     """Reads the store or asks the entry that does, and tells the gateway.
 
     Args:
@@ -71,6 +71,7 @@
         book: metrics.Book,
         seeds: tuple[tuple[str, int], ...] = (),
     ) -> None:
+        super().__init__("state-reader")
         self._seeds = seeds
         self._source = source
         self._gateway = gateway
@@ -82,7 +83,6 @@
         self._failures = 0
         self._configured = False
         self._away = False
-        self._task: asyncio.Task[None] | None = None
         make = state_pages.page(self._state, time.monotonic)
         self._server = admin_server.AdminServer(
             host, port, {state_pages.PATH: make}
@@ -95,14 +95,10 @@
 
     async def __aenter__(self) -> Self:
         await self._server.__aenter__()
-        self._task = asyncio.create_task(self._run(), name="state-reader")
-        return self
+        return await super().__aenter__()
 
     async def __aexit__(self, *exc_info: object) -> None:
-        if self._task is not None:
-            self._task.cancel()
-            with contextlib.suppress(asyncio.CancelledError):
-                await self._task
+        await super().__aexit__(*exc_info)
         await self._server.__aexit__(*exc_info)
 
     async def _run(self) -> None:
--- a/src/sesamevale/etcd/registration.py
+++ b/src/sesamevale/etcd/registration.py
@@ -6,12 +6,12 @@
 import contextlib
 import random
 import time
-from typing import Self
 from typing import TYPE_CHECKING
 
 import pydantic
 from absl import logging
 
+from sesamevale import messaging
 from sesamevale.etcd import client
 from sesamevale.etcd import keys
 from sesamevale.etcd import manifests
@@ -29,7 +29,7 @@
 FIRST_LISTS = 5
 
 
-class RegistrationTask:
+class RegistrationTask(messaging.Runner):
     """Keeps a registration alive and reports the registered entries.
 
     Args:
@@ -48,6 +48,7 @@
         on_entry: Callable[[manifests.Registration], None],
         rng: random.Random,
     ) -> None:
+        super().__init__("registration")
         self._platform = platform
         self._environment = environment
         self._registration = registration
@@ -57,22 +58,14 @@
         self._state = leases.LeaseState.NONE
         self._next_list = 0.0
         self._lists = 0
-        self._task: asyncio.Task[None] | None = None
 
     @property
     def holder(self) -> leases.LeaseHolder:
         """Lease state for reports; only this task changes it."""
         return self._holder
 
-    async def __aenter__(self) -> Self:
-        self._task = asyncio.create_task(self._run(), name="registration")
-        return self
-
     async def __aexit__(self, *exc_info: object) -> None:
-        if self._task is not None:
-            self._task.cancel()
-            with contextlib.suppress(asyncio.CancelledError):
-                await self._task
+        await super().__aexit__(*exc_info)
         if self._holder.lease_id is not None:
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(STEP_S):
--- a/src/sesamevale/etcd/watching.py
+++ b/src/sesamevale/etcd/watching.py
@@ -3,16 +3,15 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import dataclasses
 import json
 import random
-from typing import Self
 from typing import TYPE_CHECKING
 
 import h11
 import pydantic
 
+from sesamevale import messaging
 from sesamevale import sockets
 from sesamevale.etcd import client
 from sesamevale.etcd import models
@@ -43,7 +42,7 @@
     mod_revision: int
 
 
-class Watch:
+class Watch(messaging.Runner):
     """Reports a snapshot and then each change, until its context is closed.
 
     A watch that is cut is set up again after a random pause, with a new
@@ -68,13 +67,13 @@
         on_call: Callable[[str, int], None],
         rng: random.Random,
     ) -> None:
+        super().__init__("platform-watch")
         self._platform = platform
         self._address = address
         self._prefix = prefix
         self._report = report
         self._on_call = on_call
         self._rng = rng
-        self._task: asyncio.Task[None] | None = None
         self._connected = False
 
     @property
@@ -82,16 +81,6 @@
         """Whether the watch is set up."""
         return self._connected
 
-    async def __aenter__(self) -> Self:
-        self._task = asyncio.create_task(self._run(), name="platform-watch")
-        return self
-
-    async def __aexit__(self, *exc_info: object) -> None:
-        if self._task is not None:
-            self._task.cancel()
-            with contextlib.suppress(asyncio.CancelledError):
-                await self._task
-
     async def _run(self) -> None:
         pause = RETRY_MIN_S
         while True:
--- a/src/sesamevale/messaging.py
+++ b/src/sesamevale/messaging.py
@@ -11,7 +11,7 @@
 
 from absl import logging
 
-__all__ = ["Actor", "Inbox"]
+__all__ = ["Actor", "Inbox", "Runner"]
 
 Message = TypeVar("Message")
 
@@ -42,16 +42,17 @@
         return self._messages.popleft()
 
 
-class Actor(Generic[Message]):
-    """One task with an inbox. Subclasses override ``receive``.
+class Runner:
+    """One task that runs while the context is open.
+
+    Subclasses override ``_run``.
 
-    The task runs while the context is open. An exception in ``receive`` is a
-    broken invariant: it is logged and raised again, which stops the process.
+    Args:
+        name: Name for logs and for the task.
     """
 
     def __init__(self, name: str) -> None:
         self._name = name
-        self._inbox: Inbox[Message] = Inbox()
         self._task: asyncio.Task[None] | None = None
 
     @property
@@ -74,6 +75,22 @@
         with contextlib.suppress(asyncio.CancelledError):
             await self._task
 
+    async def _run(self) -> None:
+        """Does the work of the task."""
+        raise NotImplementedError
+
+
+class Actor(Runner, Generic[Message]):
+    """One task with an inbox. Subclasses override ``receive``.
+
+    An exception in ``receive`` is a broken invariant: it is logged and raised
+    again, which stops the process.
+    """
+
+    def __init__(self, name: str) -> None:
+        super().__init__(name)
+        self._inbox: Inbox[Message] = Inbox()
+
     def send(self, message: Message) -> None:
         """Delivers a message to the task's inbox."""
         self._inbox.put(message)
--- a/src/sesamevale/platform/registration.py
+++ b/src/sesamevale/platform/registration.py
@@ -3,12 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import functools
 import time
-from typing import Self
 from typing import TYPE_CHECKING
 
+from sesamevale import messaging
 from sesamevale.platform import decoding
 from sesamevale.platform import models
 from sesamevale.platform import store
@@ -29,7 +28,7 @@
 RETRY_INTERVAL_S = 0.5
 
 
-class Registration:
+class Registration(messaging.Runner):
     """Registers this entry while callers may be sent to it.
 
     Args:
@@ -46,23 +45,13 @@
         gateway: gateways.Gateway,
         events: event_log.EventLog,
     ) -> None:
+        super().__init__("registration")
         self._client = client
         self._key = decoding.REGISTRATION_PREFIX + address.entry_id
         self._value = decoding.encode_value(address)
         self._gateway = gateway
         self._events = events
         self._lease = 0
-        self._task: asyncio.Task[None] | None = None
-
-    async def __aenter__(self) -> Self:
-        self._task = asyncio.create_task(self._run(), name="registration")
-        return self
-
-    async def __aexit__(self, *exc_info: object) -> None:
-        if self._task is not None:
-            self._task.cancel()
-            with contextlib.suppress(asyncio.CancelledError):
-                await self._task
 
     async def _run(self) -> None:
         due = 0.0
--- a/src/sesamevale/upstreams/prober.py
+++ b/src/sesamevale/upstreams/prober.py
@@ -6,12 +6,12 @@
 import contextlib
 import dataclasses
 import time
-from typing import Self
 from typing import TYPE_CHECKING
 
 import h11
 
 from sesamevale import http1
+from sesamevale import messaging
 from sesamevale import sockets
 from sesamevale.dispatching import dispatcher
 from sesamevale.policy import probing
@@ -37,7 +37,7 @@
     next_index: int = 0
 
 
-class Prober:
+class Prober(messaging.Runner):
     """Probes the upstreams that this entry owns, within its share.
 
     Args:
@@ -46,21 +46,14 @@
     """
 
     def __init__(self, front: fronts.Front, book: metrics.Book) -> None:
+        super().__init__("prober")
         self._front = front
         self._book = book
         self._plans: dict[str, _Plan] = {}
-        self._task: asyncio.Task[None] | None = None
         self._probes: set[asyncio.Task[None]] = set()
 
-    async def __aenter__(self) -> Self:
-        self._task = asyncio.create_task(self._run(), name="prober")
-        return self
-
     async def __aexit__(self, *exc_info: object) -> None:
-        if self._task is not None:
-            self._task.cancel()
-            with contextlib.suppress(asyncio.CancelledError):
-                await self._task
+        await super().__aexit__(*exc_info)
         for probe in list(self._probes):
             probe.cancel()
 
