--- a/tests/policy/test_register_machine.py
+++ b/tests/policy/test_register_machine.py
@@ -211,6 +211,50 @@
     assert sum(machine.runs.values()) == 1
 
 
+def test_a_barred_action_does_not_run_when_its_relay_arrives():
+    machine = AtMostOnceMachine()
+    machine.new_action("e1")
+    machine.call(pick=0, at=1)
+    machine.bar(pick=0)
+    machine.relay_arrives(pick=0, lost=False)
+    machine.upstream_ends("e1", "answer")
+    assert sum(machine.runs.values()) == 0
+
+
+def test_a_refusal_of_a_full_register_is_final():
+    """The action ran when it was repeated after others had expired."""
+    actions = register.Register(WINDOW_S, 1, 1000)
+    first = policy_values.action("a1", expires_s=60)
+    refused = policy_values.action("a2", expires_s=100)
+    assert actions.submit(first, "fingerprint", 50.0) == register.Run()
+    actions.settle(str(first), outcomes.Unknown(outcomes.Reason.CUT))
+    full = outcomes.NotRun(outcomes.Reason.REGISTER_FULL)
+    decision = actions.submit(refused, "fingerprint", 50.0)
+    assert decision == register.Refuse(full)
+    assert actions.expire(60.0) == 1
+    assert actions.submit(refused, "fingerprint", 60.0) == register.Replay(full)
+    other = policy_values.action("a3", expires_s=100)
+    assert actions.submit(other, "fingerprint", 60.0) == register.Run()
+
+
+def test_a_register_that_cannot_remember_a_refusal_does_not_say_not_run():
+    actions = register.Register(WINDOW_S, 1, 1000)
+    decisions = [
+        actions.submit(
+            policy_values.action(f"a{number}", expires_s=100),
+            "fingerprint",
+            50.0,
+        )
+        for number in range(3)
+    ]
+    full = outcomes.Reason.REGISTER_FULL
+    assert decisions == [
+        register.Run(),
+        register.Refuse(outcomes.NotRun(full)),
+        register.Refuse(outcomes.Unknown(full)),
+    ]
+
+
 def test_a_removed_action_cannot_be_barred():
     actions = register.Register(WINDOW_S, 10, 1000)
     action = policy_values.action(expires_s=100)
--- a/tests/test_mutants.py
+++ b/tests/test_mutants.py
@@ -214,7 +214,10 @@
 
 MUTANTS = [
     (forget_actions, run_at_most_once),
-    (bar_without_tombstone, run_at_most_once),
+    (
+        bar_without_tombstone,
+        test_register_machine.test_a_barred_action_does_not_run_when_its_relay_arrives,
+    ),
     (
         ignore_incarnation,
         test_register_machine.test_a_restarted_issuer_runs_nothing_of_its_predecessor,
