Remember the actions that a full register refuses

A full register refused a new action as 'not run' without a record of it, so a repeat under the same identity ran once others had expired: 'not run' has to be final. Ruled out: answering 'unknown' each time, which is true but leaves callers without a safe repeat. The register now keeps up to as many refusals as actions; beyond that the outcome is 'unknown'.

--- a/src/sesamevale/policy/register.py
+++ b/src/sesamevale/policy/register.py
@@ -48,7 +48,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Refuse:
-    """The call is refused, and the register does not record it."""
+    """The call is refused."""
 
     outcome: outcomes.NotRun | outcomes.Unknown
 
@@ -71,6 +71,7 @@
     fingerprint: str
     expires_s: int
     outcome: outcomes.Outcome | None = None
+    is_refused: bool = False
 
 
 class Register:
@@ -79,9 +80,12 @@
     An action is kept until its ticket expires. The same clock decides whether
     a ticket is still accepted, so an action that was removed cannot run again.
 
+    A full register refuses a new action and keeps the refusal, so that a
+    repeat does not run either. It keeps as many refusals as actions.
+
     Args:
         window_s: Longest lifetime of a ticket in seconds.
-        actions_max: Most actions that are kept at once.
+        actions_max: Most actions that are kept at once, without refusals.
         bytes_max: Most bytes of answers that are kept at once.
     """
 
@@ -90,6 +94,7 @@
         self._actions_max = actions_max
         self._bytes_max = bytes_max
         self._bytes = 0
+        self._refused_count = 0
         self._actions: dict[str, _Action] = {}
         self._expiry: dict[int, list[str]] = collections.defaultdict(list)
 
@@ -203,11 +208,24 @@
         if not now_s < expires_s <= now_s + self._window_s + 1:
             reason = outcomes.Reason.IDENTITY_EXPIRED
             return Refuse(outcomes.Unknown(reason))
-        if len(self._actions) >= self._actions_max:
-            full = outcomes.Reason.REGISTER_FULL
-            return Refuse(outcomes.NotRun(full))
+        if len(self._actions) - self._refused_count >= self._actions_max:
+            return self._refuse_when_full(identity)
         return None
 
+    def _refuse_when_full(self, identity: identities.Identity) -> Refuse:
+        """Refuses a new action; as "not run" only if that is remembered."""
+        full = outcomes.Reason.REGISTER_FULL
+        if self._refused_count >= self._actions_max:
+            return Refuse(outcomes.Unknown(full))
+        key = str(identity)
+        self._add(key, identity.ticket.expires_s, "")
+        refused = outcomes.NotRun(full)
+        action = self._actions[key]
+        action.outcome = refused
+        action.is_refused = True
+        self._refused_count += 1
+        return Refuse(refused)
+
     def _add(self, key: str, expires_s: int, fingerprint: str) -> None:
         self._actions[key] = _Action(fingerprint, expires_s)
         self._expiry[expires_s].append(key)
@@ -232,5 +250,6 @@
             return 0
         if isinstance(action.outcome, outcomes.Answered):
             self._bytes -= len(action.outcome.answer.body)
+        self._refused_count -= action.is_refused
         del self._actions[key]
         return 1
