Serve the repeatable requests of a connection side by side

Callers may send further repeatable requests before the first is answered. One task with one h11 parser served them one after the other, so each waited for the upstreams of all before it.

Ruled out: one parser for all requests (h11 pauses until the answer is sent), and reading ahead in a callback of the socket (state with two owners). Now one task reads requests, each with a parser of its own, and starts them; another sends the answers in order. policy/pipelining decides: repeatable requests run side by side within a number and a number of bytes, others alone; a refusal comes in its place; an answer closes the connection only if nothing that was started is behind it; a caller that leaves cancels all.

RequestReader holds the reading for both kinds of caller connections. Malformed requests get a log line. A body that is too long is refused with the reason too_large.

--- a/src/sesamevale/callers/answers.py
+++ b/src/sesamevale/callers/answers.py
@@ -24,6 +24,7 @@
     Reason.NOT_RETAINED: 409,
     Reason.CUT: 502,
     Reason.PEER_LOST: 502,
+    Reason.TOO_LARGE: 413,
 }
 DEADLINE_STATUS = 504
 DEFAULT_STATUS = 503
@@ -41,6 +42,7 @@
     Reason.PEER_LOST: "connection_terminated",
     Reason.NO_ROUTE: "destination_not_found",
     Reason.SHED: "destination_unavailable",
+    Reason.TOO_LARGE: "http_request_error",
 }
 DEFAULT_PROXY_ERROR = "proxy_internal_response"
 
--- a/src/sesamevale/callers/caller_connection.py
+++ b/src/sesamevale/callers/caller_connection.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import contextlib
-import math
 import time
 from typing import TYPE_CHECKING
 
@@ -220,13 +219,8 @@
 
         The connection expires if this lasts longer than the idle time-out.
         """
-        self._expires_at = time.monotonic() + self._limits.idle_ms / 1000
-        self._reading_body = True
-        try:
+        with self._reader.reading_body():
             return await self._read_body(call)
-        finally:
-            self._reading_body = False
-            self._expires_at = math.inf
 
     async def _read_body(self, call: calls.Call) -> bool:
         """Reads the body or starts to stream it.
@@ -238,11 +232,11 @@
             h11.RemoteProtocolError: The body is malformed or ends early.
         """
         body = bytearray()
-        declared = self._declared_length
+        declared = self._reader.declared_length
         if declared is not None and declared > self._limits.body_bytes:
             return False
         while len(body) <= BUFFERED_BODY_BYTES:
-            event = await self._next_body_event()
+            event = await self._reader.next_body_event()
             if isinstance(event, h11.Data):
                 body += event.data
             elif isinstance(event, h11.EndOfMessage):
@@ -263,7 +257,7 @@
         """Forwards the rest of a long body as it arrives."""
         try:
             while True:
-                event = await self._next_body_event()
+                event = await self._reader.next_body_event()
                 if isinstance(event, h11.EndOfMessage):
                     channel.finish()
                     return
@@ -280,7 +274,7 @@
     async def _read_small_body(self) -> bytes | None:
         body = bytearray()
         while len(body) <= BUFFERED_BODY_BYTES:
-            event = await self._next_body_event()
+            event = await self._reader.next_body_event()
             if isinstance(event, h11.EndOfMessage):
                 return bytes(body)
             if not isinstance(event, h11.Data):
--- /dev/null
+++ b/src/sesamevale/callers/gateway_exchange.py
@@ -0,0 +1,404 @@
+"""One request of a caller of the gateway, and the answer to it."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import math
+import time
+from typing import TYPE_CHECKING
+
+import h11
+
+from sesamevale import calls
+from sesamevale import http1
+from sesamevale import outcomes
+from sesamevale import tracing
+from sesamevale.callers import answers
+from sesamevale.forwarding import requests
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from sesamevale import event_log
+    from sesamevale import metrics
+    from sesamevale import routes
+    from sesamevale import sockets
+    from sesamevale.forwarding import router as routers
+
+__all__ = ["ExchangeContext", "GatewayExchange"]
+
+# Retry-After of a refused request, as a share of its latency objective;
+# upstreams become idle or busy within that time.
+RETRY_AFTER_SHARE = 0.25
+# Retry-After of a request without a known route, e.g. because no
+# configuration has been read yet.
+UNROUTED_RETRY_AFTER_MS = 300
+NO_BODY_STATUSES = (204, 304)
+# Reason in the log of a request whose task has failed.
+UNEXPECTED_ERROR = "unexpected_error"
+
+Reason = outcomes.Reason
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ExchangeContext:
+    """What the exchanges of one connection share.
+
+    Attributes:
+        stream: The accepted connection.
+        router: Router that requests are submitted to.
+        entry_id: Identifier of this entry.
+        events: Event log for the results of requests.
+        recorder: Recorder of the metrics.
+        closes_connection: Tells whether the answer that is about to be sent
+            closes the connection.
+    """
+
+    stream: sockets.ByteStream
+    router: routers.RequestRouter
+    entry_id: str
+    events: event_log.EventLog
+    recorder: metrics.MetricsRecorder
+    closes_connection: Callable[[], bool]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Result:
+    """Result of a request, for the log and the metrics."""
+
+    outcome: str
+    reason: str
+    status: int
+
+
+class GatewayExchange:
+    """Submits a request that has been read, and sends its answer in turn.
+
+    Args:
+        context: What the exchanges of the connection share.
+        http: Parser of the request, which also encodes the answer.
+        head: Head of the request; None if it is malformed.
+    """
+
+    def __init__(
+        self,
+        context: ExchangeContext,
+        http: h11.Connection,
+        head: h11.Request | None,
+    ) -> None:
+        self._context = context
+        self._http = http
+        self._head = head
+        self._headers = tuple(head.headers) if head is not None else ()
+        self._arrived = time.monotonic()
+        self._route = self._find_route()
+        self._request: requests.Request | None = None
+        self._refused: outcomes.NotRun | None = None
+        self._refused_status: int | None = None
+        self._span: tracing.CallSpan | None = None
+        self._body_bytes = 0
+        self._sent_status = 0
+        self._is_recorded = False
+        self._has_ended = False
+        context.router.request_started()
+
+    @property
+    def is_repeatable(self) -> bool:
+        """Whether the request may run more than once, or does not run."""
+        return self._route is None or self._route.repeatable
+
+    @property
+    def held_bytes(self) -> int:
+        """Bytes of the body and of the answer that have not been sent."""
+        if self._request is None:
+            return self._body_bytes
+        return self._body_bytes + self._request.answer.unread_bytes
+
+    @property
+    def keeps_connection(self) -> bool:
+        """Whether another request can follow on the connection."""
+        done = {h11.CLIENT: h11.DONE, h11.SERVER: h11.DONE}
+        return self._http.states == done
+
+    def submit(self, body: bytes) -> None:
+        """Passes the request to the router, or refuses it."""
+        self._body_bytes = len(body)
+        if self._route is None:
+            self._refused = self._unrouted()
+            return
+        self._span = tracing.start_span(
+            "request",
+            http1.get_header(self._headers, http1.HeaderName.TRACEPARENT),
+        )
+        request = self._new_request(self._route, body)
+        request.traceparent = self._span.traceparent
+        self._request = request
+        if self._context.stream.closed:
+            self.caller_lost()
+            return
+        refused = self._context.router.submit(request)
+        if refused is not None:
+            request.answer.put(calls.AnswerFailed(refused))
+
+    def refuse(self, outcome: outcomes.NotRun, status: int | None) -> None:
+        """Refuses the request instead of submitting it.
+
+        Args:
+            outcome: Outcome for the caller.
+            status: Status of the answer; None for that of the outcome.
+        """
+        self._refused, self._refused_status = outcome, status
+
+    def caller_lost(self) -> None:
+        """Cancels the request, since the caller no longer waits."""
+        request = self._request
+        if request is None or self._has_ended:
+            return
+        self._context.router.caller_gone(request)
+        gone = outcomes.Unknown(Reason.CALLER_GONE)
+        request.answer.put(calls.AnswerFailed(gone))
+
+    def abandon(self, reason: Reason) -> None:
+        """Ends the request without an answer unless it has ended."""
+        if self._has_ended:
+            return
+        self.caller_lost()
+        if self._request is not None:
+            self._record(_Result("aborted", str(reason), 0))
+        self.end()
+
+    async def deliver(self) -> None:
+        """Sends the answer.
+
+        Raises:
+            h11.LocalProtocolError: The answer cannot be encoded.
+        """
+        result = _Result("aborted", UNEXPECTED_ERROR, 0)
+        try:
+            result = await self._send_answer()
+        except asyncio.CancelledError:
+            result = _Result("aborted", str(Reason.STOPPING), 0)
+            raise
+        except h11.LocalProtocolError:
+            result = _Result("aborted", str(Reason.SPOILT), 0)
+            raise
+        finally:
+            self._record(result)
+
+    def end(self) -> None:
+        """Counts the request as ended."""
+        if not self._has_ended:
+            self._has_ended = True
+            self._context.router.request_ended()
+
+    def _find_route(self) -> routes.Route | None:
+        if self._head is None:
+            return None
+        host = http1.get_header(self._headers, b"host") or b""
+        return self._context.router.find_route(
+            host.decode("ascii", "replace"),
+            self._head.target.decode("ascii", "replace"),
+        )
+
+    def _unrouted(self) -> outcomes.NotRun:
+        """Returns the refusal of a request that matches no known route."""
+        router = self._context.router
+        reason = Reason.NO_CONFIGURATION
+        if router.view.configuration is not None and router.is_confirmed(
+            time.monotonic()
+        ):
+            reason = Reason.NO_ROUTE
+        self._context.recorder.count(f"refused_{reason}")
+        return outcomes.NotRun(reason, UNROUTED_RETRY_AFTER_MS)
+
+    def _new_request(
+        self, route: routes.Route, body: bytes
+    ) -> requests.Request:
+        assert self._head is not None
+        router = self._context.router
+        dialect = router.dialect
+        requested_ms = http1.get_integer_header(
+            self._headers, dialect.deadline_ms
+        )
+        caller_deadline = math.inf
+        if requested_ms is not None:
+            caller_deadline = self._arrived + requested_ms / 1000
+        has_body = any(
+            name
+            in (
+                http1.HeaderName.CONTENT_LENGTH,
+                http1.HeaderName.TRANSFER_ENCODING,
+            )
+            for name, _ in self._headers
+        )
+        dropped = frozenset(
+            (
+                dialect.deadline_ms,
+                dialect.expected_upstream,
+                http1.HeaderName.CONTENT_LENGTH,
+            )
+        )
+        configuration = router.view.configuration
+        assert configuration is not None
+        return requests.Request(
+            number=router.next_request_number(),
+            request_id=http1.get_header(self._headers, dialect.request_id)
+            or b"",
+            route=route,
+            service=router.choose_service(route),
+            version=configuration.version,
+            method=bytes(self._head.method),
+            target=bytes(self._head.target),
+            headers=http1.strip_hop_by_hop(self._headers, dropped),
+            body=body if has_body else None,
+            arrived=self._arrived,
+            deadline=min(self._arrived + route.timeout_s, caller_deadline),
+            caller_deadline=caller_deadline,
+            answer=calls.AnswerChannel(),
+        )
+
+    async def _send_answer(self) -> _Result:
+        if self._refused is not None:
+            self._send_failure(self._refused, self._refused_status)
+            return _Result(
+                "not-run", str(self._refused.reason), self._sent_status
+            )
+        request = self._request
+        assert request is not None
+        first = await request.answer.get()
+        if isinstance(first, calls.AnswerFailed):
+            return self._end_without_answer(request, first.outcome)
+        assert isinstance(first, calls.AnswerHead)
+        body = bytearray()
+        message = await request.answer.get()
+        while isinstance(message, calls.AnswerData):
+            body += message.data
+            if not request.answer.has_message():
+                break
+            message = await request.answer.get()
+        if isinstance(message, calls.AnswerFailed):
+            return self._end_without_answer(request, message.outcome)
+        if isinstance(message, calls.AnswerEnd):
+            self._send_whole(first, bytes(body), request.method)
+            return _Result("answered", f"{first.status // 100}xx", first.status)
+        return await self._stream_answer(request, first, bytes(body))
+
+    async def _stream_answer(
+        self, request: requests.Request, head: calls.AnswerHead, received: bytes
+    ) -> _Result:
+        """Sends a long answer to the caller as it arrives."""
+        stream = self._context.stream
+        data = self._encode_head(head.status, head.headers)
+        data += self._http.send(h11.Data(data=received)) or b""
+        while True:
+            stream.write(data)
+            await stream.drain()
+            message = await request.answer.get()
+            if isinstance(message, calls.AnswerData):
+                data = self._http.send(h11.Data(data=message.data)) or b""
+            elif isinstance(message, calls.AnswerEnd):
+                stream.write(self._http.send(h11.EndOfMessage()) or b"")
+                return _Result(
+                    "answered", f"{head.status // 100}xx", head.status
+                )
+            else:
+                assert isinstance(message, calls.AnswerFailed)
+                stream.abort()
+                return _Result("unknown", str(message.outcome.reason), 0)
+
+    def _end_without_answer(
+        self,
+        request: requests.Request,
+        outcome: outcomes.NotRun | outcomes.Unknown,
+    ) -> _Result:
+        if isinstance(outcome, outcomes.NotRun):
+            wait_s = self._retry_after_s(request, outcome.reason)
+            outcome = outcomes.NotRun(outcome.reason, int(wait_s * 1000))
+        self._send_failure(outcome)
+        name = answers.outcome_name(outcome)
+        return _Result(name, str(outcome.reason), self._sent_status)
+
+    def _retry_after_s(
+        self, request: requests.Request, reason: Reason
+    ) -> float:
+        """Returns the Retry-After of a refusal; 0 if others serve at once."""
+        if reason is Reason.STOPPING and self._context.router.view.members:
+            return 0.0
+        return request.route.objective_s * RETRY_AFTER_SHARE
+
+    def _send_failure(
+        self,
+        outcome: outcomes.NotRun | outcomes.Unknown,
+        status: int | None = None,
+    ) -> None:
+        if self._http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            self._context.stream.abort()
+            return
+        head, body = answers.for_outcome(
+            outcome, self._context.entry_id, fractional_seconds=True
+        )
+        dropped = frozenset((http1.HeaderName.CONTENT_LENGTH,))
+        kept = http1.strip_hop_by_hop(head.headers, dropped)
+        head = calls.AnswerHead(status or head.status, kept)
+        self._send_whole(head, body, b"")
+
+    def _send_whole(
+        self, head: calls.AnswerHead, body: bytes, method: bytes
+    ) -> None:
+        headers = head.headers
+        if head.status not in NO_BODY_STATUSES:
+            length = (http1.HeaderName.CONTENT_LENGTH, b"%d" % len(body))
+            headers = (*headers, length)
+        data = self._encode_head(head.status, headers)
+        if body and method != b"HEAD":
+            data += self._http.send(h11.Data(data=body)) or b""
+        data += self._http.send(h11.EndOfMessage()) or b""
+        self._context.stream.write(data)
+
+    def _encode_head(self, status: int, headers: calls.Headers) -> bytes:
+        self._sent_status = status
+        fields = list(headers)
+        if self._context.closes_connection():
+            fields.append((http1.HeaderName.CONNECTION, b"close"))
+        response = h11.Response(status_code=status, headers=fields)
+        return self._http.send(response) or b""
+
+    def _record(self, result: _Result) -> None:
+        """Records the result in the log, the metrics and the span, once."""
+        if self._is_recorded:
+            return
+        self._is_recorded = True
+        seconds = 0.0
+        request = self._request
+        if request is not None and self._span is not None:
+            seconds = time.monotonic() - self._arrived
+            self._span.end(result.outcome)
+            self._context.recorder.call_ended(
+                request.service,
+                result.outcome,
+                result.reason,
+                seconds,
+                seconds - request.upstream_seconds,
+            )
+        self._log(result, seconds)
+
+    def _log(self, result: _Result, seconds: float) -> None:
+        router = self._context.router
+        dialect = router.dialect
+        request_id = http1.get_header(self._headers, dialect.request_id) or b""
+        view = router.view
+        configuration = view.configuration
+        fields: dict[str, object] = {
+            "request": request_id.decode("ascii", "replace"),
+            "outcome": result.outcome,
+            "reason": result.reason,
+            "status": result.status,
+            "ms": round(seconds * 1000, 1),
+            "config": configuration.version if configuration else 0,
+            "config_age_s": round(time.monotonic() - view.confirmed_at, 2),
+        }
+        if self._request is not None:
+            fields["route"] = self._request.route.name
+            fields["service"] = self._request.service
+        self._context.events.decision("request", **fields)
--- a/src/sesamevale/callers/idle_timeout_server.py
+++ b/src/sesamevale/callers/idle_timeout_server.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import time
+from typing import Protocol
 from typing import Self
 from typing import TYPE_CHECKING
 
@@ -12,15 +13,35 @@
 if TYPE_CHECKING:
     from sesamevale import metrics
     from sesamevale import sockets
-    from sesamevale.callers import http_connection
 
-__all__ = ["IdleTimeoutServer"]
+__all__ = ["Connection", "IdleTimeoutServer"]
 
 # Longest delay in closing a connection that timed out; small compared with
 # the default time-outs.
 SWEEP_INTERVAL_S = 0.25
 
 
+class Connection(Protocol):
+    """A connection that can time out."""
+
+    @property
+    def is_reading(self) -> bool:
+        """Whether a request has been received in part."""
+
+    @property
+    def expires_at(self) -> float:
+        """Monotonic time in seconds at which the connection times out."""
+
+    async def run(self) -> None:
+        """Serves requests until one side closes the connection."""
+
+    def expire(self) -> None:
+        """Closes a connection that timed out."""
+
+    def close_if_idle(self) -> None:
+        """Closes the connection unless it has or is about to have a request."""
+
+
 class IdleTimeoutServer(servers.ConnectionServer):
     """Tracks open connections and closes those that time out.
 
@@ -37,7 +58,7 @@
     ) -> None:
         super().__init__(host, port)
         self._recorder = recorder
-        self._connections: set[http_connection.HttpConnection] = set()
+        self._connections: set[Connection] = set()
 
     async def __aenter__(self) -> Self:
         await super().__aenter__()
@@ -56,9 +77,7 @@
             if connection.is_reading:
                 connection.expire()
 
-    def _create_connection(
-        self, stream: sockets.ByteStream
-    ) -> http_connection.HttpConnection:
+    def _create_connection(self, stream: sockets.ByteStream) -> Connection:
         """Returns the connection that will serve an accepted stream."""
         raise NotImplementedError
 
--- a/src/sesamevale/calls.py
+++ b/src/sesamevale/calls.py
@@ -150,6 +150,12 @@
         """Whether an attempt has claimed the channel."""
         return self._owner is not None
 
+    @property
+    def unread_bytes(self) -> int:
+        """Memory in bytes that the unread parts take."""
+        rest = self._next.unread_bytes if self._next is not None else 0
+        return self._bytes + rest
+
     def claim(self, attempt_id: int) -> bool:
         """Claims the channel for an attempt; False if another has it."""
         if self._owner is None:
--- a/src/sesamevale/outcomes.py
+++ b/src/sesamevale/outcomes.py
@@ -55,6 +55,7 @@
     SHED = "shed"
     SPOILT = "spoilt"
     STOPPING = "stopping"
+    TOO_LARGE = "too_large"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/sesamevale/sockets.py
+++ b/src/sesamevale/sockets.py
@@ -169,6 +169,20 @@
         while self.has_unsent and not self._lost and loop.time() < deadline:
             await asyncio.sleep(FLUSH_POLL_INTERVAL_S)
 
+    async def linger(self, timeout_s: float) -> None:
+        """Discards what the peer still sends, so that it gets what was sent.
+
+        Closing a socket with unread data resets the connection, and the peer
+        may lose bytes that it has not read yet (RFC 9112, section 9.6).
+
+        Args:
+            timeout_s: Longest time to wait for the peer to close, in seconds.
+        """
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(timeout_s):
+                while not self.closed:
+                    await self.read()
+
     def close(self) -> None:
         """Closes the connection once written bytes have been sent."""
         if self._transport is not None:
--- a/tests/test_gateway_mutants.py
+++ b/tests/test_gateway_mutants.py
@@ -9,6 +9,9 @@
 
 from sesamevale import calls
 from sesamevale import http1
+from sesamevale import messaging
+from sesamevale.callers import gateway_connection
+from sesamevale.callers import gateway_exchange
 from sesamevale.entries import state_reader
 from sesamevale.forwarding import attempt_runner
 from sesamevale.forwarding import service_task
@@ -18,6 +21,7 @@
 from sesamevale.policy import drain_schedule
 from sesamevale.policy import forwarding
 from sesamevale.policy import load_sampling
+from sesamevale.policy import pipelining
 from sesamevale.policy import read_scheduling
 from sesamevale.policy import retry_budget
 from sesamevale.policy import shared_state
@@ -25,6 +29,7 @@
 from sesamevale.upstreams import http_link
 from tests.builders import endless_answers
 from tests.builders import hypothesis_settings
+from tests.callers import test_pipelined_requests
 from tests.entries import test_state_reader
 from tests.forwarding import test_answer_channel
 from tests.forwarding import test_endless_answers
@@ -113,6 +118,31 @@
     )
 
 
+class NewestFirst(messaging.Inbox):
+    """Inbox that returns the newest of several messages first."""
+
+    async def get(self):
+        first = await super().get()
+        if not len(self):
+            return first
+        self.put(first)
+        return await super().get()
+
+
+def swap_answers(monkeypatch) -> None:
+    monkeypatch.setattr(gateway_connection.messaging, "Inbox", NewestFirst)
+
+
+def start_unrepeatable_requests_beside_others(monkeypatch) -> None:
+    monkeypatch.setattr(gateway_exchange.GatewayExchange, "is_repeatable", True)
+
+
+def close_before_started_requests(monkeypatch) -> None:
+    monkeypatch.setattr(
+        pipelining.Pipeline, "close_behind_oldest", lambda self: True
+    )
+
+
 def accept_unverified_answers(monkeypatch) -> None:
     original = http1.get_header
 
@@ -307,6 +337,18 @@
         assume_full_upstreams_have_free_slots,
         test_load_sampling.test_a_request_that_can_be_in_time_waits_for_a_slot,
     ),
+    (
+        swap_answers,
+        test_pipelined_requests.answers_keep_the_order_of_requests,
+    ),
+    (
+        start_unrepeatable_requests_beside_others,
+        test_pipelined_requests.test_an_unrepeatable_request_is_started_alone,
+    ),
+    (
+        close_before_started_requests,
+        test_pipelined_requests.test_an_entry_that_stops_answers_what_it_has_started,
+    ),
     (accept_unverified_answers, with_arguments(INVALID_ANSWER, UNSIGNED)),
     (
         report_sent_requests_as_unsent,
