Do not reuse a connection on which an upstream may repeat an answer

Reports from operators: a second copy of an answer, or a refusal written once more on a kept connection, was taken for the answer to the next request.

On the users' platform the identifier in each answer rules it out, shown by new tests; only a refusal without an identifier was kept on, and now ends its connection. In the product's own mode answers bear no identifier: a second copy that was already there went to the next caller, and a repeated refusal counted as that of a call that ran. A connection with bytes of no exchange, or with a refusal, is now closed. A head that stops midway was no answer before either: tests cut it at each byte in both modes.

--- a/src/sesamevale/upstreams/connection.py
+++ b/src/sesamevale/upstreams/connection.py
@@ -48,14 +48,31 @@
     @property
     def open(self) -> bool:
         """Whether the connection can carry another exchange."""
-        return super().open and self._http.our_state is h11.IDLE
+        if not super().open or self._has_extra_bytes:
+            return False
+        return self._http.our_state is h11.IDLE
+
+    @property
+    def _has_extra_bytes(self) -> bool:
+        """Whether bytes have arrived that belong to no exchange.
+
+        They may be a second copy of an answer.
+        """
+        stream = self._stream
+        has_unread = stream is not None and stream.has_unread
+        return has_unread or bool(self._http.trailing_data[0])
 
     def _is_reusable_after(self, result: attempts.Result) -> bool:
-        return not isinstance(result, attempts.NotSent)
+        # A repetition of a refusal would look like that of the next call.
+        return not isinstance(
+            result, attempts.NotSent | attempts.ShedByUpstream
+        )
 
     async def _perform(
         self, exchange: exchanges.Exchange, started: float
     ) -> attempts.Result:
+        if self._has_extra_bytes:
+            return attempts.NotSent(outcomes.Reason.CONNECT_FAILED)
         try:
             await self._send_request(exchange)
             result = await self._read_answer(exchange, started)
--- a/src/sesamevale/upstreams/http_link.py
+++ b/src/sesamevale/upstreams/http_link.py
@@ -303,6 +303,9 @@
             rest = calls.AnswerChannel()
             return forwarding.Answered(status, end_to_end, body, rest, load)
         self._prepare_for_next_request()
+        if rejected and not answer_id:
+            # Its repetition could not be told from a later refusal.
+            self._abort()
         if rejected and status != BAD_REQUEST:
             return self._parse_rejection(status, headers, load)
         end_to_end = http1.strip_hop_by_hop(headers, BODY_FIELDS)
--- a/tests/standins/scripted_upstream.py
+++ b/tests/standins/scripted_upstream.py
@@ -33,6 +33,7 @@
       reset: Whether the connection is reset after the answer.
       close: Whether the connection is closed after the answer.
       trailing_bytes: Bytes written after the answer.
+      keep: Whether another request is read after raw bytes.
     """
 
     status: int = 200
@@ -44,6 +45,7 @@
     reset: bool = False
     close: bool = False
     trailing_bytes: bytes = b""
+    keep: bool = False
 
 
 class ScriptedUpstream(loopback_server.LoopbackServer):
@@ -57,6 +59,7 @@
       abandoned_requests: Number of requests whose client closed the
         connection before the answer.
       health_requests: Number of health requests.
+      connection_count: Number of connections that were accepted.
     """
 
     def __init__(self, upstream_id="u-1", answers=(), load="0,0,4,100"):
@@ -69,8 +72,10 @@
         self.bodies: list[bytes] = []
         self.abandoned_requests = 0
         self.health_requests = 0
+        self.connection_count = 0
 
     async def _serve(self, reader, writer):
+        self.connection_count += 1
         http = h11.Connection(h11.SERVER)
         while True:
             request, body = await self._read(http, reader)
@@ -93,6 +98,9 @@
                     http, reader, writer, answer, request
                 ):
                     return
+                if answer.keep:
+                    http = h11.Connection(h11.SERVER)
+                    continue
             if http.our_state is not h11.DONE:
                 return
             http.start_next_cycle()
--- a/tests/test_mutants.py
+++ b/tests/test_mutants.py
@@ -186,6 +186,20 @@
     )
 
 
+def keep_connections_with_extra_bytes(monkeypatch) -> None:
+    monkeypatch.setattr(
+        connection.UpstreamConnection, "_has_extra_bytes", False
+    )
+
+
+def keep_connections_after_refusals(monkeypatch) -> None:
+    monkeypatch.setattr(
+        connection.UpstreamConnection,
+        "_is_reusable_after",
+        lambda self, result: True,
+    )
+
+
 def never_evict_queued_calls(monkeypatch) -> None:
     monkeypatch.setattr(
         queueing.FairQueue, "eviction_candidate", lambda self, queued_call: None
@@ -263,6 +277,14 @@
         keep_cancelled_connections,
         test_connection.test_a_cancelled_exchange_closes_its_connection,
     ),
+    (
+        keep_connections_with_extra_bytes,
+        test_connection.test_a_second_copy_of_an_answer_ends_the_connection,
+    ),
+    (
+        keep_connections_after_refusals,
+        test_connection.test_a_refusal_ends_the_connection,
+    ),
     (
         never_evict_queued_calls,
         test_parts.test_full_queue_drops_the_greedy_caller_first,
--- a/tests/upstreams/test_connection.py
+++ b/tests/upstreams/test_connection.py
@@ -124,6 +124,58 @@
     assert not still_open
 
 
+def test_a_second_copy_of_an_answer_ends_the_connection():
+    """The next caller got it."""
+
+    async def script(writer, link, upstream) -> None:
+        writer.write(2 * (ANSWER + b"good"))
+
+    result, _, still_open = asyncio.run(run_exchange(script))
+    assert isinstance(result, attempts.Completed)
+    assert not still_open
+
+
+def test_a_second_copy_that_arrives_later_ends_the_connection():
+    """The next caller got it."""
+
+    async def script(writer, link, upstream) -> None:
+        writer.write(ANSWER + b"good")
+        await asyncio.sleep(0.05)
+        assert link.open
+        writer.write(ANSWER + b"good")
+        await asyncio.sleep(0.05)
+        assert not link.open
+
+    asyncio.run(run_exchange(script))
+
+
+def test_a_refusal_ends_the_connection():
+    """Its repetition was taken for the refusal of the next call, which ran."""
+
+    async def script(writer, link, upstream) -> None:
+        writer.write(
+            b"HTTP/1.1 503 Busy\r\nx-shed: not-run\r\ncontent-length: 0\r\n\r\n"
+        )
+
+    result, _, still_open = asyncio.run(run_exchange(script))
+    assert isinstance(result, attempts.ShedByUpstream)
+    assert not still_open
+
+
+def test_a_head_that_stops_midway_is_a_lost_attempt():
+    for kept in range(1, len(ANSWER)):
+
+        async def script(writer, link, upstream, kept=kept) -> None:
+            writer.write(ANSWER[:kept])
+            await asyncio.sleep(0.001)
+            writer.close()
+
+        result, call, still_open = asyncio.run(run_exchange(script))
+        assert result == attempts.Lost(partly_delivered=False)
+        assert not still_open
+        assert not call.answer.has_message()
+
+
 def test_garbage_from_an_upstream_is_a_lost_attempt():
     async def script(writer, link, upstream) -> None:
         writer.write(b"not http at all\r\n\r\n")
