--- a/src/sesamevale/entries/state_exchange.py
+++ b/src/sesamevale/entries/state_exchange.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import dataclasses
+import functools
 import urllib.parse
 import zlib
 from typing import TYPE_CHECKING
@@ -35,8 +36,17 @@
 # More than the platform's store accepts for a configuration.
 CONFIGURATION_BYTES_MAX = 16 * 1024 * 1024
 
-_UPDATE = pydantic.TypeAdapter(shared_state.Update)
-_CONFIGURATION = pydantic.TypeAdapter(routes.Configuration)
+
+# Validators are built at their first use: building them would delay the start
+# of an entry, which reads the store first.
+@functools.cache
+def _update_adapter() -> pydantic.TypeAdapter[shared_state.Update]:
+    return pydantic.TypeAdapter(shared_state.Update)
+
+
+@functools.cache
+def _configuration_adapter() -> pydantic.TypeAdapter[routes.Configuration]:
+    return pydantic.TypeAdapter(routes.Configuration)
 
 
 class _ConfigurationEncoder:
@@ -50,7 +60,7 @@
             return b""
         cached, encoded = self._cached
         if cached is not configuration:
-            plain = _CONFIGURATION.dump_json(configuration)
+            plain = _configuration_adapter().dump_json(configuration)
             encoded = zlib.compress(plain, COMPRESSION_LEVEL)
             self._cached = configuration, encoded
         return encoded
@@ -82,7 +92,9 @@
             return admin_server.Page(NO_CONTENT, CONTENT_TYPE, b"")
         without_configuration = dataclasses.replace(update, configuration=None)
         encoded = encoder.encode(update.configuration)
-        body = b"\n".join((_UPDATE.dump_json(without_configuration), encoded))
+        body = b"\n".join(
+            (_update_adapter().dump_json(without_configuration), encoded)
+        )
         return admin_server.Page(200, CONTENT_TYPE, body)
 
     return handler
@@ -126,14 +138,14 @@
     """Decodes the body of an answer; None if it is malformed."""
     line, _, encoded = body.partition(b"\n")
     try:
-        update = _UPDATE.validate_json(line)
+        update = _update_adapter().validate_json(line)
         if not encoded:
             return update
         decompressor = zlib.decompressobj()
         plain = decompressor.decompress(encoded, CONFIGURATION_BYTES_MAX)
         if not decompressor.eof or decompressor.unused_data:
             return None
-        configuration = _CONFIGURATION.validate_json(plain)
+        configuration = _configuration_adapter().validate_json(plain)
     except (pydantic.ValidationError, zlib.error):
         return None
     return dataclasses.replace(update, configuration=configuration)
--- a/src/sesamevale/entry.py
+++ b/src/sesamevale/entry.py
@@ -16,7 +16,9 @@
 from sesamevale import document_models
 from sesamevale import incarnations
 from sesamevale import metrics
+from sesamevale import metrics_page
 from sesamevale import outcomes
+from sesamevale import span_export
 from sesamevale import tracing
 from sesamevale.callers import caller_server
 from sesamevale.dispatching import at_most_once
@@ -363,7 +365,7 @@
 
     def _metrics_page(self, query: str) -> admin_server.Page:
         content_type = "text/plain; version=0.0.4; charset=utf-8"
-        body = metrics.render(self._recorder)
+        body = metrics_page.render(self._recorder)
         return admin_server.Page(200, content_type, body)
 
     def _status_page(self, query: str) -> admin_server.Page:
@@ -483,5 +485,7 @@
     """Configures tracing from the settings."""
     if settings.trace_export == "none":
         return
-    exporter = tracing.console_exporter()
-    tracing.configure(settings.entry_id, settings.trace_sample, exporter)
+    backend = span_export.OpenTelemetryBackend(
+        settings.entry_id, span_export.console_exporter()
+    )
+    tracing.configure(settings.trace_sample, backend)
--- a/src/sesamevale/gateway.py
+++ b/src/sesamevale/gateway.py
@@ -272,9 +272,12 @@
         ]
 
     def _metrics_page(self, query: str) -> admin_server.Page:
+        # Its import would delay the start of an entry.
+        from sesamevale import metrics_page
+
         content_type = "text/plain; version=0.0.4; charset=utf-8"
         return admin_server.Page(
-            200, content_type, metrics.render(self._recorder)
+            200, content_type, metrics_page.render(self._recorder)
         )
 
     def _status_page(self, query: str) -> admin_server.Page:
--- a/src/sesamevale/metrics.py
+++ b/src/sesamevale/metrics.py
@@ -7,20 +7,17 @@
 import time
 from typing import TYPE_CHECKING
 
-import prometheus_client
 from hdrh import histogram
-from prometheus_client import core as prometheus_core
 
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Iterable
 
-__all__ = ["LatencyHistogram", "MetricSample", "MetricsRecorder", "render"]
+__all__ = ["LatencyHistogram", "MetricSample", "MetricsRecorder"]
 
 LOWEST_US = 1
 HIGHEST_US = 120_000_000
 SIGNIFICANT_DIGITS = 2
-PERCENTILES = (50.0, 90.0, 99.0, 99.9)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -92,6 +89,21 @@
         """Counters without labels, by name."""
         return self._counters
 
+    @property
+    def total_latencies(self) -> dict[str, LatencyHistogram]:
+        """Durations of the calls of each service."""
+        return self._total
+
+    @property
+    def added_latencies(self) -> dict[str, LatencyHistogram]:
+        """Durations of them without the attempts at upstreams."""
+        return self._added
+
+    @property
+    def samples(self) -> list[MetricSample]:
+        """Values of all sources at this moment."""
+        return [sample for source in self._sources for sample in source()]
+
     @property
     def outcomes(self) -> collections.Counter[tuple[str, str, str]]:
         """Number of calls by service, outcome and reason."""
@@ -128,65 +140,3 @@
     def add_source(self, source: Callable[[], Iterable[MetricSample]]) -> None:
         """Adds a function that returns samples at each scrape."""
         self._sources.append(source)
-
-    def collect(self) -> Iterable[prometheus_core.Metric]:
-        """Implements the collector interface of the Prometheus client."""
-        yield from self._collect_latencies()
-        yield self._collect_outcomes()
-        for name, value in sorted(self._counters.items()):
-            metric = prometheus_core.CounterMetricFamily(
-                f"sesamevale_{name}", name.replace("_", " ")
-            )
-            metric.add_metric([], value)
-            yield metric
-        yield from self._collect_samples()
-
-    def _collect_latencies(self) -> Iterable[prometheus_core.Metric]:
-        for name, latencies in (("call", self._total), ("added", self._added)):
-            metric = prometheus_core.Metric(
-                f"sesamevale_{name}_seconds", f"{name} time", "summary"
-            )
-            full_name = f"sesamevale_{name}_seconds"
-            for service, latency in latencies.items():
-                labels = {"service": service}
-                for percentile in PERCENTILES:
-                    quantile = {"quantile": f"{percentile / 100:g}"}
-                    value = latency.quantile_seconds(percentile)
-                    metric.add_sample(full_name, labels | quantile, value)
-                count_name = f"{full_name}_count"
-                metric.add_sample(count_name, labels, latency.count)
-                sum_name = f"{full_name}_sum"
-                metric.add_sample(sum_name, labels, latency.sum_seconds)
-            yield metric
-
-    def _collect_outcomes(self) -> prometheus_core.Metric:
-        metric = prometheus_core.CounterMetricFamily(
-            "sesamevale_calls",
-            "Calls by service, outcome and reason",
-            labels=["service", "outcome", "reason"],
-        )
-        for labels, value in sorted(self._outcomes.items()):
-            metric.add_metric(list(labels), value)
-        return metric
-
-    def _collect_samples(self) -> Iterable[prometheus_core.Metric]:
-        families: dict[str, prometheus_core.Metric] = {}
-        for source in self._sources:
-            for sample in source():
-                kind = "counter" if sample.is_counter else "gauge"
-                family = families.setdefault(
-                    sample.name,
-                    prometheus_core.Metric(sample.name, sample.help, kind),
-                )
-                suffix = "_total" if sample.is_counter else ""
-                family.add_sample(
-                    sample.name + suffix, sample.labels, sample.value
-                )
-        yield from families.values()
-
-
-def render(recorder: MetricsRecorder) -> bytes:
-    """Returns all metrics in the Prometheus text format."""
-    registry = prometheus_client.CollectorRegistry(auto_describe=False)
-    registry.register(recorder)
-    return prometheus_client.generate_latest(registry)
