Take an upstream that resets a connection for full, not for failed

Some services reset connections while they are full. A sample that was reset ejected the upstream for half a second or more, and a request that was reset made it look as if it failed for four seconds, although it served what it had taken. It now counts as full until the next sample; three resets in a row eject it. The outcome of a request that was sent stays unknown: it may have run. Ruled out: 'not run' for such a request.

--- a/src/sesamevale/forwarding/sampling.py
+++ b/src/sesamevale/forwarding/sampling.py
@@ -62,7 +62,9 @@
         name = candidate.record.upstream_id
         self._pending.discard(name)
         self._pool.release(name, message.link)
-        if not result.reached:
+        if result.was_reset:
+            candidate.record_reset(now)
+        elif not result.reached:
             candidate.record_unreachable(now)
         elif not result.healthy:
             candidate.record_failure(now)
--- a/src/sesamevale/forwarding/upstream_health.py
+++ b/src/sesamevale/forwarding/upstream_health.py
@@ -71,6 +71,17 @@
     candidate.record_unreachable(time.monotonic())
 
 
+@record_result.register
+def _(
+    result: forwarding.Reset,
+    candidate: upstream_state.Candidate,
+    recorder: metrics.MetricsRecorder,
+    on_misplaced: Callable[[str], None],
+) -> None:
+    recorder.count("attempts_reset")
+    candidate.record_reset(time.monotonic())
+
+
 @record_result.register
 def _(
     result: forwarding.Lost,
--- a/src/sesamevale/policy/forwarding.py
+++ b/src/sesamevale/policy/forwarding.py
@@ -23,6 +23,7 @@
     "Progress",
     "Refuse",
     "Rejected",
+    "Reset",
     "Result",
     "Retry",
     "TimedOut",
@@ -83,12 +84,20 @@
     reason: Reason
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reset:
+    """The connection was reset before an answer began.
+
+    Some upstreams do this when they are full, but it may have run.
+    """
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class TimedOut:
     """The request was sent and not answered before its deadline."""
 
 
-Result = Answered | Rejected | NotSent | Lost | TimedOut
+Result = Answered | Rejected | NotSent | Lost | Reset | TimedOut
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -222,6 +231,11 @@
     return progress._retry_or_give_up()
 
 
+@_decide_next.register
+def _(result: Reset, progress: Progress) -> Decision:
+    return _decide_next(Lost(Reason.CUT), progress)
+
+
 @_decide_next.register
 def _(result: TimedOut, progress: Progress) -> Decision:
     progress.sent_count += 1
--- a/src/sesamevale/policy/upstream_state.py
+++ b/src/sesamevale/policy/upstream_state.py
@@ -26,6 +26,9 @@
 # to the maximum.
 FIRST_EJECTION_S = 0.5
 EJECTION_MAX_S = 4.0
+# Connections in a row that an upstream may reset before it is ejected. Some
+# upstreams reset connections while they are full.
+RESETS_MAX = 3
 # Factor on the expected time of an upstream that is warming up.
 WARMUP_FACTOR = 2.0
 
@@ -76,6 +79,7 @@
         "_failed_at",
         "_failure_share",
         "_in_flight",
+        "_reset_count",
         "_sampled_at",
         "_sent_since_sample",
         "load",
@@ -94,6 +98,7 @@
         self._failed_at = -math.inf
         self._ejected_until = -math.inf
         self._ejection_count = 0
+        self._reset_count = 0
 
     @property
     def in_flight(self) -> int:
@@ -112,9 +117,8 @@
 
     def record_load(self, load: Load, now: float) -> None:
         """Records a load report."""
-        self.load = load
-        self._sampled_at = now
-        self._sent_since_sample = 0
+        self._reset_count = 0
+        self._set_load(load, now)
 
     def attempt_started(self) -> None:
         """Counts a request that is sent to the upstream."""
@@ -135,6 +139,24 @@
         self._failure_share += FAILURE_WEIGHT * (1.0 - self._failure_share)
         self._failed_at = now
 
+    def record_reset(self, now: float) -> None:
+        """Records a connection that was reset before an answer.
+
+        The upstream is taken to be full, unless that happens repeatedly.
+        """
+        self._reset_count += 1
+        if self._reset_count >= RESETS_MAX:
+            self.record_unreachable(now)
+            return
+        slots = max(1, self.record.slots)
+        slowdown = 1.0 if self.load is None else self.load.slowdown
+        self._set_load(Load(slots, 0, slots, slowdown), now)
+
+    def _set_load(self, load: Load, now: float) -> None:
+        self.load = load
+        self._sampled_at = now
+        self._sent_since_sample = 0
+
     def record_unreachable(self, now: float) -> None:
         """Records a connection that was refused or not answered."""
         duration_s = FIRST_EJECTION_S * 2.0**self._ejection_count
--- a/src/sesamevale/upstreams/http_link.py
+++ b/src/sesamevale/upstreams/http_link.py
@@ -217,8 +217,7 @@
         for _ in range(ANSWERS_READ_MAX):
             response = await self._next_response()
             if response is None:
-                self._abort()
-                return forwarding.Lost(outcomes.Reason.CUT)
+                return self._ended_without_answer()
             headers = tuple(response.headers)
             answer_id = http1.get_header(headers, self._dialect.request_id)
             if (answer_id or b"") == request.request_id:
@@ -231,6 +230,14 @@
         self._abort()
         return forwarding.Lost(outcomes.Reason.SPOILT)
 
+    def _ended_without_answer(self) -> forwarding.Result:
+        """Returns the result of a connection that ended before an answer."""
+        was_reset = self._stream is not None and self._stream.broken
+        self._abort()
+        if was_reset:
+            return forwarding.Reset()
+        return forwarding.Lost(outcomes.Reason.CUT)
+
     async def _skip_body(self, response: h11.Response, method: bytes) -> bool:
         """Reads the body of an answer to another request.
 
@@ -390,7 +397,9 @@
         response = await self._next_response()
         if response is None:
             self._abort()
-            return link_messages.SampleResult(reached=False)
+            return link_messages.SampleResult(
+                reached=False, was_reset=stream.broken
+            )
         headers = tuple(response.headers)
         body = await self._read_body(SKIPPED_PARTS_MAX)
         if body is None or self._http.their_state is h11.SEND_BODY:
--- a/src/sesamevale/upstreams/link_messages.py
+++ b/src/sesamevale/upstreams/link_messages.py
@@ -41,11 +41,14 @@
         healthy: Whether the answer is from this upstream and has a success
             status.
         load: Its load report; None if it sent no valid one.
+        was_reset: Whether the connection was opened, and reset before an
+            answer began.
     """
 
     reached: bool
     healthy: bool = False
     load: upstream_state.Load | None = None
+    was_reset: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/entries/test_state_exchange.py
+++ b/tests/entries/test_state_exchange.py
@@ -50,7 +50,9 @@
     update = asyncio.run(fetch_from(handler, mirror))
     assert update.age_s == 1.5
     assert mirror.apply(update).configuration == configuration
-    plain = len(state_exchange._configuration_adapter().dump_json(configuration))
+    plain = len(
+        state_exchange._configuration_adapter().dump_json(configuration)
+    )
     assert len(handler("epoch=0&revision=0").body) < plain / 5
 
 
