Tell callers their outcomes when an error stops a gateway

A broken invariant ended the process at once and cut all requests; a task that had failed answered nothing during a drain either. The daemon now ends what is left as at the end of a drain: requests get 502, or 503 where that is certain. The requests of the failed task, and the message it failed on, are told that the outcome is unknown. Ruled out: a whole drain, since the state may be wrong.

--- a/src/sesamevale/draining.py
+++ b/src/sesamevale/draining.py
@@ -59,6 +59,16 @@
         self._gossip.send(gossiping.Depart())
         self._server.stop_accepting()
         await self._finish_connections()
+        await self._end(started)
+
+    async def abort(self) -> None:
+        """Tells all callers the outcomes of their requests at once."""
+        self._gossip.send(gossiping.Depart())
+        self._server.stop_accepting()
+        await self._end(time.monotonic())
+
+    async def _end(self, started: float) -> None:
+        """Ends the requests that are left, and logs how many."""
         requests_left = self._router.active_count
         await self._end_requests()
         self._events.state(
--- a/src/sesamevale/forwarding/router.py
+++ b/src/sesamevale/forwarding/router.py
@@ -143,7 +143,10 @@
     def end_requests(self) -> None:
         """Ends all requests with their outcomes."""
         for task in self._tasks.values():
-            task.send(messages.EndRequests())
+            if task.has_failed:
+                task.fail_requests()
+            else:
+                task.send(messages.EndRequests())
 
     def submit(self, request: requests.Request) -> outcomes.NotRun | None:
         """Passes a request to its task.
@@ -159,6 +162,8 @@
         task = self._tasks.get(request.service)
         if task is None:
             return outcomes.NotRun(outcomes.Reason.NO_UPSTREAM)
+        if task.has_failed:
+            return outcomes.NotRun(outcomes.Reason.STOPPING)
         task.send(messages.Submit(request))
         return None
 
--- a/src/sesamevale/forwarding/service_task.py
+++ b/src/sesamevale/forwarding/service_task.py
@@ -106,6 +106,20 @@
                 active_request.timer.cancel()
         self._pool.close_all()
 
+    def fail_requests(self) -> None:
+        """Ends the requests of this task after an exception has ended it.
+
+        Its state may be inconsistent, so each outcome is unknown.
+        """
+        unknown = outcomes.Unknown(Reason.STOPPING)
+        for active_request in self._active_requests.values():
+            active_request.request.answer.put(calls.AnswerFailed(unknown))
+        self._active_requests.clear()
+        while len(self._inbox):
+            message = self._inbox.get_nowait()
+            if isinstance(message, messages.Submit):
+                message.request.answer.put(calls.AnswerFailed(unknown))
+
     def receive(self, message: messages.Message) -> None:
         """Implements ``messaging.Actor``."""
         _receive(message, self)
--- a/src/sesamevale/gateway.py
+++ b/src/sesamevale/gateway.py
@@ -164,15 +164,30 @@
 
     async def drain(self) -> None:
         """Leaves the directory and waits until callers use other entries."""
+        schedule = self._plan_drain()
+        self.send(gateway_messages.Stopping(schedule))
+        await self._new_drain(schedule).run()
+
+    async def abort(self) -> None:
+        """Tells callers their outcomes, since an error stops the process.
+
+        The task of the gateway may have ended, so it is not asked to stop.
+        """
+        self._update_view(stopping=True)
+        await self._new_drain(self._plan_drain()).abort()
+
+    def _plan_drain(self) -> drain_schedule.DrainSchedule:
         settings = self._settings
-        schedule = drain_schedule.DrainSchedule.plan(
+        return drain_schedule.DrainSchedule.plan(
             time.monotonic(), settings.grace_s, settings.directory_lifetime_s
         )
-        self.send(gateway_messages.Stopping(schedule))
-        drain = draining.Drain(
+
+    def _new_drain(
+        self, schedule: drain_schedule.DrainSchedule
+    ) -> draining.Drain:
+        return draining.Drain(
             schedule, self._server, self._router, self._gossip, self._events
         )
-        await drain.run()
 
     def _update_view(self, **changes: object) -> None:
         """Replaces fields of the view that the router serves requests from."""
--- a/src/sesamevale/messaging.py
+++ b/src/sesamevale/messaging.py
@@ -34,6 +34,18 @@
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(None)
 
+    def put_back(self, message: Message) -> None:
+        """Makes a message the oldest one again."""
+        self._messages.appendleft(message)
+
+    def get_nowait(self) -> Message:
+        """Returns the oldest message.
+
+        Raises:
+            IndexError: There is none.
+        """
+        return self._messages.popleft()
+
     async def get(self) -> Message:
         """Returns the oldest message; waits if there is none."""
         while not self._messages:
@@ -87,16 +99,28 @@
 
     An exception in ``receive`` is a broken invariant: it is logged and ends
     the task, and the exception handler of the event loop stops the process.
+    The message stays in the inbox.
     """
 
     def __init__(self, name: str) -> None:
         super().__init__(name)
         self._inbox: Inbox[Message] = Inbox()
+        self._has_failed = False
+
+    @property
+    def has_failed(self) -> bool:
+        """Whether an exception has ended the task."""
+        return self._has_failed
 
     def send(self, message: Message) -> None:
         """Puts a message into the inbox; never waits."""
         self._inbox.put(message)
 
+    async def __aexit__(self, *exc_info: object) -> None:
+        # The exception that has ended the task is reported already.
+        if not self._has_failed:
+            await super().__aexit__(*exc_info)
+
     def receive(self, message: Message) -> None:
         """Handles one message.
 
@@ -111,6 +135,8 @@
             try:
                 self.receive(message)
             except Exception as error:
+                self._has_failed = True
+                self._inbox.put_back(message)
                 logging.exception("task %s broke an invariant", self._name)
                 loop = asyncio.get_running_loop()
                 loop.call_exception_handler(
--- a/src/sesamevale/platform/daemon.py
+++ b/src/sesamevale/platform/daemon.py
@@ -54,7 +54,9 @@
             gateway = await _start_entry(stack, deployment, events)
             events.state("started", callers=str(deployment.callers))
             await stop.wait()
-            if not broken.is_set():
+            if broken.is_set():
+                await gateway.abort()
+            else:
                 await gateway.drain()
     except OSError as error:
         events.state("start_failed", why=str(error))
--- a/tests/system/entry_process.py
+++ b/tests/system/entry_process.py
@@ -29,9 +29,12 @@
 class Entry:
     """A daemon process with stand-ins for the store and one upstream.
 
-    ``bounds`` are bounds of the settings that differ from the usual ones.
+    ``bounds`` are bounds of the settings that differ from the usual ones, and
+    ``program`` holds the arguments of the interpreter.
     """
 
+    program = ("-m", MODULE)
+
     def __init__(self, folder, answers=(), config=None, **bounds):
         self.folder = folder
         self.bounds = {"grace_s": 3.0, "retry_extra": 10} | bounds
@@ -89,8 +92,7 @@
         }
         self.process = await asyncio.create_subprocess_exec(
             sys.executable,
-            "-m",
-            MODULE,
+            *self.program,
             env=environment,
             stdout=asyncio.subprocess.PIPE,
         )
