Leave good upstreams to waiting requests that can be in time

A late request took an upstream that had just been sampled as calm while requests waited that could still meet their objective; only slots without a fresh report were left to those.

--- a/src/sesamevale/policy/load_sampling.py
+++ b/src/sesamevale/policy/load_sampling.py
@@ -165,8 +165,14 @@
             return upstream_search.NoCandidates()
         if not self._can_end_in_time(search, 1.0, now):
             return upstream_search.TooLate()
-        if self._can_end_in_time(search, best.expected_slowdown, now) and (
-            best.is_good_enough or self._reports_load is False
+        is_good = best.is_good_enough or self._reports_load is False
+        must_yield = search.must_yield and not self.can_meet_objective(
+            search, now
+        )
+        if (
+            is_good
+            and not must_yield
+            and self._can_end_in_time(search, best.expected_slowdown, now)
         ):
             return upstream_search.Send(best)
         if not search.sampled_local:
--- a/tests/policy/test_load_sampling.py
+++ b/tests/policy/test_load_sampling.py
@@ -135,6 +135,16 @@
     assert isinstance(balancer.next_step(search, 0.002), upstream_search.Send)
 
 
+def test_a_late_request_leaves_a_good_upstream_to_those_that_wait():
+    balancer = new_balancer(gateway.upstream("a"))
+    late = new_search(0.0, arrived=-1.0, must_yield=True)
+    report_load(balancer, "a", 0.0)
+    assert not isinstance(balancer.next_step(late, 0.001), upstream_search.Send)
+    in_time = new_search(0.0, must_yield=True)
+    step = balancer.next_step(in_time, 0.002)
+    assert isinstance(step, upstream_search.Send)
+
+
 def test_the_first_arrival_of_a_retry_is_estimated():
     balancer = new_balancer()
     assert balancer.estimate_first_arrival("read", 10.0, 4.0) == 10.0
