Register less and less often while the store fails

Delays now double from 0.5 s to 4 s, with a random part. Ruled out: no attempts until a read succeeds, since writes can work while reads are refused.

--- a/src/sesamevale/platform/registration.py
+++ b/src/sesamevale/platform/registration.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import functools
+import random
 import time
 from typing import TYPE_CHECKING
 
@@ -11,6 +12,7 @@
 from sesamevale.platform import decoding
 from sesamevale.platform import models
 from sesamevale.platform import store_client
+from sesamevale.policy import backoff
 
 if TYPE_CHECKING:
     from sesamevale import event_log
@@ -25,7 +27,10 @@
 RENEW_INTERVAL_S = 3.0
 # Interval between checks of this entry's readiness.
 READINESS_POLL_INTERVAL_S = 0.1
+# Delays between attempts while the store fails. All entries attempt, and each
+# call has its price.
 RETRY_INTERVAL_S = 0.5
+RETRY_INTERVAL_MAX_S = 4.0
 
 
 class RegistrationTask(messaging.BackgroundTask):
@@ -52,6 +57,9 @@
         self._gateway = gateway
         self._events = events
         self._lease = 0
+        self._backoff = backoff.Backoff(
+            RETRY_INTERVAL_S, RETRY_INTERVAL_MAX_S, random.Random()
+        )
 
     async def _run(self) -> None:
         due_at = 0.0
@@ -94,6 +102,7 @@
 
 @_next_delay_s.register
 def _(result: models.LeaseGranted, task: RegistrationTask) -> float:
+    task._backoff.reset()
     return RENEW_INTERVAL_S
 
 
@@ -101,10 +110,10 @@
 def _(result: store_client.LeaseLost, task: RegistrationTask) -> float:
     task._lease = 0
     task._events.state("registration_lost", key=task._key)
-    return RETRY_INTERVAL_S
+    return task._backoff.next_delay_s()
 
 
 @_next_delay_s.register
 def _(result: store_client.CallFailure, task: RegistrationTask) -> float:
     task._events.state("registration_failed", why=result.reason)
-    return RETRY_INTERVAL_S
+    return task._backoff.next_delay_s()
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -194,6 +194,31 @@
     run(scenario)
 
 
+def test_a_store_that_is_away_is_asked_less_and_less_often(monkeypatch):
+    """Each entry asked it twice a second, and each call has its price."""
+    monkeypatch.setattr(registration, "READINESS_POLL_INTERVAL_S", 0.01)
+    monkeypatch.setattr(registration, "RETRY_INTERVAL_S", 0.05)
+    monkeypatch.setattr(
+        registration, "RETRY_INTERVAL_MAX_S", 0.4, raising=False
+    )
+
+    async def scenario():
+        async with open_store_case() as case:
+            case.store.faults.extend(["refused"] * 100)
+            task = registration.RegistrationTask(
+                case.client, own_registration(), case.gateway, case.gateway
+            )
+            async with task:
+                await asyncio.sleep(1.5)
+                asked = 100 - len(case.store.faults)
+                assert 3 <= asked <= 10
+                case.store.faults.clear()
+                async with asyncio.timeout(1.0):
+                    await until(lambda: case.store.items)
+
+    run(scenario)
+
+
 def test_an_entry_that_is_not_ready_is_deregistered():
     async def scenario():
         async with open_store_case() as case:
