Let only the reader retry failed reads often

While the store is away all entries of a data centre find their last read too old, and each read it every 0.6 s. Now only the reader does; the others wait up to half of the bound on changes between failed reads. Ruled out: one asker only, since the store may turn just that one away.

--- a/src/sesamevale/entries/state_reader.py
+++ b/src/sesamevale/entries/state_reader.py
@@ -23,8 +23,8 @@
 
 __all__ = ["StateReader", "StoreReader", "StoreUnavailable"]
 
-# Interval between reads before the first configuration, and after failed reads,
-# where it grows with each failure up to the maximum.
+# Interval between reads before the first configuration. It grows with each
+# failed read up to the maximum.
 RETRY_INTERVAL_S = 0.25
 RETRY_INTERVAL_MAX_S = 0.6
 
@@ -131,8 +131,7 @@
             self._report_reachability(True, found.reason)
             if not self._has_configuration:
                 await self._fetch_from_seeds()
-            pause_s = RETRY_INTERVAL_S * self._failures
-            await asyncio.sleep(min(pause_s, RETRY_INTERVAL_MAX_S))
+            await asyncio.sleep(self._retry_delay_s())
             return
         self._failures = 0
         self._report_reachability(False, "a read succeeded")
@@ -141,6 +140,17 @@
         if not self._has_configuration:
             await asyncio.sleep(RETRY_INTERVAL_S)
 
+    def _retry_delay_s(self) -> float:
+        """Returns the delay after a failed read, in seconds."""
+        if not self._has_configuration:
+            return min(RETRY_INTERVAL_S * self._failures, RETRY_INTERVAL_MAX_S)
+        return read_scheduling.retry_delay_s(
+            self._gateway.entry_id,
+            frozenset(self._gateway.data_center_entries),
+            self._failures,
+            self._timing,
+        )
+
     async def _fetch_from_seeds(self) -> None:
         """Publishes the newest contents that any of the seeds holds."""
         fetched_at = time.monotonic()
--- a/src/sesamevale/policy/read_scheduling.py
+++ b/src/sesamevale/policy/read_scheduling.py
@@ -11,7 +11,15 @@
 
 import dataclasses
 
-__all__ = ["Ask", "Read", "ReadTiming", "Step", "Wait", "next_step"]
+__all__ = [
+    "Ask",
+    "Read",
+    "ReadTiming",
+    "Step",
+    "Wait",
+    "next_step",
+    "retry_delay_s",
+]
 
 # All shares are shares of the bound on changes. The interval between reads and
 # the interval at which the reader is asked stay well below it in sum.
@@ -31,6 +39,12 @@
 STALE_SHARE = 0.75
 STALE_RANK_SHARE = 0.02
 STALE_RANK_SHARE_MAX = 0.1
+# Delay after failed reads: it grows by the first share with each failure, up to
+# a maximum. While the store is away all entries fail to read it, so only the
+# reader retries often.
+RETRY_SHARE = 0.125
+READER_RETRY_SHARE_MAX = 0.3
+OTHER_RETRY_SHARE_MAX = 0.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -108,3 +122,23 @@
     if until_ask <= 0:
         return Ask(ranked[0])
     return Wait(min(until_stale, until_ask))
+
+
+def retry_delay_s(
+    entry_id: str,
+    local_entries: frozenset[str],
+    failures: int,
+    timing: ReadTiming,
+) -> float:
+    """Returns the delay before the next read after failed ones, in seconds.
+
+    Args:
+        entry_id: Identifier of this entry.
+        local_entries: Identifiers of the entries of this data centre that are
+            alive.
+        failures: Reads in a row that have failed.
+        timing: Basis of all intervals.
+    """
+    is_reader = min(local_entries | {entry_id}) == entry_id
+    share_max = READER_RETRY_SHARE_MAX if is_reader else OTHER_RETRY_SHARE_MAX
+    return min(RETRY_SHARE * failures, share_max) * timing.bound_s
