--- a/src/sesamevale/callers/gateway_exchange.py
+++ b/src/sesamevale/callers/gateway_exchange.py
@@ -14,6 +14,7 @@
 from sesamevale import http1
 from sesamevale import outcomes
 from sesamevale import tracing
+from sesamevale.callers import answer_encoder
 from sesamevale.callers import answers
 from sesamevale.forwarding import requests
 
@@ -34,7 +35,6 @@
 # Retry-After of a request without a known route, e.g. because no
 # configuration has been read yet.
 UNROUTED_RETRY_AFTER_MS = 300
-NO_BODY_STATUSES = (204, 304)
 # Reason in the log of a request whose task has failed.
 UNEXPECTED_ERROR = "unexpected_error"
 
@@ -88,7 +88,9 @@
         head: h11.Request | None,
     ) -> None:
         self._context = context
-        self._http = http
+        self._encoder = answer_encoder.AnswerEncoder(
+            http, context.stream, context.entry_id, context.closes_connection
+        )
         self._head = head
         self._headers = tuple(head.headers) if head is not None else ()
         self._arrived = time.monotonic()
@@ -98,7 +100,6 @@
         self._refused_status: int | None = None
         self._span: tracing.CallSpan | None = None
         self._body_bytes = 0
-        self._sent_status = 0
         self._is_recorded = False
         self._has_ended = False
         context.router.request_started()
@@ -118,8 +119,7 @@
     @property
     def keeps_connection(self) -> bool:
         """Whether another request can follow on the connection."""
-        done = {h11.CLIENT: h11.DONE, h11.SERVER: h11.DONE}
-        return self._http.states == done
+        return self._encoder.keeps_connection
 
     def submit(self, body: bytes) -> None:
         """Passes the request to the router, or refuses it."""
@@ -260,10 +260,9 @@
 
     async def _send_answer(self) -> _Result:
         if self._refused is not None:
-            self._send_failure(self._refused, self._refused_status)
-            return _Result(
-                "not-run", str(self._refused.reason), self._sent_status
-            )
+            self._encoder.send_failure(self._refused, self._refused_status)
+            reason = str(self._refused.reason)
+            return _Result("not-run", reason, self._encoder.status)
         request = self._request
         assert request is not None
         first = await request.answer.get()
@@ -280,32 +279,14 @@
         if isinstance(message, calls.AnswerFailed):
             return self._end_without_answer(request, message.outcome)
         if isinstance(message, calls.AnswerEnd):
-            self._send_whole(first, bytes(body), request.method)
-            return _Result("answered", f"{first.status // 100}xx", first.status)
-        return await self._stream_answer(request, first, bytes(body))
-
-    async def _stream_answer(
-        self, request: requests.Request, head: calls.AnswerHead, received: bytes
-    ) -> _Result:
-        """Sends a long answer to the caller as it arrives."""
-        stream = self._context.stream
-        data = self._encode_head(head.status, head.headers)
-        data += self._http.send(h11.Data(data=received)) or b""
-        while True:
-            stream.write(data)
-            await stream.drain()
-            message = await request.answer.get()
-            if isinstance(message, calls.AnswerData):
-                data = self._http.send(h11.Data(data=message.data)) or b""
-            elif isinstance(message, calls.AnswerEnd):
-                stream.write(self._http.send(h11.EndOfMessage()) or b"")
-                return _Result(
-                    "answered", f"{head.status // 100}xx", head.status
-                )
-            else:
-                assert isinstance(message, calls.AnswerFailed)
-                stream.abort()
-                return _Result("unknown", str(message.outcome.reason), 0)
+            self._encoder.send_whole(first, bytes(body), request.method)
+            return _answered(first.status)
+        last = await self._encoder.send_stream(
+            first, bytes(body), request.answer
+        )
+        if isinstance(last, calls.AnswerFailed):
+            return _Result("unknown", str(last.outcome.reason), 0)
+        return _answered(first.status)
 
     def _end_without_answer(
         self,
@@ -315,9 +296,9 @@
         if isinstance(outcome, outcomes.NotRun):
             wait_s = self._retry_after_s(request, outcome.reason)
             outcome = outcomes.NotRun(outcome.reason, int(wait_s * 1000))
-        self._send_failure(outcome)
+        self._encoder.send_failure(outcome)
         name = answers.outcome_name(outcome)
-        return _Result(name, str(outcome.reason), self._sent_status)
+        return _Result(name, str(outcome.reason), self._encoder.status)
 
     def _retry_after_s(
         self, request: requests.Request, reason: Reason
@@ -327,43 +308,6 @@
             return 0.0
         return request.route.objective_s * RETRY_AFTER_SHARE
 
-    def _send_failure(
-        self,
-        outcome: outcomes.NotRun | outcomes.Unknown,
-        status: int | None = None,
-    ) -> None:
-        if self._http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
-            self._context.stream.abort()
-            return
-        head, body = answers.for_outcome(
-            outcome, self._context.entry_id, fractional_seconds=True
-        )
-        dropped = frozenset((http1.HeaderName.CONTENT_LENGTH,))
-        kept = http1.strip_hop_by_hop(head.headers, dropped)
-        head = calls.AnswerHead(status or head.status, kept)
-        self._send_whole(head, body, b"")
-
-    def _send_whole(
-        self, head: calls.AnswerHead, body: bytes, method: bytes
-    ) -> None:
-        headers = head.headers
-        if head.status not in NO_BODY_STATUSES:
-            length = (http1.HeaderName.CONTENT_LENGTH, b"%d" % len(body))
-            headers = (*headers, length)
-        data = self._encode_head(head.status, headers)
-        if body and method != b"HEAD":
-            data += self._http.send(h11.Data(data=body)) or b""
-        data += self._http.send(h11.EndOfMessage()) or b""
-        self._context.stream.write(data)
-
-    def _encode_head(self, status: int, headers: calls.Headers) -> bytes:
-        self._sent_status = status
-        fields = list(headers)
-        if self._context.closes_connection():
-            fields.append((http1.HeaderName.CONNECTION, b"close"))
-        response = h11.Response(status_code=status, headers=fields)
-        return self._http.send(response) or b""
-
     def _record(self, result: _Result) -> None:
         """Records the result in the log, the metrics and the span, once."""
         if self._is_recorded:
@@ -402,3 +346,7 @@
             fields["route"] = self._request.route.name
             fields["service"] = self._request.service
         self._context.events.decision("request", **fields)
+
+
+def _answered(status: int) -> _Result:
+    return _Result("answered", f"{status // 100}xx", status)
--- a/tests/callers/test_gateway_connection.py
+++ b/tests/callers/test_gateway_connection.py
@@ -19,6 +19,8 @@
 class ScriptedTask:
     """Answers each request with the same messages, all at once."""
 
+    has_failed = False
+
     def __init__(self, script):
         self._script = script
 
