Let callers of the soak send runs of reads before the first is answered

The soak had no such callers. Reads behind an answer that closes the connection, or that is missing, are judged only if an upstream ran them.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -18,6 +18,8 @@
 # Share of the callers with a kept connection that stay with an entry which has
 # closed it, as those with an old directory answer do.
 STALE_SHARE = 0.7
+# Most requests that are sent before the first is answered.
+RUN_MAX = 6
 
 
 class Connection:
@@ -28,6 +30,7 @@
         self._writer = writer
         self._answered = False
         self._closing = False
+        self._has_closed = False
 
     @property
     def is_usable(self):
@@ -37,8 +40,24 @@
     def close(self):
         self._writer.close()
 
+    @property
+    def is_closing(self):
+        """Whether the last answer closes the connection."""
+        return self._has_closed
+
     async def send(self, exchange, *, keep):
         """Sends the request and reads the answer into ``exchange``."""
+        self._write(exchange, keep=keep)
+        await self._read(exchange)
+
+    async def send_run(self, exchanges):
+        """Sends all requests, then reads their answers in this order."""
+        for exchange in exchanges:
+            self._write(exchange, keep=True)
+        for exchange in exchanges:
+            await self._read(exchange)
+
+    def _write(self, exchange, *, keep):
         exchange.reused = self._answered
         self._closing = True
         kind = exchange.kind
@@ -54,6 +73,8 @@
             lines.append("Content-Length: 0")
         self._writer.write("\r\n".join([*lines, "", ""]).encode())
         exchange.sent = time.monotonic()
+
+    async def _read(self, exchange):
         head = (await self._reader.readuntil(b"\r\n\r\n")).lower()
         status_line, *fields = head.split(b"\r\n")
         headers = {}
@@ -64,8 +85,10 @@
         exchange.body = await self._reader.readexactly(length)
         exchange.status = int(status_line.split()[1])
         exchange.signed = b"x-response-signature" in headers
+        exchange.ended = time.monotonic()
         self._answered = True
         self._closing = headers.get(b"connection") == b"close"
+        self._has_closed = self._closing
 
 
 async def _connect(entry):
@@ -75,12 +98,13 @@
 class Callers:
     """Callers, which record each exchange; they end when ``done`` is set."""
 
-    def __init__(self, fleet, rng, kept_rng):
+    def __init__(self, fleet, rng, kept_rng, pipelining_rng):
         self.exchanges = []
         self.violations = []
         self._fleet = fleet
         self._rng = rng
         self._kept_rng = kept_rng
+        self._pipelining_rng = pipelining_rng
         self._numbers = itertools.count(1)
         self._served_versions = {}
 
@@ -118,7 +142,13 @@
 
     async def call_on_kept_connections(self, done):
         """Uses each connection until the entry closes it."""
-        rng = self._kept_rng
+        await self._keep_connections(done, self._kept_rng, self._use)
+
+    async def call_pipelined(self, done):
+        """Sends runs of reads before the first is answered."""
+        await self._keep_connections(done, self._pipelining_rng, self._send_run)
+
+    async def _keep_connections(self, done, rng, use):
         entry = rng.choice(self._fleet.entries)
         while not done.is_set():
             try:
@@ -129,7 +159,7 @@
                 continue
             with contextlib.closing(connection):
                 while connection.is_usable and not done.is_set():
-                    await self._use(connection, entry)
+                    await use(connection, entry)
             if rng.random() >= STALE_SHARE:
                 entry = rng.choice(self._fleet.entries)
 
@@ -142,6 +172,32 @@
         idle_max_s = 4.0 if rng.random() < IDLE_SHARE else 0.08
         await asyncio.sleep(rng.uniform(0.0, idle_max_s))
 
+    async def _send_run(self, connection, entry):
+        rng = self._pipelining_rng
+        kind = records.READ
+        run = [
+            records.Exchange(
+                entry, f"a{next(self._numbers)}", kind, time.monotonic()
+            )
+            for _ in range(rng.randint(2, RUN_MAX))
+        ]
+        with contextlib.suppress(
+            OSError, ValueError, asyncio.IncompleteReadError
+        ):
+            async with asyncio.timeout(kind.deadline_s + GIVE_UP_S):
+                await connection.send_run(run)
+        answered = sum(each.status != 0 for each in run)
+        for each in run[answered:]:
+            each.ended = time.monotonic()
+        # A request behind an answer that closes the connection, or behind one
+        # that is not answered, counts as not read unless it was sent on.
+        judged = answered + (not connection.is_closing)
+        self.exchanges += run[:judged]
+        self.exchanges += [
+            each for each in run[judged:] if self._fleet.runs[each.attempt]
+        ]
+        await asyncio.sleep(rng.uniform(0.0, 0.2))
+
     async def _check_version(self, entry):
         """Checks that a process keeps serving each version it has served."""
         process = (entry.name, entry.start_count)
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -33,6 +33,7 @@
 CALLERS = (12, 24)
 # Under a light load a stopping entry has moments without requests.
 LIGHT_CALLERS = (3, 6)
+PIPELINING_CALLERS = 3
 LIGHT_SHARE = 0.4
 # Load continues for so long after the faults, before recovery is checked.
 SETTLE_S = 5.0
@@ -68,6 +69,7 @@
             self.fleet,
             random.Random(seed + 1_000_000),
             random.Random(seed + 6_000_000),
+            random.Random(seed + 7_000_000),
         )
         self._stalls = records.History()
 
@@ -83,6 +85,10 @@
                 self.callers.call_on_kept_connections(kept_done)
                 for _ in range(keeping_count)
             ]
+            calls += [
+                self.callers.call_pipelined(kept_done)
+                for _ in range(PIPELINING_CALLERS)
+            ]
             calls = asyncio.gather(*calls)
             await self._inject(time.monotonic() + self.seconds)
             kept_done.set()
