Forget how long a route takes when it had no success for 5 s

A mean duration is now reason to refuse only for 5 s after a success, and starts anew after such a gap. Ruled out: lowering it with each refusal, since a crowd of late callers would do that too. Test in simulated time; its mutant is the behaviour before.

--- a/bench/sampling.py
+++ b/bench/sampling.py
@@ -265,7 +265,7 @@
                     candidate, upstream.load(self.now), self.now
                 )
             balancer.record_duration(
-                ROUTE, self.now - sent, best.expected_slowdown
+                ROUTE, self.now - sent, best.expected_slowdown, self.now
             )
             self.times.append(self.now + network_delay - search.arrived)
 
--- a/src/sesamevale/forwarding/attempt_runner.py
+++ b/src/sesamevale/forwarding/attempt_runner.py
@@ -110,10 +110,12 @@
             candidate.attempt_ended()
             self._pool.release(name, link)
         if _is_success(result):
-            seconds = time.monotonic() - active_request.sent_at
-            route = active_request.request.route.name
+            now = time.monotonic()
             self._balancer.record_duration(
-                route, seconds, active_request.expected_slowdown
+                active_request.request.route.name,
+                now - active_request.sent_at,
+                active_request.expected_slowdown,
+                now,
             )
 
     def stop(self, active_request: messages.ActiveRequest) -> bool:
--- a/src/sesamevale/policy/load_sampling.py
+++ b/src/sesamevale/policy/load_sampling.py
@@ -11,6 +11,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import math
 from typing import TYPE_CHECKING
 
@@ -59,6 +60,27 @@
 SHORTEST_SHARE = 0.5
 # Weight of a new duration in the moving average of a route.
 DURATION_WEIGHT = 0.05
+# Time after the last success of a route for which its mean duration is reason
+# enough to refuse requests. Without a limit, a route whose time-out becomes
+# shorter than its mean requires would be refused for good.
+DURATION_MEMORY_S = 5.0
+
+
+@dataclasses.dataclass(slots=True)
+class _MeanDuration:
+    """Moving average of the durations of a route's successful attempts.
+
+    Attributes:
+        seconds: The average, as if there had been no slowdown.
+        updated_at: Monotonic time in seconds of the last success.
+    """
+
+    seconds: float
+    updated_at: float
+
+    def is_recent(self, now: float) -> bool:
+        """Whether the last success is recent."""
+        return now - self.updated_at <= DURATION_MEMORY_S
 
 
 class LoadBalancer:
@@ -74,7 +96,7 @@
         self._rng = rng
         self._candidates: dict[str, upstream_state.Candidate] = {}
         self._average = upstream_state.AverageLoad(INITIAL_AVERAGE_SLOWDOWN)
-        self._durations: dict[str, float] = {}
+        self._durations: dict[str, _MeanDuration] = {}
         self._longest_remaining_s: dict[str, float] = {}
         self._reports_load: bool | None = None
 
@@ -142,7 +164,11 @@
             self._reports_load = False
 
     def record_duration(
-        self, route: str, seconds: float, expected_slowdown: float
+        self,
+        route: str,
+        seconds: float,
+        expected_slowdown: float,
+        now: float,
     ) -> None:
         """Records the duration of a successful attempt.
 
@@ -151,10 +177,15 @@
             seconds: Time from sending the request to the answer.
             expected_slowdown: Duration that was expected on sending, as a
                 multiple of the usual duration.
+            now: Monotonic time in seconds.
         """
         usual = seconds / max(expected_slowdown, 1.0)
-        mean = self._durations.setdefault(route, usual)
-        self._durations[route] = mean + DURATION_WEIGHT * (usual - mean)
+        known = self._durations.get(route)
+        if known is None or not known.is_recent(now):
+            self._durations[route] = _MeanDuration(usual, now)
+            return
+        known.seconds += DURATION_WEIGHT * (usual - known.seconds)
+        known.updated_at = now
 
     def next_step(
         self, search: upstream_search.Search, now: float
@@ -247,14 +278,14 @@
         self, route: str, best: upstream_state.RankedCandidate
     ) -> float:
         """Returns the likely duration of an attempt; 0 if it is unknown."""
-        usual = self._durations.get(route, 0.0)
+        usual = self._usual_s(route) or 0.0
         return usual * best.expected_slowdown * DURATION_MARGIN
 
     def can_meet_objective(
         self, search: upstream_search.Search, now: float
     ) -> bool:
         """Whether a request can still meet its latency objective."""
-        usual = self._durations.get(search.route)
+        usual = self._usual_s(search.route)
         needed = (1.0 - SLOT_WAIT_SHARE) * search.objective_s
         if usual is not None:
             needed = usual * DURATION_MARGIN
@@ -270,8 +301,16 @@
         self, search: upstream_search.Search, slowdown: float, now: float
     ) -> bool:
         """Whether an attempt of this slowdown may end before the deadline."""
-        usual = self._durations.get(search.route, 0.0)
-        return now + SHORTEST_SHARE * usual * slowdown <= search.deadline
+        known = self._durations.get(search.route)
+        if known is None or not known.is_recent(now):
+            return True
+        shortest_s = SHORTEST_SHARE * known.seconds * slowdown
+        return now + shortest_s <= search.deadline
+
+    def _usual_s(self, route: str) -> float | None:
+        """Mean duration without slowdown in seconds; None if unknown."""
+        known = self._durations.get(route)
+        return None if known is None else known.seconds
 
     def _is_in_time(
         self,
@@ -302,7 +341,7 @@
         wait_share = FULL_LOCAL_WAIT_SHARE
         if any(self.has_free_slot(each, now) for each in local):
             wait_share = LOCAL_WAIT_SHARE
-        usual = self._durations.get(search.route, 0.0)
+        usual = self._usual_s(search.route) or 0.0
         needed = usual * DURATION_MARGIN + RESAMPLE_DELAY_S
         waited = now - search.started
         return (
--- a/tests/policy/test_load_sampling.py
+++ b/tests/policy/test_load_sampling.py
@@ -99,7 +99,7 @@
 
 def test_a_slow_upstream_that_meets_the_objective_is_chosen():
     balancer = new_balancer(gateway.upstream("a"))
-    balancer.record_duration("read", 0.1, 1.0)
+    balancer.record_duration("read", 0.1, 1.0, 0.0)
     search = new_search()
     balancer.next_step(search, 0.0)
     report_load(balancer, "a", 0.005, slowdown=3.0)
--- a/tests/policy/test_overload_patterns.py
+++ b/tests/policy/test_overload_patterns.py
@@ -81,3 +81,17 @@
     for each in hopeless:
         assert each.sent_at is None
         assert each.refused == pytest.approx(0.0, abs=0.01)
+
+
+def test_a_service_that_has_become_fast_again_is_used_again():
+    """A shorter time-out than its slow work needed refused everything."""
+    service = simulated_service.Service(6, 18, 2, seed=5)
+    for balancer in service.balancers:
+        balancer.record_duration(simulated_service.ROUTE, 3.0, 1.0, 0.0)
+    sent = [
+        service.arrive(at * 0.02, left_s=PATIENCE_S, objective_s=OBJECTIVE_S)
+        for at in range(1, 1000)
+    ]
+    service.run(20.0)
+    late = [each for each in sent if each.arrived >= 10.0]
+    assert sum(each.is_in_time for each in late) >= 0.8 * len(late)
--- a/tests/test_gateway_mutants.py
+++ b/tests/test_gateway_mutants.py
@@ -127,6 +127,10 @@
     monkeypatch.setattr(load_sampling, "SHORTEST_SHARE", 0.0)
 
 
+def refuse_by_old_durations(monkeypatch) -> None:
+    monkeypatch.setattr(load_sampling, "DURATION_MEMORY_S", 1000.0)
+
+
 def assume_full_upstreams_have_free_slots(monkeypatch) -> None:
     monkeypatch.setattr(
         upstream_state.Candidate, "has_free_slot", lambda *arguments: True
@@ -359,6 +363,10 @@
         send_whatever_time_is_left,
         test_overload_patterns.test_a_request_that_no_upstream_can_end_in_time_is_refused_at_once,
     ),
+    (
+        refuse_by_old_durations,
+        test_overload_patterns.test_a_service_that_has_become_fast_again_is_used_again,
+    ),
     (
         assume_full_upstreams_have_free_slots,
         test_load_sampling.test_a_request_that_can_be_in_time_waits_for_a_slot,
