--- a/src/sesamevale/sockets.py
+++ b/src/sesamevale/sockets.py
@@ -39,6 +39,7 @@
         self._ended = False
         self._lost = False
         self._broken = False
+        self._was_reset = False
         self._paused = False
         self._read_waiter: asyncio.Future[None] | None = None
         self._write_waiter: asyncio.Future[None] | None = None
@@ -54,6 +55,11 @@
         """Whether the connection was lost with an error."""
         return self._broken
 
+    @property
+    def was_reset(self) -> bool:
+        """Whether the peer has reset the connection."""
+        return self._was_reset
+
     @property
     def has_unread(self) -> bool:
         """Whether received bytes have not been read yet."""
@@ -115,6 +121,7 @@
         """Implements ``asyncio.Protocol``."""
         first = not self._ended
         self._broken = exc is not None
+        self._was_reset = isinstance(exc, ConnectionResetError)
         self._lost = True
         self._ended = True
         self._wake_reader()
--- a/src/sesamevale/upstreams/http_link.py
+++ b/src/sesamevale/upstreams/http_link.py
@@ -232,7 +232,7 @@
 
     def _ended_without_answer(self) -> forwarding.Result:
         """Returns the result of a connection that ended before an answer."""
-        was_reset = self._stream is not None and self._stream.broken
+        was_reset = self._stream is not None and self._stream.was_reset
         self._abort()
         if was_reset:
             return forwarding.Reset()
@@ -398,7 +398,7 @@
         if response is None:
             self._abort()
             return link_messages.SampleResult(
-                reached=False, was_reset=stream.broken
+                reached=False, was_reset=stream.was_reset
             )
         headers = tuple(response.headers)
         body = await self._read_body(SKIPPED_PARTS_MAX)
--- a/tests/upstreams/test_http_link.py
+++ b/tests/upstreams/test_http_link.py
@@ -94,6 +94,28 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize(
+    ("error", "expected"),
+    [
+        (ConnectionResetError(), forwarding.Reset()),
+        (TimeoutError(), forwarding.Lost(outcomes.Reason.CUT)),
+    ],
+)
+def test_only_a_reset_is_taken_for_a_full_upstream(error, expected):
+    """A connection that is lost because its peer is silent is no reset."""
+
+    async def scenario():
+        answer = scripted_upstream.ScriptedAnswer(delay_s=5.0)
+        async with scripted_upstream.ScriptedUpstream("u-1", [answer]) as one:
+            link = new_link(one)
+            ended = asyncio.ensure_future(forward(link))
+            await asyncio.sleep(0.1)
+            link._stream.connection_lost(error)
+            assert await ended == expected
+
+    asyncio.run(scenario())
+
+
 @pytest.mark.parametrize("name", ["_read_answer", "_write"])
 def test_a_link_whose_task_fails_reports_the_attempt_as_lost(monkeypatch, name):
     """The request waited for its deadline."""
