Tick the membership when something is due

The membership now tells when it is due: once a period, and at the deadlines of probes and suspicions. Its state machine runs on the same schedule, with its bounds as they were. Ruled out: a longer fixed interval, which delays the detection.

--- a/src/sesamevale/entries/gossip.py
+++ b/src/sesamevale/entries/gossip.py
@@ -5,6 +5,7 @@
 import asyncio
 import dataclasses
 import functools
+import math
 from typing import Self
 from typing import TYPE_CHECKING
 
@@ -31,7 +32,8 @@
     "Unreachable",
 ]
 
-TICK_S = 0.1
+# Two ticks are at least this far apart.
+TICK_INTERVAL_MIN_S = 0.01
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -132,6 +134,7 @@
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.DatagramTransport | None = None
         self._timer: asyncio.TimerHandle | None = None
+        self._timer_at = -math.inf
         self._notified_version = -1
         self._logged_statuses: dict[str, membership_types.Status] = {}
 
@@ -145,7 +148,7 @@
             lambda: _DatagramReceiver(lambda data: self.send(_Received(data))),
             local_addr=(self._host, self._port),
         )
-        self._tick()
+        self.send(_Tick())
         return await super().__aenter__()
 
     async def __aexit__(self, *exc_info: object) -> None:
@@ -158,14 +161,24 @@
     def receive(self, message: Message) -> None:
         """Implements ``messaging.Actor``."""
         self._transmit(_receive(message, self))
+        self._schedule_tick()
         if self._view.version != self._notified_version:
             self._notified_version = self._view.version
             self._log_changes()
             self._on_change()
 
-    def _tick(self) -> None:
-        self.send(_Tick())
-        self._timer = self._loop.call_later(TICK_S, self._tick)
+    def _schedule_tick(self) -> None:
+        """Sets the timer to the time of the next tick if that has changed."""
+        next_at = self._view.next_tick_at
+        if next_at == self._timer_at:
+            return
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer_at = next_at
+        earliest_at = self._loop.time() + TICK_INTERVAL_MIN_S
+        self._timer = self._loop.call_at(
+            max(next_at, earliest_at), self.send, _Tick()
+        )
 
     def _transmit(self, sends: list[membership_types.Send]) -> None:
         for send in sends:
@@ -235,4 +248,6 @@
 
 @_receive.register
 def _(message: _Tick, task: Gossip) -> list[membership_types.Send]:
+    # A timer may expire slightly early, and the same time is due again then.
+    task._timer_at = -math.inf
     return task._view.tick(task._loop.time())
--- a/src/sesamevale/policy/membership.py
+++ b/src/sesamevale/policy/membership.py
@@ -213,8 +213,17 @@
         self._merge_update(dataclasses.replace(member, status=status), now)
         return self._ping_random_members()
 
+    @property
+    def next_tick_at(self) -> float:
+        """Monotonic time in seconds at which ``tick`` must be called."""
+        suspicion_s = self._timing.suspicion_s
+        times = [self._next_period_at]
+        times += [probe.deadline for probe in self._probes.values()]
+        times += [since + suspicion_s for since in self._suspected_at.values()]
+        return min(times)
+
     def tick(self, now: float) -> list[membership_types.Send]:
-        """Advances the protocol; to be called several times per period."""
+        """Advances the protocol by what is due."""
         if self._paused(now):
             # Acknowledgements and refutations may have arrived unread.
             self._probes.clear()
--- a/tests/policy/test_membership_machine.py
+++ b/tests/policy/test_membership_machine.py
@@ -16,7 +16,6 @@
 
 NAMES = ("e1", "e2", "e3", "e4")
 STEP_S = 0.01
-TICK_STEPS = 10
 SETTLE_S = 20.0
 TIMING = membership.Timing()
 
@@ -31,6 +30,7 @@
         self.frozen: set[str] = set()
         self.cuts: set[tuple[str, str]] = set()
         self.loss = 0.0
+        self.tick_count = 0
         self.queue: list = []
         self.order = itertools.count()
         self.incarnations = dict.fromkeys(NAMES, 0)
@@ -54,13 +54,12 @@
             heapq.heappush(self.queue, item)
 
     def run(self, seconds: float) -> None:
-        for step in range(1, round(seconds / STEP_S) + 1):
+        for _ in range(round(seconds / STEP_S)):
             self.now += STEP_S
             self.deliver()
-            if step % TICK_STEPS:
-                continue
             for name, view in list(self.views.items()):
-                if name not in self.frozen:
+                if name not in self.frozen and self.now >= view.next_tick_at:
+                    self.tick_count += 1
                     self.transmit(name, view.tick(self.now))
 
     def deliver(self) -> None:
@@ -158,6 +157,15 @@
     return network
 
 
+def test_an_undisturbed_entry_ticks_once_a_period():
+    """It ticked every 0.1 s, and each tick woke the process up."""
+    network = converged_network()
+    network.tick_count = 0
+    network.run(20.0)
+    periods = 20.0 / TIMING.period_s
+    assert network.tick_count <= (periods + 1) * len(NAMES)
+
+
 def test_killed_entry_leaves_every_view_within_two_seconds():
     network = converged_network()
     del network.views["e4"]
