Register on changes of the readiness instead of polling it

The registration task looked every 0.1 s whether the entry is ready. It now waits for the next renewal or for a change. The test failed first.

--- a/src/sesamevale/gateway.py
+++ b/src/sesamevale/gateway.py
@@ -32,6 +32,8 @@
 from sesamevale.policy import retry_budget
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from sesamevale import event_log
     from sesamevale import http1
     from sesamevale import routes
@@ -63,6 +65,7 @@
         self._recorder = recorder
         self._rng = random.Random()
         self._stack = contextlib.AsyncExitStack()
+        self._readiness_callbacks: list[Callable[[], None]] = []
         self._router = routers.RequestRouter(dialect, settings.config_bound_s)
         self._active_configuration = active_configuration.ActiveConfiguration()
         self._upstreams = discovered_upstreams.DiscoveredUpstreams()
@@ -125,6 +128,10 @@
             if each.entry_id != self._settings.entry_id
         }
 
+    def on_readiness_changed(self, callback: Callable[[], None]) -> None:
+        """Adds a callback for each change of ``is_ready``."""
+        self._readiness_callbacks.append(callback)
+
     async def __aenter__(self) -> Self:
         self._recorder.add_source(self._gauges)
         await self._stack.enter_async_context(self._gossip)
@@ -194,11 +201,15 @@
         view = dataclasses.replace(self._router.view, **changes)  # type: ignore[arg-type]
         was_ready = self._router.view.is_ready
         self._router.set_view(view)
-        if view.is_ready and not was_ready:
+        if view.is_ready == was_ready:
+            return
+        if view.is_ready:
             self._gossip.send(gossip.Join())
             self._events.state(
                 "ready", config=self._active_configuration.version
             )
+        for callback in self._readiness_callbacks:
+            callback()
 
     def _apply_services(self, configuration: routes.Configuration) -> None:
         """Starts a task for each new service and updates the existing ones."""
--- a/src/sesamevale/platform/registration.py
+++ b/src/sesamevale/platform/registration.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import functools
 import random
 import time
@@ -25,8 +26,6 @@
 LEASE_TTL_MS = 6_000
 # Leaves time for several retries before the lease ends.
 RENEW_INTERVAL_S = 3.0
-# Interval between checks of this entry's readiness.
-READINESS_POLL_INTERVAL_S = 0.1
 # Delays between attempts while the store fails. All entries attempt, and each
 # call has its price.
 RETRY_INTERVAL_S = 0.5
@@ -57,13 +56,16 @@
         self._gateway = gateway
         self._events = events
         self._lease = 0
+        self._readiness_changed = asyncio.Event()
         self._backoff = backoff.Backoff(
             RETRY_INTERVAL_S, RETRY_INTERVAL_MAX_S, random.Random()
         )
 
     async def _run(self) -> None:
+        self._gateway.on_readiness_changed(self._readiness_changed.set)
         due_at = 0.0
         while True:
+            self._readiness_changed.clear()
             now = time.monotonic()
             if self._gateway.is_ready and now >= due_at:
                 due_at = now + _next_delay_s(
@@ -72,7 +74,16 @@
             elif self._lease and not self._gateway.is_ready:
                 await self._client.revoke_lease(self._lease)
                 self._lease = 0
-            await asyncio.sleep(READINESS_POLL_INTERVAL_S)
+            await self._wait_until(due_at)
+
+    async def _wait_until(self, due_at: float) -> None:
+        """Waits for the next call, or for a change of the readiness."""
+        left_s = None
+        if self._gateway.is_ready:
+            left_s = max(0.0, due_at - time.monotonic())
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(left_s):
+                await self._readiness_changed.wait()
 
     async def _register_or_renew(self) -> object:
         if self._lease == 0:
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -24,7 +24,23 @@
 
     def __init__(self):
         self.messages = []
-        self.is_ready = True
+        self._is_ready = True
+        self._callbacks = []
+        self.ready_reads = 0
+
+    @property
+    def is_ready(self):
+        self.ready_reads += 1
+        return self._is_ready
+
+    @is_ready.setter
+    def is_ready(self, value):
+        self._is_ready = value
+        for callback in self._callbacks:
+            callback()
+
+    def on_readiness_changed(self, callback):
+        self._callbacks.append(callback)
 
     def state(self, name, **fields):
         self.messages.append((name, fields))
@@ -196,7 +212,6 @@
 
 def test_a_store_that_is_away_is_asked_less_and_less_often(monkeypatch):
     """Each entry asked it twice a second, and each call has its price."""
-    monkeypatch.setattr(registration, "READINESS_POLL_INTERVAL_S", 0.01)
     monkeypatch.setattr(registration, "RETRY_INTERVAL_S", 0.05)
     monkeypatch.setattr(
         registration, "RETRY_INTERVAL_MAX_S", 0.4, raising=False
@@ -219,6 +234,24 @@
     run(scenario)
 
 
+def test_a_registered_entry_waits_for_the_next_renewal():
+    """It looked every 0.1 s whether it was ready, and woke the process up."""
+
+    async def scenario():
+        async with open_store_case() as case:
+            task = registration.RegistrationTask(
+                case.client, own_registration(), case.gateway, case.gateway
+            )
+            async with task:
+                await until(lambda: case.store.items)
+                await asyncio.sleep(0.05)
+                case.gateway.ready_reads = 0
+                await asyncio.sleep(0.5)
+                assert case.gateway.ready_reads == 0
+
+    run(scenario)
+
+
 def test_an_entry_that_is_not_ready_is_deregistered():
     async def scenario():
         async with open_store_case() as case:
