--- a/bench/sampling.py
+++ b/bench/sampling.py
@@ -264,7 +264,7 @@
                 balancer.record_load(
                     candidate, upstream.load(self.now), self.now
                 )
-            balancer.record_duration(
+            balancer.durations.record(
                 ROUTE, self.now - sent, best.expected_slowdown, self.now
             )
             self.times.append(self.now + network_delay - search.arrived)
--- a/src/sesamevale/forwarding/attempt_runner.py
+++ b/src/sesamevale/forwarding/attempt_runner.py
@@ -111,7 +111,7 @@
             self._pool.release(name, link)
         if _is_success(result):
             now = time.monotonic()
-            self._balancer.record_duration(
+            self._balancer.durations.record(
                 active_request.request.route.name,
                 now - active_request.sent_at,
                 active_request.expected_slowdown,
--- a/src/sesamevale/forwarding/service_task.py
+++ b/src/sesamevale/forwarding/service_task.py
@@ -141,7 +141,7 @@
         name = request.route.name
         active_request.search = upstream_search.Search(
             name,
-            self._balancer.estimate_first_arrival(
+            self._balancer.durations.estimate_first_arrival(
                 name, request.arrived, remaining_s
             ),
             request.route.objective_s,
--- a/src/sesamevale/policy/load_sampling.py
+++ b/src/sesamevale/policy/load_sampling.py
@@ -11,10 +11,10 @@
 
 from __future__ import annotations
 
-import dataclasses
 import math
 from typing import TYPE_CHECKING
 
+from sesamevale.policy import route_durations
 from sesamevale.policy import upstream_search
 from sesamevale.policy import upstream_state
 
@@ -54,33 +54,6 @@
 # times within 100 ms.
 RESAMPLE_DELAY_S = 0.025
 RESAMPLE_DELAY_MAX_S = 0.1
-# Factor on the mean duration of a route that allows for its variation.
-DURATION_MARGIN = 1.4
-# Share of the mean duration of a route below which hardly any attempt ends.
-SHORTEST_SHARE = 0.5
-# Weight of a new duration in the moving average of a route.
-DURATION_WEIGHT = 0.05
-# Time after the last success of a route for which its mean duration is reason
-# enough to refuse requests. Without a limit, a route whose time-out becomes
-# shorter than its mean requires would be refused for good.
-DURATION_MEMORY_S = 5.0
-
-
-@dataclasses.dataclass(slots=True)
-class _MeanDuration:
-    """Moving average of the durations of a route's successful attempts.
-
-    Attributes:
-        seconds: The average, as if there had been no slowdown.
-        updated_at: Monotonic time in seconds of the last success.
-    """
-
-    seconds: float
-    updated_at: float
-
-    def is_recent(self, now: float) -> bool:
-        """Whether the last success is recent."""
-        return now - self.updated_at <= DURATION_MEMORY_S
 
 
 class LoadBalancer:
@@ -96,8 +69,7 @@
         self._rng = rng
         self._candidates: dict[str, upstream_state.Candidate] = {}
         self._average = upstream_state.AverageLoad(INITIAL_AVERAGE_SLOWDOWN)
-        self._durations: dict[str, _MeanDuration] = {}
-        self._longest_remaining_s: dict[str, float] = {}
+        self._durations = route_durations.RouteDurations()
         self._reports_load: bool | None = None
 
     @property
@@ -105,6 +77,11 @@
         """Upstreams by identifier."""
         return self._candidates
 
+    @property
+    def durations(self) -> route_durations.RouteDurations:
+        """Durations of the attempts of each route."""
+        return self._durations
+
     @property
     def average(self) -> upstream_state.AverageLoad:
         """Moving average of the sampled loads."""
@@ -163,30 +140,6 @@
         if self._reports_load is None:
             self._reports_load = False
 
-    def record_duration(
-        self,
-        route: str,
-        seconds: float,
-        expected_slowdown: float,
-        now: float,
-    ) -> None:
-        """Records the duration of a successful attempt.
-
-        Args:
-            route: Name of the route.
-            seconds: Time from sending the request to the answer.
-            expected_slowdown: Duration that was expected on sending, as a
-                multiple of the usual duration.
-            now: Monotonic time in seconds.
-        """
-        usual = seconds / max(expected_slowdown, 1.0)
-        known = self._durations.get(route)
-        if known is None or not known.is_recent(now):
-            self._durations[route] = _MeanDuration(usual, now)
-            return
-        known.seconds += DURATION_WEIGHT * (usual - known.seconds)
-        known.updated_at = now
-
     def next_step(
         self, search: upstream_search.Search, now: float
     ) -> upstream_search.Step:
@@ -250,45 +203,20 @@
         seconds = RESAMPLE_DELAY_S * search.wait_count
         return upstream_search.Wait(min(seconds, RESAMPLE_DELAY_MAX_S))
 
-    def estimate_first_arrival(
-        self, route: str, arrived: float, remaining_s: float
-    ) -> float:
-        """Estimates when a caller first sent a request.
-
-        A caller that retries has less time left than on its first attempt.
-        The difference to the longest remaining time seen on the route is
-        taken as the time since the first attempt.
-
-        Args:
-            route: Name of the route.
-            arrived: Monotonic time in seconds at which this request arrived.
-            remaining_s: Time in seconds until the caller gives up; infinite
-                if unknown.
-
-        Returns:
-            Monotonic time in seconds.
-        """
-        if math.isinf(remaining_s):
-            return arrived
-        longest_s = max(self._longest_remaining_s.get(route, 0.0), remaining_s)
-        self._longest_remaining_s[route] = longest_s
-        return arrived - (longest_s - remaining_s)
-
     def expected_duration_s(
         self, route: str, best: upstream_state.RankedCandidate
     ) -> float:
         """Returns the likely duration of an attempt; 0 if it is unknown."""
-        usual = self._usual_s(route) or 0.0
-        return usual * best.expected_slowdown * DURATION_MARGIN
+        slowdown = best.expected_slowdown
+        return self._durations.expected_s(route, slowdown) or 0.0
 
     def can_meet_objective(
         self, search: upstream_search.Search, now: float
     ) -> bool:
         """Whether a request can still meet its latency objective."""
-        usual = self._usual_s(search.route)
-        needed = (1.0 - SLOT_WAIT_SHARE) * search.objective_s
-        if usual is not None:
-            needed = usual * DURATION_MARGIN
+        needed = self._durations.expected_s(search.route)
+        if needed is None:
+            needed = (1.0 - SLOT_WAIT_SHARE) * search.objective_s
         return now - search.arrived + needed < search.objective_s
 
     def has_free_slot(
@@ -301,16 +229,9 @@
         self, search: upstream_search.Search, slowdown: float, now: float
     ) -> bool:
         """Whether an attempt of this slowdown may end before the deadline."""
-        known = self._durations.get(search.route)
-        if known is None or not known.is_recent(now):
-            return True
-        shortest_s = SHORTEST_SHARE * known.seconds * slowdown
-        return now + shortest_s <= search.deadline
-
-    def _usual_s(self, route: str) -> float | None:
-        """Mean duration without slowdown in seconds; None if unknown."""
-        known = self._durations.get(route)
-        return None if known is None else known.seconds
+        return self._durations.may_end_by(
+            search.deadline, search.route, slowdown, now
+        )
 
     def _is_in_time(
         self,
@@ -319,11 +240,11 @@
         now: float,
     ) -> bool:
         """Whether an upstream is expected to answer within the objective."""
-        if search.route not in self._durations:
-            return False
-        if not best.candidate.is_fresh(now):
+        needed = self._durations.expected_s(
+            search.route, best.expected_slowdown
+        )
+        if needed is None or not best.candidate.is_fresh(now):
             return False
-        needed = self.expected_duration_s(search.route, best)
         return now - search.arrived + needed <= search.objective_s
 
     def _may_wait_for_local(
@@ -341,8 +262,8 @@
         wait_share = FULL_LOCAL_WAIT_SHARE
         if any(self.has_free_slot(each, now) for each in local):
             wait_share = LOCAL_WAIT_SHARE
-        usual = self._usual_s(search.route) or 0.0
-        needed = usual * DURATION_MARGIN + RESAMPLE_DELAY_S
+        needed = self._durations.expected_s(search.route) or 0.0
+        needed += RESAMPLE_DELAY_S
         waited = now - search.started
         return (
             waited < wait_share * search.objective_s
--- a/tests/policy/test_load_sampling.py
+++ b/tests/policy/test_load_sampling.py
@@ -99,7 +99,7 @@
 
 def test_a_slow_upstream_that_meets_the_objective_is_chosen():
     balancer = new_balancer(gateway.upstream("a"))
-    balancer.record_duration("read", 0.1, 1.0, 0.0)
+    balancer.durations.record("read", 0.1, 1.0, 0.0)
     search = new_search()
     balancer.next_step(search, 0.0)
     report_load(balancer, "a", 0.005, slowdown=3.0)
@@ -146,10 +146,10 @@
 
 
 def test_the_first_arrival_of_a_retry_is_estimated():
-    balancer = new_balancer()
-    assert balancer.estimate_first_arrival("read", 10.0, 4.0) == 10.0
-    assert balancer.estimate_first_arrival("read", 11.0, 3.0) == 10.0
-    assert balancer.estimate_first_arrival("read", 11.0, float("inf")) == 11.0
+    durations = new_balancer().durations
+    assert durations.estimate_first_arrival("read", 10.0, 4.0) == 10.0
+    assert durations.estimate_first_arrival("read", 11.0, 3.0) == 10.0
+    assert durations.estimate_first_arrival("read", 11.0, float("inf")) == 11.0
 
 
 def test_requests_sent_since_a_sample_fill_its_slots():
--- a/tests/policy/test_overload_patterns.py
+++ b/tests/policy/test_overload_patterns.py
@@ -87,7 +87,7 @@
     """A shorter time-out than its slow work needed refused everything."""
     service = simulated_service.Service(6, 18, 2, seed=5)
     for balancer in service.balancers:
-        balancer.record_duration(simulated_service.ROUTE, 3.0, 1.0, 0.0)
+        balancer.durations.record(simulated_service.ROUTE, 3.0, 1.0, 0.0)
     sent = [
         service.arrive(at * 0.02, left_s=PATIENCE_S, objective_s=OBJECTIVE_S)
         for at in range(1, 1000)
--- a/tests/standins/simulated_service.py
+++ b/tests/standins/simulated_service.py
@@ -149,7 +149,7 @@
     def know_durations(self) -> None:
         """Has all entries know how long the work usually takes."""
         for balancer in self.balancers:
-            balancer.record_duration(ROUTE, WORK_S, 1.0, self.now)
+            balancer.durations.record(ROUTE, WORK_S, 1.0, self.now)
 
     def arrive(self, at: float, *, left_s: float, objective_s: float) -> Work:
         """Adds a request that reaches a random entry."""
@@ -214,7 +214,7 @@
         """Waits for the end of an attempt."""
         if work.ended is not None:
             candidate.attempt_ended()
-            balancer.record_duration(
+            balancer.durations.record(
                 ROUTE, self.now - work.sent_at, expected_slowdown, self.now
             )
         elif self.now >= work.deadline:
--- a/tests/test_gateway_mutants.py
+++ b/tests/test_gateway_mutants.py
@@ -24,6 +24,7 @@
 from sesamevale.policy import pipelining
 from sesamevale.policy import read_scheduling
 from sesamevale.policy import retry_budget
+from sesamevale.policy import route_durations
 from sesamevale.policy import shared_state
 from sesamevale.policy import upstream_state
 from sesamevale.upstreams import http_link
@@ -124,11 +125,11 @@
 
 
 def send_whatever_time_is_left(monkeypatch) -> None:
-    monkeypatch.setattr(load_sampling, "SHORTEST_SHARE", 0.0)
+    monkeypatch.setattr(route_durations, "SHORTEST_SHARE", 0.0)
 
 
 def refuse_by_old_durations(monkeypatch) -> None:
-    monkeypatch.setattr(load_sampling, "DURATION_MEMORY_S", 1000.0)
+    monkeypatch.setattr(route_durations, "DURATION_MEMORY_S", 1000.0)
 
 
 def assume_full_upstreams_have_free_slots(monkeypatch) -> None:
