--- a/src/sesamevale/gateway.py
+++ b/src/sesamevale/gateway.py
@@ -5,7 +5,6 @@
 import contextlib
 import dataclasses
 import functools
-import json
 import random
 import time
 from typing import Self
@@ -22,6 +21,7 @@
 from sesamevale.forwarding import router as routers
 from sesamevale.forwarding import service_task
 from sesamevale.operators import admin_server
+from sesamevale.operators import gateway_pages
 from sesamevale.policy import active_configuration
 from sesamevale.policy import discovered_upstreams
 from sesamevale.policy import drain_schedule
@@ -104,6 +104,15 @@
             recorder,
         )
 
+        self._pages = gateway_pages.GatewayPages(
+            settings.entry_id,
+            self._router,
+            self._active_configuration,
+            self._upstreams,
+            events,
+            recorder,
+        )
+
     @property
     def is_ready(self) -> bool:
         """Whether this entry is ready for callers."""
@@ -133,14 +142,13 @@
         self._readiness_callbacks.append(callback)
 
     async def __aenter__(self) -> Self:
-        self._recorder.add_source(self._gauges)
         await self._stack.enter_async_context(self._gossip)
         await self._stack.enter_async_context(self._server)
         await self._stack.enter_async_context(
             admin_server.AdminServer(
                 self._settings.callers.host,
                 self._settings.metrics_port,
-                {"/metrics": self._metrics_page, "/status": self._status_page},
+                self._pages.handlers,
             )
         )
         return await super().__aenter__()
@@ -280,66 +288,6 @@
             "members", usable=sorted(each.entry_id for each in members)
         )
 
-    def _gauges(self) -> list[metrics.MetricSample]:
-        def gauge(name: str, text: str, value: float) -> metrics.MetricSample:
-            return metrics.MetricSample(f"sesamevale_{name}", text, {}, value)
-
-        view = self._router.view
-        age_s = time.monotonic() - view.confirmed_at
-        return [
-            gauge("ready", "Whether callers may come", float(view.is_ready)),
-            gauge(
-                "config_version", "In force", self._active_configuration.version
-            ),
-            gauge("config_age_seconds", "Since confirmed", age_s),
-            gauge("requests_active", "Requests now", self._router.active_count),
-            gauge("members", "Entries in use", len(view.members)),
-            gauge("log_lines_dropped", "Not written", self._events.dropped),
-        ]
-
-    def _metrics_page(self, query: str) -> admin_server.Page:
-        # Its import would delay the start of an entry.
-        from sesamevale import metrics_page
-
-        content_type = "text/plain; version=0.0.4; charset=utf-8"
-        return admin_server.Page(
-            200, content_type, metrics_page.render(self._recorder)
-        )
-
-    def _status_page(self, query: str) -> admin_server.Page:
-        now = time.monotonic()
-        view = self._router.view
-        last_read = self._upstreams.last_read
-        content = {
-            "entry": self._settings.entry_id,
-            "ready": view.is_ready,
-            "stopping": view.stopping,
-            "config": self._active_configuration.version,
-            "config_age_s": self._active_configuration.age_s(now),
-            "upstreams_age_s": None if last_read is None else now - last_read,
-            "members": [each.entry_id for each in view.members],
-            "services": {
-                name: {
-                    "active": task.active_count,
-                    "average_slowdown": task.balancer.average.slowdown,
-                    "average_utilization": task.balancer.average.utilization,
-                    "upstreams": {
-                        upstream_id: {
-                            "data_center": candidate.record.data_center,
-                            "own": candidate.in_flight,
-                            "ejected": candidate.is_ejected(now),
-                        }
-                        for upstream_id, candidate in (
-                            task.balancer.candidates.items()
-                        )
-                    },
-                }
-                for name, task in self._router.tasks.items()
-            },
-        }
-        body = json.dumps(content, indent=1, default=str).encode()
-        return admin_server.Page(200, "application/json", body)
-
 
 def _age_s(read_at: float) -> float:
     """Returns the age of a read of the store for a log line, in seconds."""
--- /dev/null
+++ b/src/sesamevale/operators/gateway_pages.py
@@ -0,0 +1,119 @@
+"""Pages of a gateway entry for operators: metrics and status."""
+
+from __future__ import annotations
+
+import json
+import time
+from typing import TYPE_CHECKING
+
+from sesamevale import metrics
+from sesamevale.operators import admin_server
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from sesamevale import event_log
+    from sesamevale.forwarding import router as routers
+    from sesamevale.forwarding import service_task
+    from sesamevale.policy import active_configuration
+    from sesamevale.policy import discovered_upstreams
+
+__all__ = ["GatewayPages"]
+
+
+class GatewayPages:
+    """Answers for the metrics and status of one entry; changes nothing.
+
+    Args:
+        entry_id: Identifier of the entry.
+        router: Router with the tasks of all services.
+        configuration: Configuration in force.
+        upstreams: Upstreams that are known.
+        events: Log whose dropped lines are counted.
+        recorder: Recorder of the metrics.
+    """
+
+    def __init__(
+        self,
+        entry_id: str,
+        router: routers.RequestRouter,
+        configuration: active_configuration.ActiveConfiguration,
+        upstreams: discovered_upstreams.DiscoveredUpstreams,
+        events: event_log.EventLog,
+        recorder: metrics.MetricsRecorder,
+    ) -> None:
+        self._entry_id = entry_id
+        self._router = router
+        self._configuration = configuration
+        self._upstreams = upstreams
+        self._events = events
+        self._recorder = recorder
+        recorder.add_source(self._gauges)
+
+    @property
+    def handlers(self) -> dict[str, Callable[[str], admin_server.Page]]:
+        """Handlers by path."""
+        return {"/metrics": self._metrics, "/status": self._status}
+
+    def _gauges(self) -> list[metrics.MetricSample]:
+        def gauge(name: str, text: str, value: float) -> metrics.MetricSample:
+            return metrics.MetricSample(f"sesamevale_{name}", text, {}, value)
+
+        view = self._router.view
+        age_s = time.monotonic() - view.confirmed_at
+        return [
+            gauge("ready", "Whether callers may come", float(view.is_ready)),
+            gauge("config_version", "In force", self._configuration.version),
+            gauge("config_age_seconds", "Since confirmed", age_s),
+            gauge("requests_active", "Requests now", self._router.active_count),
+            gauge("members", "Entries in use", len(view.members)),
+            gauge("log_lines_dropped", "Not written", self._events.dropped),
+        ]
+
+    def _metrics(self, query: str) -> admin_server.Page:
+        # Its import would delay the start of an entry.
+        from sesamevale import metrics_page
+
+        content_type = "text/plain; version=0.0.4; charset=utf-8"
+        return admin_server.Page(
+            200, content_type, metrics_page.render(self._recorder)
+        )
+
+    def _status(self, query: str) -> admin_server.Page:
+        now = time.monotonic()
+        view = self._router.view
+        last_read = self._upstreams.last_read
+        content = {
+            "entry": self._entry_id,
+            "ready": view.is_ready,
+            "stopping": view.stopping,
+            "config": self._configuration.version,
+            "config_age_s": self._configuration.age_s(now),
+            "upstreams_age_s": None if last_read is None else now - last_read,
+            "members": [each.entry_id for each in view.members],
+            "services": {
+                name: _service_status(task, now)
+                for name, task in self._router.tasks.items()
+            },
+        }
+        body = json.dumps(content, indent=1, default=str).encode()
+        return admin_server.Page(200, "application/json", body)
+
+
+def _service_status(
+    task: service_task.ServiceTask, now: float
+) -> dict[str, object]:
+    average = task.balancer.average
+    return {
+        "active": task.active_count,
+        "average_slowdown": average.slowdown,
+        "average_utilization": average.utilization,
+        "upstreams": {
+            upstream_id: {
+                "data_center": candidate.record.data_center,
+                "own": candidate.in_flight,
+                "ejected": candidate.is_ejected(now),
+            }
+            for upstream_id, candidate in task.balancer.candidates.items()
+        },
+    }
