--- a/src/sesamevale/operators/commands/gateway.py
+++ b/src/sesamevale/operators/commands/gateway.py
@@ -37,7 +37,8 @@
         typer.echo(
             f"  {name}: {service['active']} active, {len(usable)} upstreams, "
             f"{ejected} ejected, "
-            f"mean slowdown {service['average_slowdown']:.2f}"
+            f"mean slowdown {service['average_slowdown']:.2f}, "
+            f"{service['average_utilization']:.0%} of the slots in use"
         )
 
 
