Read answers in one place of the tests, and show what hangs

Three test modules parsed answers alike. A daemon of a test that fails is now ended with its stack and its output, since the cause of the red test_a_stopping_entry_finishes_what_it_has_begun was lost with them.

--- a/tests/callers/test_pipelined_requests.py
+++ b/tests/callers/test_pipelined_requests.py
@@ -17,6 +17,7 @@
 from sesamevale.callers import gateway_connection
 from tests.builders import pipelined
 from tests.builders.pipelined import Sent
+from tests.standins import answer_reader
 from tests.standins import delaying_upstream
 from tests.standins import gateway_entry
 
@@ -41,16 +42,10 @@
         Returns None if the connection ends before its first byte.
         """
         try:
-            head = await self._reader.readuntil(b"\r\n\r\n")
+            status, fields, body = await answer_reader.read_answer(self._reader)
         except asyncio.IncompleteReadError as error:
             assert not error.partial, "an answer was cut"
             return None
-        status_line, *lines = head.lower().strip().split(b"\r\n")
-        status = int(status_line.split()[1])
-        if status < 200:
-            return await self.answer()
-        fields = dict(line.split(b": ", 1) for line in lines)
-        body = await self._reader.readexactly(int(fields[b"content-length"]))
         return status, fields, body.decode()
 
     async def answers(self, count):
@@ -104,8 +99,8 @@
             caller.send(pipelined.data_of(sent))
             answers = await caller.answers(3)
             assert bodies(answers) == ["slow", "a", "b"]
-            ids = [each[1][b"x-attempt-id"] for each in answers]
-            assert ids == [b"slow", b"a", b"b"]
+            ids = [each[1]["x-attempt-id"] for each in answers]
+            assert ids == ["slow", "a", "b"]
 
     run(scenario())
 
@@ -241,7 +236,7 @@
             caller.send(Sent("late").data)
             answers = await caller.answers(3)
             assert [each[0] for each in answers] == [200, 200, 200]
-            closing = [b"connection" in each[1] for each in answers]
+            closing = ["connection" in each[1] for each in answers]
             assert closing == [False, False, True]
             assert await caller.answer() is None
             assert "late" not in upstream.received_ids
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -9,6 +9,7 @@
 
 from tests.soak import fleet as fleets
 from tests.soak import records
+from tests.standins import answer_reader
 
 # A caller gives up so long after its deadline.
 GIVE_UP_S = 1.0
@@ -75,19 +76,12 @@
         exchange.sent = time.monotonic()
 
     async def _read(self, exchange):
-        head = (await self._reader.readuntil(b"\r\n\r\n")).lower()
-        status_line, *fields = head.split(b"\r\n")
-        headers = {}
-        for field in fields:
-            name, _, value = field.partition(b":")
-            headers[name] = value.strip()
-        length = int(headers.get(b"content-length", 0))
-        exchange.body = await self._reader.readexactly(length)
-        exchange.status = int(status_line.split()[1])
-        exchange.signed = b"x-response-signature" in headers
+        status, fields, body = await answer_reader.read_answer(self._reader)
+        exchange.status, exchange.body = status, body
+        exchange.signed = "x-response-signature" in fields
         exchange.ended = time.monotonic()
         self._answered = True
-        self._closing = headers.get(b"connection") == b"close"
+        self._closing = fields.get("connection") == "close"
         self._has_closed = self._closing
 
 
--- a/tests/system/entry_process.py
+++ b/tests/system/entry_process.py
@@ -12,6 +12,7 @@
 
 from tests.builders import loopback
 from tests.builders import store_items
+from tests.standins import answer_reader
 from tests.standins import platform_store
 from tests.standins import scripted_upstream
 
@@ -58,10 +59,18 @@
 
     async def __aexit__(self, *exc_info):
         if self.process.returncode is None:
-            self.process.kill()
-            await self.process.communicate()
+            await self._end_process(print_output=exc_info[0] is not None)
         await self.stack.aclose()
 
+    async def _end_process(self, *, print_output):
+        """Ends the process; after a failure with its stack and its output."""
+        self.process.send_signal(
+            signal.SIGABRT if print_output else signal.SIGKILL
+        )
+        output, _ = await self.process.communicate()
+        if print_output:
+            print(output.decode(errors="replace"))
+
     def put_configuration(self, config):
         self.store.put(store_items.item("op/config", config))
 
@@ -87,6 +96,7 @@
         path.write_text(json.dumps(settings))
         environment = os.environ | {
             "PYTHONPATH": str(ROOT / "src"),
+            "PYTHONFAULTHANDLER": "1",
             "SESAMEVALE_NODE_FILE": str(path),
             "SESAMEVALE_METRICS_PORT": str(metrics),
         }
@@ -117,7 +127,7 @@
             lines = [f"{method} {target} HTTP/1.1", "Host: a.example"]
             lines += [f"{name}: {value}" for name, value in headers]
             writer.write("\r\n".join([*lines, "", ""]).encode())
-            return await read_answer(reader)
+            return await answer_reader.read_answer(reader)
         finally:
             writer.close()
 
@@ -145,16 +155,5 @@
         return [json.loads(line) for line in output.splitlines()]
 
 
-async def read_answer(reader):
-    head = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
-    status = int(head[0].split()[1])
-    headers = {}
-    for line in head[1:-2]:
-        name, _, value = line.partition(": ")
-        headers[name.lower()] = value
-    body = await reader.readexactly(int(headers.get("content-length", 0)))
-    return status, headers, body
-
-
 def run(scenario):
     asyncio.run(asyncio.wait_for(scenario, 30))
--- a/tests/system/test_stopping.py
+++ b/tests/system/test_stopping.py
@@ -7,10 +7,10 @@
 import signal
 
 from tests.builders import store_items
+from tests.standins.answer_reader import read_answer
 from tests.standins.scripted_upstream import ScriptedAnswer
 from tests.system.entry_process import Entry
 from tests.system.entry_process import HOST
-from tests.system.entry_process import read_answer
 from tests.system.entry_process import run
 
 # Callers' directory answers expire 0.6 s after SIGTERM, and idle connections
