Log and count the limits that upstreams name

The logs of the incident could not tell which limit an entry had been told, when, and whether it came with requests or with samples. The header field is parsed at the border, belongs to one start of an upstream at one address, and each change is a log line (upstream_signal) and a counter. Nothing decides by it yet.

--- a/src/sesamevale/forwarding/service_task.py
+++ b/src/sesamevale/forwarding/service_task.py
@@ -13,12 +13,14 @@
 from sesamevale.forwarding import attempt_runner
 from sesamevale.forwarding import messages
 from sesamevale.forwarding import sampling
+from sesamevale.forwarding import signal_recorder
 from sesamevale.forwarding import upstream_health
 from sesamevale.forwarding import waiting
 from sesamevale.policy import forwarding
 from sesamevale.policy import load_sampling
 from sesamevale.policy import retry_budget
 from sesamevale.policy import upstream_search
+from sesamevale.policy import upstream_signals
 from sesamevale.policy import upstream_state
 from sesamevale.upstreams import link_pool
 
@@ -72,6 +74,9 @@
         self._balancer = balancer
         self._budget = budget
         self._recorder = recorder
+        self._signal_recorder = signal_recorder.SignalRecorder(
+            upstream_signals.UpstreamSignals(), events, recorder
+        )
         self._on_misplaced = on_misplaced
         self._connections_max = service.connections_max
         self._pool = link_pool.LinkPool(dialect)
@@ -194,6 +199,11 @@
         assert candidate is not None
         self._runner.finish(active_request, result)
         if isinstance(result, forwarding.Answered | forwarding.Rejected):
+            self._signal_recorder.record(
+                candidate.record,
+                result.signals,
+                signal_recorder.Source.REQUEST,
+            )
             self._record_load(candidate, result.load)
         upstream_health.record_result(
             result, candidate, self._recorder, self._on_misplaced
@@ -311,6 +321,7 @@
 @_receive.register
 def _(message: messages.SetUpstreams, task: ServiceTask) -> None:
     now = time.monotonic()
+    task._signal_recorder.retain(message.records)
     for name in task._balancer.set_upstreams(message.records, now):
         task._pool.close_idle(name)
 
@@ -334,6 +345,9 @@
     candidate, result = message.candidate, message.result
     name = candidate.record.upstream_id
     task._sampler.finish_sample(message, now)
+    task._signal_recorder.record(
+        candidate.record, result.signals, signal_recorder.Source.SAMPLE
+    )
     if result.load is not None:
         task._record_load(candidate, result.load)
     elif result.healthy:
--- a/src/sesamevale/platform/header_fields.py
+++ b/src/sesamevale/platform/header_fields.py
@@ -2,12 +2,24 @@
 
 from __future__ import annotations
 
+import math
+import re
+from typing import TYPE_CHECKING
+
 from sesamevale import http1
+from sesamevale.policy import upstream_signals
 from sesamevale.policy import upstream_state
 
-__all__ = ["DIALECT", "read_load"]
+if TYPE_CHECKING:
+    from sesamevale import calls
+
+__all__ = ["DIALECT", "read_load", "read_signals"]
 
 SLOWDOWN_PERCENT = 100
+LIMIT = b"server-limit"
+# Longest decimal number that is accepted as the value of a signal.
+DECIMAL_LENGTH_MAX = 32
+DECIMAL = re.compile(rb"\d+(\.\d*)?|\.\d+")
 
 
 def read_load(value: bytes) -> upstream_state.Load | None:
@@ -29,6 +41,27 @@
     )
 
 
+def read_signals(headers: calls.Headers) -> upstream_signals.Signals:
+    """Returns the signals in the header fields of an answer.
+
+    A field that is malformed or present twice counts as absent.
+    """
+    per_second = _read_positive_decimal(headers, LIMIT)
+    if per_second is None:
+        return ()
+    return (upstream_signals.RateLimit(per_second),)
+
+
+def _read_positive_decimal(headers: calls.Headers, name: bytes) -> float | None:
+    values = [value for key, value in headers if key == name]
+    if len(values) != 1 or len(values[0]) > DECIMAL_LENGTH_MAX:
+        return None
+    if DECIMAL.fullmatch(values[0]) is None:
+        return None
+    number = float(values[0])
+    return number if 0.0 < number < math.inf else None
+
+
 DIALECT = http1.Dialect(
     request_id=b"x-attempt-id",
     deadline_ms=b"x-deadline-ms",
@@ -38,4 +71,5 @@
     upstream_id=b"x-instance-id",
     load=b"x-server-load",
     read_load=read_load,
+    read_signals=read_signals,
 )
--- a/src/sesamevale/policy/forwarding.py
+++ b/src/sesamevale/policy/forwarding.py
@@ -10,6 +10,7 @@
 
 if TYPE_CHECKING:
     from sesamevale import calls
+    from sesamevale.policy import upstream_signals
     from sesamevale.policy import upstream_state
 
 __all__ = [
@@ -46,6 +47,8 @@
         body: The body, or its first part if ``rest`` is set.
         rest: Remaining messages of an answer that is too large to buffer.
         load: Load report that came with the answer.
+        signals: Signals that came with the answer; None if it is not certain
+            to be from this upstream.
     """
 
     status: int
@@ -53,6 +56,7 @@
     body: bytes
     rest: calls.AnswerChannel | None = None
     load: upstream_state.Load | None = None
+    signals: upstream_signals.Signals | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -62,10 +66,13 @@
     Attributes:
         misplaced: Whether another upstream answered at the address.
         load: Load report that came with the answer.
+        signals: Signals that came with the answer; None if it is not certain
+            to be from this upstream.
     """
 
     misplaced: bool = False
     load: upstream_state.Load | None = None
+    signals: upstream_signals.Signals | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/sesamevale/upstreams/http_link.py
+++ b/src/sesamevale/upstreams/http_link.py
@@ -23,6 +23,7 @@
 if TYPE_CHECKING:
     from sesamevale import routes
     from sesamevale.forwarding import requests
+    from sesamevale.policy import upstream_signals
     from sesamevale.policy import upstream_state
 
 __all__ = ["HttpLink"]
@@ -302,21 +303,26 @@
             return forwarding.Lost(outcomes.Reason.CUT)
         self._update_keep_alive(headers)
         load = self._parse_load(headers)
+        signals = self._read_signals(headers)
         if self._http.their_state is h11.SEND_BODY:
             if rejected:
                 self._abort()
                 return forwarding.Lost(outcomes.Reason.SPOILT)
             end_to_end = http1.strip_hop_by_hop(headers, frozenset())
             rest = calls.AnswerChannel()
-            return forwarding.Answered(status, end_to_end, body, rest, load)
+            return forwarding.Answered(
+                status, end_to_end, body, rest, load, signals
+            )
         self._prepare_for_next_request()
         if rejected and not answer_id:
             # Its repetition could not be told from a later refusal.
             self._abort()
         if rejected and status != BAD_REQUEST:
-            return self._parse_rejection(status, headers, load)
+            return self._parse_rejection(status, headers, load, signals)
         end_to_end = http1.strip_hop_by_hop(headers, BODY_FIELDS)
-        return forwarding.Answered(status, end_to_end, body, None, load)
+        return forwarding.Answered(
+            status, end_to_end, body, None, load, signals
+        )
 
     async def _stream_rest(self, rest: calls.AnswerChannel) -> bool:
         """Forwards the rest of a long answer; returns whether it is complete.
@@ -344,11 +350,14 @@
         status: int,
         headers: calls.Headers,
         load: upstream_state.Load | None,
+        signals: upstream_signals.Signals | None,
     ) -> forwarding.Rejected:
         responder_id = http1.get_header(headers, self._dialect.upstream_id)
         expected_id = self._record.upstream_id.encode()
         misplaced = status == MISDIRECTED and responder_id != expected_id
-        return forwarding.Rejected(misplaced, None if misplaced else load)
+        if misplaced:
+            return forwarding.Rejected(misplaced=True)
+        return forwarding.Rejected(False, load, signals)
 
     def _update_keep_alive(self, headers: calls.Headers) -> None:
         value = http1.get_header(headers, b"keep-alive")
@@ -414,13 +423,25 @@
         self._prepare_for_next_request()
         healthy = response.status_code in SUCCESS
         return link_messages.SampleResult(
-            True, healthy, self._parse_load(headers)
+            True,
+            healthy,
+            self._parse_load(headers),
+            self._read_signals(headers),
         )
 
     def _parse_load(self, headers: calls.Headers) -> upstream_state.Load | None:
         value = http1.get_header(headers, self._dialect.load)
         return self._dialect.read_load(value) if value else None
 
+    def _read_signals(
+        self, headers: calls.Headers
+    ) -> upstream_signals.Signals | None:
+        """Returns the signals of an answer; None if of another upstream."""
+        responder_id = http1.get_header(headers, self._dialect.upstream_id)
+        if responder_id not in (None, self._record.upstream_id.encode()):
+            return None
+        return self._dialect.read_signals(headers)
+
     async def _next_response(self) -> h11.Response | None:
         """Returns the next final answer; None if there is none.
 
--- a/src/sesamevale/upstreams/link_messages.py
+++ b/src/sesamevale/upstreams/link_messages.py
@@ -10,6 +10,7 @@
 
     from sesamevale.forwarding import requests
     from sesamevale.policy import forwarding
+    from sesamevale.policy import upstream_signals
     from sesamevale.policy import upstream_state
 
 __all__ = ["Forward", "Message", "Sample", "SampleResult"]
@@ -41,6 +42,7 @@
         healthy: Whether the answer is from this upstream and has a success
             status.
         load: Its load report; None if it sent no valid one.
+        signals: Its signals; None if it has not answered.
         was_reset: Whether the connection was opened, and reset before an
             answer began.
     """
@@ -48,6 +50,7 @@
     reached: bool
     healthy: bool = False
     load: upstream_state.Load | None = None
+    signals: upstream_signals.Signals | None = None
     was_reset: bool = False
 
 
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -9,6 +9,7 @@
 from sesamevale.platform import decoding
 from sesamevale.platform import header_fields
 from sesamevale.platform import models
+from sesamevale.policy import upstream_signals
 from sesamevale.policy import upstream_state
 from tests.builders import store_items
 
@@ -142,3 +143,33 @@
 )
 def test_load_header_is_parsed(value, load):
     assert header_fields.read_load(value) == load
+
+
+@pytest.mark.parametrize(
+    ("values", "per_second"),
+    [
+        ([b"1.4"], 1.4),
+        ([b"12"], 12.0),
+        ([b".5"], 0.5),
+        ([], None),
+        ([b""], None),
+        ([b"1.4", b"1.4"], None),
+        ([b"1.4, 2"], None),
+        ([b"-1"], None),
+        ([b"0"], None),
+        ([b"0.0"], None),
+        ([b"nan"], None),
+        ([b"inf"], None),
+        ([b"1e400"], None),
+        ([b"1_0"], None),
+        ([b"9" * 4096], None),
+        (["\u0661".encode()], None),
+        ([b"Sat, 05 Dec 2026 08:00:00 GMT"], None),
+    ],
+)
+def test_limit_header_is_parsed(values, per_second):
+    headers = tuple((b"server-limit", value) for value in values)
+    expected = ()
+    if per_second is not None:
+        expected = (upstream_signals.RateLimit(per_second),)
+    assert header_fields.read_signals(headers) == expected
--- a/tests/standins/scripted_upstream.py
+++ b/tests/standins/scripted_upstream.py
@@ -53,6 +53,8 @@
 
     Attributes:
       load: Value of the header that reports the load; empty for no header.
+      health_headers: Further header fields of the answers to health requests.
+      answers_as: Identifier that the answers name.
       silent_health: Whether health requests get no answer for 60 s.
       requests: The requests received, without health requests.
       bodies: Their bodies.
@@ -67,6 +69,8 @@
         self.upstream_id = upstream_id
         self.answers = list(answers)
         self.load = load
+        self.health_headers: tuple[tuple[str, str], ...] = ()
+        self.answers_as = upstream_id
         self.silent_health = False
         self.requests: list[h11.Request] = []
         self.bodies: list[bytes] = []
@@ -85,9 +89,10 @@
                 self.health_requests += 1
                 if self.silent_health:
                     await asyncio.sleep(60)
-                self._answer(
-                    http, writer, ScriptedAnswer(body=b"", signed=False), None
+                health = ScriptedAnswer(
+                    body=b"", signed=False, headers=self.health_headers
                 )
+                self._answer(http, writer, health, None)
             else:
                 self.requests.append(request)
                 self.bodies.append(body)
@@ -138,7 +143,7 @@
 
     def _answer(self, http, writer, answer, request):
         headers = [*answer.headers, ("content-length", str(len(answer.body)))]
-        headers.append(("x-instance-id", self.upstream_id))
+        headers.append(("x-instance-id", self.answers_as))
         if self.load:
             headers.append(("x-server-load", self.load))
         if request is not None:
@@ -152,11 +157,11 @@
         writer.write(http.send(h11.EndOfMessage()))
 
 
-def rejection(status=503, **changes) -> ScriptedAnswer:
+def rejection(status=503, headers=(), **changes) -> ScriptedAnswer:
     """Returns an answer that marks the request as not executed."""
     return ScriptedAnswer(
         status=status,
-        headers=(("x-not-executed", "1"),),
+        headers=(("x-not-executed", "1"), *headers),
         body=b"",
         signed=False,
         **changes,
