--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import dataclasses
 import time
 
 from tests.soak import records
+from tests.soak import signals
 from tests.standins import scripted_upstream
 from tests.standins.scripted_upstream import ScriptedAnswer
 
@@ -17,7 +19,8 @@
     Requests that expect another upstream get status 421. ``failure_share`` is
     the share of answers that are cut off and reset after the request has run;
     half of it is the share of rejected requests. Each run is added to ``runs``,
-    which holds a list for each attempt.
+    which holds a list for each attempt. ``signals`` records what its answers
+    say of it and the requests that it gets.
     """
 
     def __init__(self, upstream_id, rng, slow_rng, runs):
@@ -26,10 +29,17 @@
         self.slow_rng = slow_rng
         self.runs = runs
         self.failure_share = 0.0
+        self.signals = signals.SignalLog()
+
+    def _answer(self, http, writer, answer, request):
+        headers = (*answer.headers, *self.signals.headers)
+        answer = dataclasses.replace(answer, headers=headers)
+        super()._answer(http, writer, answer, request)
 
     async def _send_scripted(self, http, reader, writer, answer, request):
         attempt = dict(request.headers)[b"x-attempt-id"].decode()
         expected = dict(request.headers)[b"x-expected-instance"].decode()
+        self.signals.record_arrival(attempt)
         run, breaks_off = None, False
         if expected != self.upstream_id:
             answer = scripted_upstream.rejection(421)
