Share the limits that upstreams name among the entries

Cause: upstreams were chosen by their load alone. What an upstream says of itself was passed on to callers and not read. Class: a statement of a peer that must bind all entries together reaches no decision.

Ruled out: entries that were not told (all hear it with a sample, the first 47 ms after it began), repeats (30 of 30 and 23 of 24 were first attempts), shares that were too large (one entry alone sent 27 in 4 s).

Change: policy/rate_shares gives each entry a share. A limited upstream is used by a few entries that rendezvous hashing chooses from the registrations, those of its data centre first, so that each gets about one request a second or more. An entry that gains a share waits until the others have read the change; one whose registrations are old uses less, since the others may have dropped it. The choice of an upstream, retries included, sees only upstreams with room. Requests that no limit leaves room for in time are refused at once with the time at which there is room; others wait, the most urgent first. The end of a limit is heard with an answer, or with a sample now and then.

The state machine SharesMachine and six mutants prove the parts.

--- a/src/sesamevale/callers/gateway_exchange.py
+++ b/src/sesamevale/callers/gateway_exchange.py
@@ -294,17 +294,22 @@
         outcome: outcomes.NotRun | outcomes.Unknown,
     ) -> _Result:
         if isinstance(outcome, outcomes.NotRun):
-            wait_s = self._retry_after_s(request, outcome.reason)
+            wait_s = self._retry_after_s(request, outcome)
             outcome = outcomes.NotRun(outcome.reason, int(wait_s * 1000))
         self._encoder.send_failure(outcome)
         name = answers.outcome_name(outcome)
         return _Result(name, str(outcome.reason), self._encoder.status)
 
     def _retry_after_s(
-        self, request: requests.Request, reason: Reason
+        self, request: requests.Request, refusal: outcomes.NotRun
     ) -> float:
         """Returns the Retry-After of a refusal; 0 if others serve at once."""
-        if reason is Reason.STOPPING and self._context.router.view.members:
+        if refusal.retry_after_ms:
+            return refusal.retry_after_ms / 1000
+        if (
+            refusal.reason is Reason.STOPPING
+            and self._context.router.view.members
+        ):
             return 0.0
         return request.route.objective_s * RETRY_AFTER_SHARE
 
--- a/src/sesamevale/forwarding/attempt_runner.py
+++ b/src/sesamevale/forwarding/attempt_runner.py
@@ -69,7 +69,7 @@
             best.expected_slowdown,
             now,
         )
-        candidate.attempt_started()
+        self._balancer.record_attempt(candidate, now)
 
         def report(result: forwarding.Result) -> None:
             self._send(messages.AttemptEnded(request.number, attempt, result))
--- a/src/sesamevale/forwarding/messages.py
+++ b/src/sesamevale/forwarding/messages.py
@@ -15,6 +15,7 @@
     from sesamevale import routes
     from sesamevale.forwarding import requests
     from sesamevale.policy import drain_schedule
+    from sesamevale.policy import registered_peers
     from sesamevale.upstreams import http_link
     from sesamevale.upstreams import link_messages
 
@@ -29,6 +30,7 @@
     "RoundTimeout",
     "SampleEnded",
     "SetEntryCount",
+    "SetRegisteredEntries",
     "SetService",
     "SetUpstreams",
     "StartDrain",
@@ -92,6 +94,19 @@
     count: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SetRegisteredEntries:
+    """Sets the entries that share the limits of upstreams.
+
+    Attributes:
+        peers: All registered entries.
+        read_at: When they were read, in monotonic seconds.
+    """
+
+    peers: tuple[registered_peers.Peer, ...]
+    read_at: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class SampleEnded:
     """Sampling the load of an upstream has ended.
@@ -189,6 +204,7 @@
     | SetUpstreams
     | SetService
     | SetEntryCount
+    | SetRegisteredEntries
     | SampleEnded
     | AttemptEnded
     | StreamEnded
--- a/src/sesamevale/forwarding/waiting.py
+++ b/src/sesamevale/forwarding/waiting.py
@@ -10,7 +10,7 @@
     from sesamevale.forwarding import messages
     from sesamevale.policy import load_sampling
 
-__all__ = ["any_can_meet_objective", "by_urgency"]
+__all__ = ["any_can_meet_objective", "by_urgency", "count_ahead"]
 
 
 def any_can_meet_objective(
@@ -27,6 +27,23 @@
     )
 
 
+def count_ahead(
+    requests: Iterable[messages.ActiveRequest],
+    request: messages.ActiveRequest,
+) -> int:
+    """Returns how many waiting requests get room before a request.
+
+    They are ordered by priority of the route, then by deadline.
+    """
+
+    def order(each: messages.ActiveRequest) -> tuple[int, float, int]:
+        found = each.request
+        return found.route.priority, found.deadline, found.number
+
+    own = order(request)
+    return sum(each.is_waiting and order(each) < own for each in requests)
+
+
 def by_urgency(
     requests: Iterable[messages.ActiveRequest],
     balancer: load_sampling.LoadBalancer,
--- a/src/sesamevale/gateway.py
+++ b/src/sesamevale/gateway.py
@@ -28,8 +28,10 @@
 from sesamevale.policy import load_sampling
 from sesamevale.policy import membership
 from sesamevale.policy import membership_types
+from sesamevale.policy import rate_shares
 from sesamevale.policy import registered_peers
 from sesamevale.policy import retry_budget
+from sesamevale.policy import upstream_signals
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -229,9 +231,7 @@
                 continue
             task = service_task.ServiceTask(
                 service,
-                load_sampling.LoadBalancer(
-                    self._settings.data_center, self._rng
-                ),
+                self._new_balancer(),
                 retry_budget.RetryBudget(self._settings.retry_budget),
                 self._dialect,
                 self._events,
@@ -244,6 +244,18 @@
             self._router.add_task(name, task)
         self._apply_upstreams()
         self._apply_entry_count()
+        self._apply_registered_entries()
+
+    def _new_balancer(self) -> load_sampling.LoadBalancer:
+        settings = self._settings
+        shares = rate_shares.RateShares(
+            settings.entry_id,
+            settings.data_center,
+            upstream_signals.UpstreamSignals(),
+        )
+        return load_sampling.LoadBalancer(
+            settings.data_center, self._rng, shares
+        )
 
     def _apply_upstreams(self) -> None:
         for name, task in self._router.tasks.items():
@@ -256,6 +268,16 @@
         for task in self._router.tasks.values():
             task.send(messages.SetEntryCount(count))
 
+    def _apply_registered_entries(self) -> None:
+        read_at = self._peers.last_read
+        if read_at is None:
+            return
+        registered = messages.SetRegisteredEntries(
+            self._peers.registered, read_at
+        )
+        for task in self._router.tasks.values():
+            task.send(registered)
+
     def _log_changes(
         self, changes: list[discovered_upstreams.UpstreamChange]
     ) -> None:
@@ -341,6 +363,7 @@
     gateway._peers.record_read(message.peers, message.read_at)
     for peer in gateway._peers.same_data_center:
         gateway._gossip.send(gossip.Seed(peer.host, peer.entry_port))
+    gateway._apply_registered_entries()
     gateway._update_members()
 
 
--- a/src/sesamevale/outcomes.py
+++ b/src/sesamevale/outcomes.py
@@ -28,6 +28,7 @@
         NOT_RETAINED: The action has run, but its answer was not kept.
         OVERLOADED: There is no capacity for the call in time.
         PEER_LOST: The connection to another entry failed.
+        RATE_LIMITED: The limits that the upstreams name leave no room in time.
         SHED: An upstream rejected the call without running it.
         SPOILT: The answer was malformed, unsigned or for another request.
     """
@@ -51,6 +52,7 @@
     NOT_RETAINED = "not_retained"
     OVERLOADED = "overloaded"
     PEER_LOST = "peer_lost"
+    RATE_LIMITED = "rate_limited"
     REGISTER_FULL = "register_full"
     SHED = "shed"
     SPOILT = "spoilt"
--- a/src/sesamevale/policy/forwarding.py
+++ b/src/sesamevale/policy/forwarding.py
@@ -127,9 +127,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Refuse:
-    """Decision: end the request with the outcome that it has not run."""
+    """Decision: end the request with the outcome that it has not run.
+
+    Attributes:
+        reason: Why it is refused.
+        retry_after_s: Time in seconds until it can be served; 0 if unknown.
+    """
 
     reason: Reason
+    retry_after_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -166,6 +172,8 @@
         may_have_run: Whether an upstream may have run it.
         failure: Server error of an upstream, kept while another is tried.
         reason: Reason of the last attempt without an answer.
+        retry_after_s: Time in seconds until the request can be served; 0 if
+            unknown.
     """
 
     limits: AttemptLimits
@@ -174,6 +182,7 @@
     may_have_run: bool = False
     failure: Answered | None = None
     reason: Reason = Reason.NO_UPSTREAM
+    retry_after_s: float = 0.0
 
     def decide_next(self, result: Result) -> Decision:
         """Records the result of an attempt and decides how to continue."""
@@ -185,7 +194,7 @@
             return Deliver(self.failure)
         if self.may_have_run:
             return Fail(self.reason)
-        return Refuse(self.reason)
+        return Refuse(self.reason, self.retry_after_s)
 
     def _retry_or_give_up(self) -> Decision:
         if self.sent_count < self.limits.upstreams_max:
--- a/src/sesamevale/policy/load_sampling.py
+++ b/src/sesamevale/policy/load_sampling.py
@@ -14,8 +14,10 @@
 import math
 from typing import TYPE_CHECKING
 
+from sesamevale.policy import rate_shares
 from sesamevale.policy import route_durations
 from sesamevale.policy import upstream_search
+from sesamevale.policy import upstream_signals
 from sesamevale.policy import upstream_state
 
 if TYPE_CHECKING:
@@ -54,6 +56,8 @@
 # times within 100 ms.
 RESAMPLE_DELAY_S = 0.025
 RESAMPLE_DELAY_MAX_S = 0.1
+# Shortest delay before the room under the limits is checked again.
+ROOM_CHECK_DELAY_MIN_S = 0.005
 
 
 class LoadBalancer:
@@ -62,11 +66,20 @@
     Args:
         data_center: Data centre of this entry.
         rng: Source of randomness.
+        shares: Shares of this entry in the limits that upstreams name.
     """
 
-    def __init__(self, data_center: str, rng: random.Random) -> None:
+    def __init__(
+        self,
+        data_center: str,
+        rng: random.Random,
+        shares: rate_shares.RateShares | None = None,
+    ) -> None:
         self._data_center = data_center
         self._rng = rng
+        self._shares = shares or rate_shares.RateShares(
+            "", data_center, upstream_signals.UpstreamSignals()
+        )
         self._candidates: dict[str, upstream_state.Candidate] = {}
         self._average = upstream_state.AverageLoad(INITIAL_AVERAGE_SLOWDOWN)
         self._durations = route_durations.RouteDurations()
@@ -82,6 +95,11 @@
         """Durations of the attempts of each route."""
         return self._durations
 
+    @property
+    def shares(self) -> rate_shares.RateShares:
+        """Shares of this entry in the limits that upstreams name."""
+        return self._shares
+
     @property
     def average(self) -> upstream_state.AverageLoad:
         """Moving average of the sampled loads."""
@@ -135,6 +153,13 @@
             + AVERAGE_WEIGHT * (utilization - average.utilization),
         )
 
+    def record_attempt(
+        self, candidate: upstream_state.Candidate, now: float
+    ) -> None:
+        """Records that a request is sent to an upstream."""
+        candidate.attempt_started()
+        self._shares.record_request(candidate.record, now)
+
     def record_missing_load(self) -> None:
         """Records that an upstream answered without a load report."""
         if self._reports_load is None:
@@ -144,9 +169,9 @@
         self, search: upstream_search.Search, now: float
     ) -> upstream_search.Step:
         """Decides the next step of the search for an upstream."""
-        best = self.find_best(search.excluded, now)
+        best = self.find_best(search.excluded, now, search.ahead)
         if best is None:
-            return upstream_search.NoCandidates()
+            return self._wait_for_room(search, now)
         if not self._can_end_in_time(search, 1.0, now):
             return upstream_search.TooLate()
         is_good = best.is_good_enough or self._reports_load is False
@@ -168,6 +193,22 @@
             return upstream_search.Send(best)
         return self._widen_search(search, best, now)
 
+    def _wait_for_room(
+        self, search: upstream_search.Search, now: float
+    ) -> upstream_search.Step:
+        """Decides the next step if no candidate has room under its limit."""
+        limited = [each.record for each in self._untried(search)]
+        if not limited:
+            return upstream_search.NoCandidates()
+        rate = sum(self._shares.rate_of(each, now) for each in limited)
+        room_at = min(self._shares.room_at(each, now) for each in limited)
+        if rate > 0.0:
+            room_at += search.ahead / rate
+        if not self.can_meet_objective(search, room_at):
+            return upstream_search.NoRoom(room_at - now)
+        delay_s = max(ROOM_CHECK_DELAY_MIN_S, room_at - now)
+        return upstream_search.Wait(min(delay_s, RESAMPLE_DELAY_MAX_S))
+
     def _widen_search(
         self,
         search: upstream_search.Search,
@@ -177,7 +218,7 @@
         """Decides the next step if no candidate is good enough so far."""
         if not search.sampled_remote:
             if self._may_wait_for_local(search, now):
-                return self._wait_and_resample(search)
+                return self._wait_and_resample(search, now)
             search.sampled_remote = True
             stale = self._to_sample(search.excluded, local=False, now=now)
             if stale:
@@ -191,17 +232,44 @@
         waited = now - search.started
         if in_time or waited < SLOT_WAIT_SHARE * search.objective_s:
             search.sampled_remote = False
-            return self._wait_and_resample(search)
+            return self._wait_and_resample(search, now)
         return upstream_search.NoCapacity()
 
     def _wait_and_resample(
-        self, search: upstream_search.Search
+        self, search: upstream_search.Search, now: float
     ) -> upstream_search.Step:
-        """Schedules new samples after a delay that grows with each wait."""
+        """Schedules new samples after a delay that grows with each wait.
+
+        The most urgent request waits no longer than until there is room under
+        a limit.
+        """
         search.sampled_local = False
         search.wait_count += 1
-        seconds = RESAMPLE_DELAY_S * search.wait_count
-        return upstream_search.Wait(min(seconds, RESAMPLE_DELAY_MAX_S))
+        delay_s = min(
+            RESAMPLE_DELAY_S * search.wait_count, RESAMPLE_DELAY_MAX_S
+        )
+        if not search.ahead and self._shares.signals.has_limit:
+            room_at = min(
+                self._room_at(each, now) for each in self._untried(search)
+            )
+            delay_s = min(delay_s, max(ROOM_CHECK_DELAY_MIN_S, room_at - now))
+        return upstream_search.Wait(delay_s)
+
+    def _untried(
+        self, search: upstream_search.Search
+    ) -> list[upstream_state.Candidate]:
+        return [
+            candidate
+            for name, candidate in self._candidates.items()
+            if name not in search.excluded
+        ]
+
+    def _room_at(
+        self, candidate: upstream_state.Candidate, now: float
+    ) -> float:
+        """Returns when a limited candidate without room will have some."""
+        room_at = self._shares.room_at(candidate.record, now)
+        return room_at if room_at > now else math.inf
 
     def expected_duration_s(
         self, route: str, best: upstream_state.RankedCandidate
@@ -256,6 +324,7 @@
             for name, each in self._candidates.items()
             if name not in search.excluded
             and each.record.data_center == self._data_center
+            and self._shares.has_room(each.record, now)
         ]
         if not local:
             return False
@@ -286,6 +355,10 @@
             if name not in excluded
             and local == (candidate.record.data_center == self._data_center)
             and not candidate.is_ejected(now)
+            and (
+                self._shares.has_room(candidate.record, now)
+                or self._shares.take_recheck(candidate.record, now)
+            )
         ]
         self._rng.shuffle(available)
         idle = upstream_state.AverageLoad(1.0)
@@ -293,19 +366,40 @@
         chosen = available[: LOCAL_SAMPLES if local else REMOTE_SAMPLES]
         return [each for each in chosen if not each.is_fresh(now)]
 
+    def _leave_room(
+        self, candidates: list[upstream_state.Candidate], ahead: int
+    ) -> list[upstream_state.Candidate]:
+        """Removes limited candidates if more urgent requests need them all."""
+        unlimited = [
+            each
+            for each in candidates
+            if self._shares.limit_of(each.record) is None
+        ]
+        limited_count = len(candidates) - len(unlimited)
+        return candidates if ahead < limited_count else unlimited
+
     def find_best(
-        self, excluded: frozenset[str], now: float
+        self, excluded: frozenset[str], now: float, ahead: int = 0
     ) -> upstream_state.RankedCandidate | None:
         """Returns the candidate with the shortest expected time, if any.
 
         Ejected candidates are considered only if no others are left. A random
         factor of up to 1% decides between nearly equal candidates.
+
+        Args:
+            excluded: Upstreams that were tried already.
+            now: Monotonic time in seconds.
+            ahead: Number of more urgent requests that wait for room; those
+                get the room of the limited upstreams.
         """
         untried = [
             candidate
             for name, candidate in self._candidates.items()
             if name not in excluded
+            and self._shares.has_room(candidate.record, now)
         ]
+        if ahead:
+            untried = self._leave_room(untried, ahead)
         usable = [each for each in untried if not each.is_ejected(now)]
         best: upstream_state.Candidate | None = None
         least = math.inf
--- a/src/sesamevale/policy/registered_peers.py
+++ b/src/sesamevale/policy/registered_peers.py
@@ -52,6 +52,16 @@
         self._last_read: float | None = None
         self._grace_until = float("-inf")
 
+    @property
+    def last_read(self) -> float | None:
+        """Monotonic time of the last read in seconds; None before it."""
+        return self._last_read
+
+    @property
+    def registered(self) -> tuple[Peer, ...]:
+        """All registered entries, this one included."""
+        return tuple(self._known.values())
+
     @property
     def same_data_center(self) -> tuple[Peer, ...]:
         """Other entries of this data centre."""
--- a/src/sesamevale/policy/upstream_search.py
+++ b/src/sesamevale/policy/upstream_search.py
@@ -12,6 +12,7 @@
 __all__ = [
     "NoCandidates",
     "NoCapacity",
+    "NoRoom",
     "Sample",
     "Search",
     "Send",
@@ -40,6 +41,8 @@
         wait_count: Number of waits so far.
         must_yield: Whether requests that can still meet their objective are
             waiting; a request that cannot must then leave them the slots.
+        ahead: Number of more urgent requests that wait. Room under the limits
+            that upstreams name is theirs.
     """
 
     route: str
@@ -52,6 +55,7 @@
     sampled_remote: bool = False
     wait_count: int = 0
     must_yield: bool = False
+    ahead: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -89,9 +93,21 @@
     """Step: end the search because no upstream has a free slot in time."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class NoRoom:
+    """Step: end the search because the limits leave no room in time.
+
+    Attributes:
+        after_s: Time in seconds until there is room; infinity if this entry
+            may not use any of the upstreams.
+    """
+
+    after_s: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class TooLate:
     """Step: end the search because no upstream can answer in time."""
 
 
-Step = Send | Sample | Wait | NoCandidates | NoCapacity | TooLate
+Step = Send | Sample | Wait | NoCandidates | NoCapacity | NoRoom | TooLate
--- a/src/sesamevale/policy/upstream_signals.py
+++ b/src/sesamevale/policy/upstream_signals.py
@@ -99,12 +99,18 @@
 
     def __init__(self) -> None:
         self._states: dict[Instance, _InstanceState] = {}
+        self._limit_count = 0
 
     @property
     def instances(self) -> KeysView[Instance]:
         """Instances that have sent a signal recently."""
         return self._states.keys()
 
+    @property
+    def has_limit(self) -> bool:
+        """Whether any upstream names a rate limit now."""
+        return self._limit_count > 0
+
     def limit_of(self, instance: Instance) -> RateLimit | None:
         """Returns the rate limit that an upstream names now, if any."""
         state = self._states.get(instance)
@@ -126,11 +132,13 @@
                 return []
             state = self._states[instance] = _InstanceState(now)
         state.last_seen = now
+        was_limited = state.limit is not None
         changes: list[SignalChange] = []
         if not any(isinstance(each, RateLimit) for each in signals):
             changes += _end_limit(state)
         for signal in signals:
             changes += _apply(signal, state)
+        self._limit_count += (state.limit is not None) - was_limited
         return changes
 
     def retain(self, instances: Iterable[Instance], now: float) -> None:
@@ -146,6 +154,7 @@
                 state.last_seen = now
         for instance, state in list(self._states.items()):
             if now - state.last_seen > RETENTION_S:
+                self._limit_count -= state.limit is not None
                 del self._states[instance]
 
 
--- /dev/null
+++ b/tests/standins/signal_log.py
@@ -0,0 +1,133 @@
+"""What an upstream says of itself and gets, and the rules that bind others."""
+
+from __future__ import annotations
+
+import dataclasses
+import math
+import time
+from collections.abc import Callable
+from collections.abc import Iterator
+
+# A limit is judged from so long after an upstream has first named it.
+CONTACT_S = 3.0
+# Time after an answer from which an entry must act by it.
+REACTION_S = 0.5
+LIMIT_WINDOW_S = 4.0
+# Requests that a window may hold: a factor on what the limit allows, and a
+# fixed number.
+EXCESS_FACTOR = 1.5
+EXCESS_COUNT = 5
+
+
+@dataclasses.dataclass
+class Limit:
+    """A limit in requests a second, from one moment to another."""
+
+    per_second: float
+    named_at: float
+    ended_at: float = math.inf
+
+
+class SignalLog:
+    """Signals of one upstream and the requests that reach it.
+
+    Args:
+      clock: Source of monotonic time in seconds.
+    """
+
+    def __init__(self, clock: Callable[[], float] = time.monotonic):
+        self._clock = clock
+        self.limits: list[Limit] = []
+        self.arrivals: list[tuple[float, str]] = []
+
+    @property
+    def limit(self) -> float | None:
+        """Limit that its answers name at this moment."""
+        if self.limits and self.limits[-1].ended_at == math.inf:
+            return self.limits[-1].per_second
+        return None
+
+    @property
+    def headers(self) -> tuple[tuple[str, str], ...]:
+        """Header fields of its answers at this moment."""
+        limit = self.limit
+        return () if limit is None else (("server-limit", f"{limit}"),)
+
+    def name_limit(self, per_second: float) -> None:
+        """Names a limit, or another one, from now on."""
+        self.end_limit()
+        self.limits.append(Limit(per_second, self._clock()))
+
+    def end_limit(self) -> None:
+        if self.limit is not None:
+            self.limits[-1].ended_at = self._clock()
+
+    def record_arrival(self, attempt: str) -> None:
+        self.arrivals.append((self._clock(), attempt))
+
+    def count_since(self, since: float) -> int:
+        """Returns the number of requests since a time."""
+        return sum(at >= since for at, _ in self.arrivals)
+
+    def limit_violations(
+        self, is_excused: Callable[[str, float], bool] = lambda *_: False
+    ) -> Iterator[str]:
+        """Yields the windows with more requests than the limit allows.
+
+        Args:
+          is_excused: Gets an attempt and the start of a window.
+        """
+        for index, (start, _) in enumerate(self.arrivals):
+            limit = self._judged_limit(start)
+            if limit is None:
+                continue
+            end = min(start + LIMIT_WINDOW_S, limit.ended_at)
+            count = sum(
+                at < end and not is_excused(attempt, start)
+                for at, attempt in self.arrivals[index:]
+            )
+            allowed = EXCESS_FACTOR * limit.per_second * LIMIT_WINDOW_S
+            if count > allowed + EXCESS_COUNT:
+                yield (
+                    f"{count} requests in {LIMIT_WINDOW_S:g} s from "
+                    f"{start:.3f} at a limit of {limit.per_second:g}"
+                )
+
+    def _judged_limit(self, start: float) -> Limit | None:
+        """Returns the limit that binds a window; None if none does yet.
+
+        Of the values in force in the window, or just before it, that is the
+        highest.
+        """
+        first_named = end = None
+        highest = 0.0
+        for each in self.limits:
+            if each.named_at != end:
+                first_named = each.named_at
+                highest = 0.0
+            end = each.ended_at
+            if end > start - REACTION_S and (
+                each.named_at < start + LIMIT_WINDOW_S
+            ):
+                highest = max(highest, each.per_second)
+            if each.named_at <= start < end:
+                span_end = self._span_end(each)
+                later = [
+                    other.per_second
+                    for other in self.limits
+                    if start
+                    < other.named_at
+                    < min(start + LIMIT_WINDOW_S, span_end)
+                ]
+                if start < first_named + CONTACT_S:
+                    return None
+                return Limit(max([highest, *later]), first_named, span_end)
+        return None
+
+    def _span_end(self, limit: Limit) -> float:
+        """Returns when the upstream stopped naming any limit."""
+        end = limit.ended_at
+        for each in self.limits:
+            if each.named_at == end:
+                end = each.ended_at
+        return end
--- a/tests/standins/simulated_service.py
+++ b/tests/standins/simulated_service.py
@@ -206,7 +206,7 @@
         candidate = best.candidate
         work.sent_at = self.now
         work.was_blind = not candidate.is_fresh(self.now)
-        candidate.attempt_started()
+        balancer.record_attempt(candidate, self.now)
         self.upstreams[candidate.record.upstream_id].accept(work)
         self._watch(balancer, candidate, best.expected_slowdown, work)
 
--- a/tests/test_gateway_mutants.py
+++ b/tests/test_gateway_mutants.py
@@ -22,10 +22,12 @@
 from sesamevale.policy import forwarding
 from sesamevale.policy import load_sampling
 from sesamevale.policy import pipelining
+from sesamevale.policy import rate_shares
 from sesamevale.policy import read_scheduling
 from sesamevale.policy import retry_budget
 from sesamevale.policy import route_durations
 from sesamevale.policy import shared_state
+from sesamevale.policy import upstream_signals
 from sesamevale.policy import upstream_state
 from sesamevale.upstreams import http_link
 from tests.builders import endless_answers
@@ -41,10 +43,12 @@
 from tests.policy import test_forwarding_machine
 from tests.policy import test_load_sampling
 from tests.policy import test_overload_patterns
+from tests.policy import test_rate_shares
 from tests.policy import test_read_scheduling
 from tests.policy import test_retry_budget_machine
 from tests.policy import test_routes
 from tests.policy import test_shared_state_machine
+from tests.policy import test_upstream_signals
 from tests.upstreams import test_http_link
 
 
@@ -305,6 +309,49 @@
     )
 
 
+def share_nothing(monkeypatch) -> None:
+    monkeypatch.setattr(
+        rate_shares,
+        "_choose_holders",
+        lambda record, limit, members: list(members)[:1],
+    )
+    monkeypatch.setattr(
+        rate_shares.RateShares,
+        "_share_of",
+        lambda self, record, limit, is_stale: limit.per_second,
+    )
+
+
+def count_no_requests(monkeypatch) -> None:
+    monkeypatch.setattr(
+        rate_shares.RateShares, "record_request", lambda self, record, now: None
+    )
+
+
+def keep_the_shares_of_departed_entries(monkeypatch) -> None:
+    original = rate_shares.RateShares.set_members
+
+    def set_members(self, peers, read_at, now):
+        known = {each.entry_id: each for each in peers}
+        self.ever_known = getattr(self, "ever_known", {}) | known
+        original(self, self.ever_known.values(), read_at, now)
+
+    monkeypatch.setattr(rate_shares.RateShares, "set_members", set_members)
+
+
+def take_shares_over_at_once(monkeypatch) -> None:
+    monkeypatch.setattr(rate_shares, "HANDOVER_S", 0.0)
+    monkeypatch.setattr(rate_shares, "STALE_FACTOR", 1.0)
+
+
+def never_lift_limits(monkeypatch) -> None:
+    monkeypatch.setattr(upstream_signals, "_end_limit", lambda state: [])
+
+
+def forget_limits_with_the_record(monkeypatch) -> None:
+    monkeypatch.setattr(upstream_signals, "RETENTION_S", 0.0)
+
+
 def with_arguments(test, *arguments):
     return lambda: test(*arguments)
 
@@ -384,6 +431,24 @@
         close_before_started_requests,
         test_pipelined_requests.test_an_entry_that_stops_answers_what_it_has_started,
     ),
+    (share_nothing, lambda: run_machine(test_rate_shares.SharesMachine)),
+    (count_no_requests, lambda: run_machine(test_rate_shares.SharesMachine)),
+    (
+        keep_the_shares_of_departed_entries,
+        lambda: run_machine(test_rate_shares.SharesMachine),
+    ),
+    (
+        take_shares_over_at_once,
+        test_rate_shares.test_holders_that_the_store_turns_away_keep_the_limit,
+    ),
+    (
+        never_lift_limits,
+        test_rate_shares.test_the_end_of_a_limit_gives_room_at_once,
+    ),
+    (
+        forget_limits_with_the_record,
+        test_upstream_signals.test_a_limit_outlives_the_record_of_its_upstream,
+    ),
     (accept_unverified_answers, with_arguments(INVALID_ANSWER, UNSIGNED)),
     (
         report_sent_requests_as_unsent,
