Refuse odd entries of upstreams, and odd load reports, at the border

Reported by other operators: one odd entry among those of the upstreams (nested, a number too large, a port out of range) ended the processes that read the list, or stopped them from following it.

Here: deep nesting was refused before. Not refused were ports out of range, hosts that are no address, numbers that no float can hold, an endless warm-up, and identifiers that cannot stand in a header field. With 400 digits of slots an entry served 0 of 8 requests (OverflowError in the task of the service); the processes stayed up. A load report with such numbers had the same effect.

--- a/src/sesamevale/platform/decoding.py
+++ b/src/sesamevale/platform/decoding.py
@@ -99,8 +99,9 @@
                 models.PublishedConfig.model_validate_json(content)
             )
         if item.key.startswith(UPSTREAM_PREFIX):
+            upstream_id = item.key.removeprefix(UPSTREAM_PREFIX)
             return _upstream(
-                item.key.removeprefix(UPSTREAM_PREFIX),
+                models.UPSTREAM_ID.validate_python(upstream_id),
                 models.Heartbeat.model_validate_json(content),
             )
         if item.key.startswith(REGISTRATION_PREFIX):
--- a/src/sesamevale/platform/header_fields.py
+++ b/src/sesamevale/platform/header_fields.py
@@ -17,6 +17,8 @@
 
 SLOWDOWN_PERCENT = 100
 LIMIT = b"server-limit"
+# Longest number that is accepted in a load report.
+LOAD_LENGTH_MAX = 9
 # Longest decimal number that is accepted as the value of a signal.
 DECIMAL_LENGTH_MAX = 32
 DECIMAL = re.compile(rb"\d+(\.\d*)?|\.\d+")
@@ -29,6 +31,8 @@
         The load, or None if the value is malformed.
     """
     parts = value.split(b",")
+    if max(map(len, parts)) > LOAD_LENGTH_MAX:
+        return None
     try:
         numbers = [int(part) for part in parts]
     except ValueError:
--- a/src/sesamevale/platform/models.py
+++ b/src/sesamevale/platform/models.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import ipaddress
 import re
 from typing import Annotated
 from typing import Literal
@@ -16,21 +17,46 @@
     "Page",
     "PublishedConfig",
     "Registration",
+    "UPSTREAM_ID",
 ]
 
-ADDRESS_PATTERN = re.compile(r"(\d{1,3}(?:\.\d{1,3}){3}):(\d{1,5})")
+PORT_MAX = 65535
+# Larger integers cannot be used in arithmetic with floats everywhere.
+INTEGER_MAX = 2**53
+SLOTS_MAX = 1_000_000
+WARMUP_MS_MAX = 1e9
 VERSION_PATTERN = re.compile(r"r(\d{1,15})")
 
+
+def _check_address(value: str) -> str:
+    host, _, port = value.rpartition(":")
+    ipaddress.IPv4Address(host)
+    if not (port.isascii() and port.isdigit() and len(port) <= 5):
+        raise ValueError("the port is not a number")
+    if not 0 < int(port) <= PORT_MAX:
+        raise ValueError("the port is out of range")
+    return value
+
+
 Address = Annotated[
-    str, pydantic.StringConstraints(pattern=ADDRESS_PATTERN, strict=True)
+    str, pydantic.Strict(), pydantic.AfterValidator(_check_address)
 ]
 Text = Annotated[str, pydantic.StringConstraints(min_length=1, strict=True)]
-Port = Annotated[int, pydantic.Field(gt=0, lt=65536)]
-Count = Annotated[int, pydantic.Field(ge=0, strict=True)]
+Port = Annotated[int, pydantic.Field(gt=0, le=PORT_MAX)]
+Count = Annotated[int, pydantic.Field(ge=0, le=INTEGER_MAX, strict=True)]
+# Text that can be the value of a header field.
+UPSTREAM_ID: pydantic.TypeAdapter[str] = pydantic.TypeAdapter(
+    Annotated[
+        str,
+        pydantic.StringConstraints(max_length=200, pattern=r"^[!-~]+\z"),
+    ]
+)
 
 
 class _Model(pydantic.BaseModel):
-    model_config = pydantic.ConfigDict(frozen=True, extra="ignore")
+    model_config = pydantic.ConfigDict(
+        frozen=True, extra="ignore", allow_inf_nan=False
+    )
 
 
 class Item(_Model):
@@ -73,9 +99,11 @@
     service: Text
     address: Address
     data_center: Text = pydantic.Field(alias="zone")
-    slots: Annotated[int, pydantic.Field(ge=1, strict=True)]
+    slots: Annotated[int, pydantic.Field(ge=1, le=SLOTS_MAX, strict=True)]
     state: Literal["ready", "draining"]
-    warmup_left_ms: float = pydantic.Field(alias="warmupLeftMs", ge=0)
+    warmup_left_ms: float = pydantic.Field(
+        alias="warmupLeftMs", ge=0, le=WARMUP_MS_MAX
+    )
     # Number of the heartbeat since the upstream started.
     sequence: Count = pydantic.Field(alias="seqNo")
     started_ms: Count = pydantic.Field(alias="born", default=0)
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -11,6 +11,7 @@
 from sesamevale.platform import models
 from sesamevale.policy import upstream_signals
 from sesamevale.policy import upstream_state
+from tests.builders import odd_heartbeats
 from tests.builders import store_items
 
 
@@ -173,3 +174,22 @@
     if per_second is not None:
         expected = (upstream_signals.RateLimit(per_second),)
     assert header_fields.read_signals(headers) == expected
+
+
+# One odd entry ended the processes that read the list, or stopped them from
+# following it.
+@pytest.mark.parametrize("name", odd_heartbeats.ALL)
+def test_an_odd_entry_names_no_upstream_and_the_others_hold(name):
+    odd = odd_heartbeats.ALL[name]
+    valid = store_items.item("servers/i-1", store_items.heartbeat())
+    found = decode(odd, valid)
+    assert [each.upstream_id for each in found.contents.upstreams] == ["i-1"]
+    assert list(found.rejected) == [odd["key"]]
+
+
+@pytest.mark.parametrize(
+    "value",
+    [b"9" * 400 + b",0,4", b"0,0," + b"9" * 400, b"0,0,4," + b"9" * 400],
+)
+def test_a_load_report_with_a_number_too_large_is_ignored(value):
+    assert header_fields.read_load(value) is None
