Keep what upstreams say of their leaving and of pauses

An upstream that leaves says so in its answers, and one that turns a request away with 503 may say for how long it wants no other; both were read by nobody (the same cause as the limits, in other fields). The entry went by the store alone, so an upstream that had said that it leaves got requests until the next read of the store, and one that had asked for a pause got them all the while.

The signals are parsed at the border like the limit, belong to one start of an upstream, and outlive its record, the store and a configuration. Leaving holds for good; an upstream that leaves is used for one more second only if no other can be. A pause holds for its seconds, whatever is answered meanwhile, also against samples; one request comes first after it. Requests that can still be in time wait, others are refused at once with the time that is left.

Proof: SignalsMachine with an oracle of what the upstreams have said, tests over sockets for requests, retries and samples, five mutants.

--- a/src/sesamevale/forwarding/service_task.py
+++ b/src/sesamevale/forwarding/service_task.py
@@ -75,7 +75,7 @@
         self._budget = budget
         self._recorder = recorder
         self._signal_recorder = signal_recorder.SignalRecorder(
-            balancer.shares.signals, events, recorder
+            balancer.signals, events, recorder
         )
         self._on_misplaced = on_misplaced
         self._connections_max = service.connections_max
@@ -166,7 +166,7 @@
         active_request.search.must_yield = waiting.any_can_meet_objective(
             self._active_requests.values(), self._balancer, now
         )
-        if self._balancer.shares.signals.has_limit:
+        if self._balancer.signals.instances:
             active_request.search.ahead = waiting.count_ahead(
                 self._active_requests.values(), active_request
             )
--- a/src/sesamevale/http1.py
+++ b/src/sesamevale/http1.py
@@ -72,8 +72,8 @@
         upstream_id: Upstream that answered.
         load: Load of the upstream.
         read_load: Parses the value of ``load``; None if it is malformed.
-        read_signals: Parses the signals in the header fields of an answer;
-            malformed ones are left out.
+        read_signals: Parses the signals in an answer by its status and header
+            fields; malformed ones are left out.
     """
 
     request_id: bytes
@@ -84,7 +84,7 @@
     upstream_id: bytes
     load: bytes
     read_load: Callable[[bytes], upstream_state.Load | None]
-    read_signals: Callable[[calls.Headers], upstream_signals.Signals]
+    read_signals: Callable[[int, calls.Headers], upstream_signals.Signals]
 
 
 # Not forwarded with the other fields; the entry adds them to its requests.
--- a/src/sesamevale/platform/header_fields.py
+++ b/src/sesamevale/platform/header_fields.py
@@ -17,6 +17,10 @@
 
 SLOWDOWN_PERCENT = 100
 LIMIT = b"server-limit"
+LEAVING = b"server-leaving"
+LEAVING_VALUE = b"1"
+RETRY_AFTER = b"retry-after"
+UNAVAILABLE = 503
 # Longest number that is accepted in a load report.
 LOAD_LENGTH_MAX = 9
 # Longest decimal number that is accepted as the value of a signal.
@@ -45,15 +49,27 @@
     )
 
 
-def read_signals(headers: calls.Headers) -> upstream_signals.Signals:
-    """Returns the signals in the header fields of an answer.
+def read_signals(
+    status: int, headers: calls.Headers
+) -> upstream_signals.Signals:
+    """Returns the signals in an answer.
 
     A field that is malformed or present twice counts as absent.
+
+    Args:
+        status: HTTP status code.
+        headers: Header fields, names in lower case.
     """
+    signals: list[upstream_signals.Signal] = []
     per_second = _read_positive_decimal(headers, LIMIT)
-    if per_second is None:
-        return ()
-    return (upstream_signals.RateLimit(per_second),)
+    if per_second is not None:
+        signals.append(upstream_signals.RateLimit(per_second))
+    if [v for name, v in headers if name == LEAVING] == [LEAVING_VALUE]:
+        signals.append(upstream_signals.Leaving())
+    pause_s = _read_positive_decimal(headers, RETRY_AFTER)
+    if status == UNAVAILABLE and pause_s is not None:
+        signals.append(upstream_signals.Pause(pause_s))
+    return tuple(signals)
 
 
 def _read_positive_decimal(headers: calls.Headers, name: bytes) -> float | None:
--- a/src/sesamevale/policy/load_sampling.py
+++ b/src/sesamevale/policy/load_sampling.py
@@ -80,6 +80,7 @@
         self._shares = shares or rate_shares.RateShares(
             "", data_center, upstream_signals.UpstreamSignals()
         )
+        self._signals = self._shares.signals
         self._candidates: dict[str, upstream_state.Candidate] = {}
         self._average = upstream_state.AverageLoad(INITIAL_AVERAGE_SLOWDOWN)
         self._durations = route_durations.RouteDurations()
@@ -95,6 +96,11 @@
         """Durations of the attempts of each route."""
         return self._durations
 
+    @property
+    def signals(self) -> upstream_signals.UpstreamSignals:
+        """Signals that the upstreams have sent."""
+        return self._signals
+
     @property
     def shares(self) -> rate_shares.RateShares:
         """Shares of this entry in the limits that upstreams name."""
@@ -123,7 +129,9 @@
         kept: dict[str, upstream_state.Candidate] = {}
         for record in records:
             known = self._candidates.get(record.upstream_id)
-            if known is None or _is_different_instance(known.record, record):
+            if known is None or known.instance != (
+                upstream_signals.instance_of(record)
+            ):
                 known = upstream_state.Candidate(record, now)
             known.record = record
             kept[record.upstream_id] = known
@@ -159,6 +167,7 @@
         """Records that a request is sent to an upstream."""
         candidate.attempt_started()
         self._shares.record_request(candidate.record, now)
+        self._signals.record_request(candidate.instance, now)
 
     def record_missing_load(self) -> None:
         """Records that an upstream answered without a load report."""
@@ -196,12 +205,16 @@
     def _wait_for_room(
         self, search: upstream_search.Search, now: float
     ) -> upstream_search.Step:
-        """Decides the next step if no candidate has room under its limit."""
-        limited = [each.record for each in self._untried(search)]
-        if not limited:
+        """Decides the next step if no candidate takes requests now."""
+        staying = [
+            each
+            for each in self._untried(search)
+            if not self._signals.is_leaving(each.instance)
+        ]
+        if not staying:
             return upstream_search.NoCandidates()
-        rate = sum(self._shares.rate_of(each, now) for each in limited)
-        room_at = min(self._shares.room_at(each, now) for each in limited)
+        rate = sum(self._shares.rate_of(each.record, now) for each in staying)
+        room_at = min(self._opens_at(each, now) for each in staying)
         if rate > 0.0:
             room_at += search.ahead / rate
         if not self.can_meet_objective(search, room_at):
@@ -248,7 +261,7 @@
         delay_s = min(
             RESAMPLE_DELAY_S * search.wait_count, RESAMPLE_DELAY_MAX_S
         )
-        if not search.ahead and self._shares.signals.has_limit:
+        if not search.ahead and self._signals.instances:
             room_at = min(
                 self._room_at(each, now) for each in self._untried(search)
             )
@@ -268,9 +281,43 @@
         self, candidate: upstream_state.Candidate, now: float
     ) -> float:
         """Returns when a limited candidate without room will have some."""
-        room_at = self._shares.room_at(candidate.record, now)
+        room_at = self._opens_at(candidate, now)
         return room_at if room_at > now else math.inf
 
+    def _opens_at(
+        self, candidate: upstream_state.Candidate, now: float
+    ) -> float:
+        """Returns when this entry may send a request to a candidate."""
+        if candidate.instance not in self._signals.instances:
+            return now
+        opens_at = self._signals.opens_at(candidate.instance, now)
+        return max(opens_at, self._shares.room_at(candidate.record, now))
+
+    def _takes_requests(
+        self, candidate: upstream_state.Candidate, now: float
+    ) -> bool:
+        return self._opens_at(candidate, now) <= now
+
+    def _may_recheck(
+        self, candidate: upstream_state.Candidate, now: float
+    ) -> bool:
+        """Whether to sample a limited candidate that this entry cannot use."""
+        if self._signals.opens_at(candidate.instance, now) > now:
+            return False
+        return self._shares.take_recheck(candidate.record, now)
+
+    def _last_resorts(
+        self, excluded: frozenset[str], now: float
+    ) -> list[upstream_state.Candidate]:
+        """Returns the candidates that leave but still serve."""
+        return [
+            candidate
+            for name, candidate in self._candidates.items()
+            if name not in excluded
+            and self._signals.is_last_resort(candidate.instance, now)
+            and self._shares.has_room(candidate.record, now)
+        ]
+
     def expected_duration_s(
         self, route: str, best: upstream_state.RankedCandidate
     ) -> float:
@@ -324,7 +371,7 @@
             for name, each in self._candidates.items()
             if name not in search.excluded
             and each.record.data_center == self._data_center
-            and self._shares.has_room(each.record, now)
+            and self._takes_requests(each, now)
         ]
         if not local:
             return False
@@ -356,8 +403,8 @@
             and local == (candidate.record.data_center == self._data_center)
             and not candidate.is_ejected(now)
             and (
-                self._shares.has_room(candidate.record, now)
-                or self._shares.take_recheck(candidate.record, now)
+                self._takes_requests(candidate, now)
+                or self._may_recheck(candidate, now)
             )
         ]
         self._rng.shuffle(available)
@@ -395,11 +442,12 @@
         untried = [
             candidate
             for name, candidate in self._candidates.items()
-            if name not in excluded
-            and self._shares.has_room(candidate.record, now)
+            if name not in excluded and self._takes_requests(candidate, now)
         ]
         if ahead:
             untried = self._leave_room(untried, ahead)
+        if not untried:
+            untried = self._last_resorts(excluded, now)
         usable = [each for each in untried if not each.is_ejected(now)]
         best: upstream_state.Candidate | None = None
         least = math.inf
@@ -416,13 +464,3 @@
         return upstream_state.RankedCandidate(
             best, least, can_start_now and least <= ACCEPTABLE_SLOWDOWN
         )
-
-
-def _is_different_instance(
-    known: routes.UpstreamRecord, record: routes.UpstreamRecord
-) -> bool:
-    return (known.started_ms, known.host, known.port) != (
-        record.started_ms,
-        record.host,
-        record.port,
-    )
--- a/src/sesamevale/policy/upstream_signals.py
+++ b/src/sesamevale/policy/upstream_signals.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import functools
+import math
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -14,6 +15,8 @@
 
 __all__ = [
     "Instance",
+    "Leaving",
+    "Pause",
     "RateLimit",
     "Signal",
     "SignalChange",
@@ -25,6 +28,12 @@
 # Time after the last answer or discovery record of an upstream for which its
 # signals are kept. Records may lapse during an outage of the store.
 RETENTION_S = 600.0
+# Time after an upstream has announced that it leaves in which it is still used
+# if no other one can be. Upstreams serve for longer than this.
+LEAVING_GRACE_S = 1.0
+# Longest time to wait for the answer to the first request after a pause before
+# others are sent.
+TRIAL_S = 0.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -64,7 +73,23 @@
     per_second: float
 
 
-Signal = RateLimit
+@dataclasses.dataclass(frozen=True, slots=True)
+class Leaving:
+    """The upstream is about to stop; it holds for good for this instance."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Pause:
+    """The upstream has rejected a request and wants no others for a time.
+
+    Attributes:
+        seconds: Length of the pause from now on; positive.
+    """
+
+    seconds: float
+
+
+Signal = RateLimit | Leaving | Pause
 # All signals of one answer.
 Signals = tuple[Signal, ...]
 
@@ -88,6 +113,18 @@
 class _InstanceState:
     last_seen: float
     limit: RateLimit | None = None
+    leaving_since: float = math.inf
+    paused_until: float = -math.inf
+    awaits_trial: bool = False
+    trial_until: float = -math.inf
+
+    def is_in_force(self, now: float) -> bool:
+        return (
+            self.limit is not None
+            or self.leaving_since < math.inf
+            or now < self.paused_until
+            or self.awaits_trial
+        )
 
 
 class UpstreamSignals:
@@ -99,18 +136,12 @@
 
     def __init__(self) -> None:
         self._states: dict[Instance, _InstanceState] = {}
-        self._limit_count = 0
 
     @property
     def instances(self) -> KeysView[Instance]:
         """Instances that have sent a signal recently."""
         return self._states.keys()
 
-    @property
-    def has_limit(self) -> bool:
-        """Whether any upstream names a rate limit now."""
-        return self._limit_count > 0
-
     def limit_of(self, instance: Instance) -> RateLimit | None:
         """Returns the rate limit that an upstream names now, if any."""
         state = self._states.get(instance)
@@ -132,15 +163,50 @@
                 return []
             state = self._states[instance] = _InstanceState(now)
         state.last_seen = now
-        was_limited = state.limit is not None
         changes: list[SignalChange] = []
         if not any(isinstance(each, RateLimit) for each in signals):
             changes += _end_limit(state)
         for signal in signals:
-            changes += _apply(signal, state)
-        self._limit_count += (state.limit is not None) - was_limited
+            changes += _apply(signal, state, now)
+        if not any(isinstance(each, Pause) for each in signals):
+            state.trial_until = -math.inf
+        if not state.is_in_force(now):
+            del self._states[instance]
         return changes
 
+    def record_request(self, instance: Instance, now: float) -> None:
+        """Records that a request is sent to an upstream."""
+        state = self._states.get(instance)
+        if state is not None and state.awaits_trial:
+            state.awaits_trial = False
+            state.trial_until = now + TRIAL_S
+
+    def is_leaving(self, instance: Instance) -> bool:
+        """Whether an upstream has announced that it leaves."""
+        state = self._states.get(instance)
+        return state is not None and state.leaving_since < math.inf
+
+    def is_last_resort(self, instance: Instance, now: float) -> bool:
+        """Whether an upstream that leaves may be used if no other can be."""
+        state = self._states.get(instance)
+        return state is not None and (
+            now < state.leaving_since + LEAVING_GRACE_S
+            and max(state.paused_until, state.trial_until) <= now
+        )
+
+    def opens_at(self, instance: Instance, now: float) -> float:
+        """Returns when an upstream takes requests as far as it says.
+
+        Returns:
+            Monotonic time in seconds; infinity for one that leaves.
+        """
+        state = self._states.get(instance)
+        if state is None:
+            return now
+        if state.leaving_since < math.inf:
+            return math.inf
+        return max(now, state.paused_until, state.trial_until)
+
     def retain(self, instances: Iterable[Instance], now: float) -> None:
         """Forgets instances that have been gone for a long time.
 
@@ -154,7 +220,6 @@
                 state.last_seen = now
         for instance, state in list(self._states.items()):
             if now - state.last_seen > RETENTION_S:
-                self._limit_count -= state.limit is not None
                 del self._states[instance]
 
 
@@ -167,14 +232,35 @@
 
 
 @functools.singledispatch
-def _apply(signal: Signal, state: _InstanceState) -> list[SignalChange]:
+def _apply(
+    signal: Signal, state: _InstanceState, now: float
+) -> list[SignalChange]:
     raise TypeError(f"no handler for {type(signal).__name__}")
 
 
 @_apply.register
-def _(signal: RateLimit, state: _InstanceState) -> list[SignalChange]:
+def _(
+    signal: RateLimit, state: _InstanceState, now: float
+) -> list[SignalChange]:
     previous, state.limit = state.limit, signal
     if previous == signal:
         return []
     change = "began" if previous is None else "changed"
     return [SignalChange("limit", change, signal.per_second)]
+
+
+@_apply.register
+def _(signal: Leaving, state: _InstanceState, now: float) -> list[SignalChange]:
+    if state.leaving_since < math.inf:
+        return []
+    state.leaving_since = now
+    return [SignalChange("leaving", "began", 0.0)]
+
+
+@_apply.register
+def _(signal: Pause, state: _InstanceState, now: float) -> list[SignalChange]:
+    was_paused = now < state.paused_until
+    state.paused_until = max(state.paused_until, now + signal.seconds)
+    state.awaits_trial = True
+    change = "changed" if was_paused else "began"
+    return [SignalChange("pause", change, signal.seconds)]
--- a/src/sesamevale/policy/upstream_state.py
+++ b/src/sesamevale/policy/upstream_state.py
@@ -6,6 +6,8 @@
 import math
 from typing import TYPE_CHECKING
 
+from sesamevale.policy import upstream_signals
+
 if TYPE_CHECKING:
     from sesamevale import routes
 
@@ -82,6 +84,7 @@
         "_reset_count",
         "_sampled_at",
         "_sent_since_sample",
+        "instance",
         "load",
         "record",
         "warm_at",
@@ -89,6 +92,7 @@
 
     def __init__(self, record: routes.UpstreamRecord, now: float) -> None:
         self.record = record
+        self.instance = upstream_signals.instance_of(record)
         self.load: Load | None = None
         self.warm_at = now + record.warmup_s
         self._sampled_at = -math.inf
--- a/src/sesamevale/upstreams/http_link.py
+++ b/src/sesamevale/upstreams/http_link.py
@@ -303,7 +303,7 @@
             return forwarding.Lost(outcomes.Reason.CUT)
         self._update_keep_alive(headers)
         load = self._parse_load(headers)
-        signals = self._read_signals(headers)
+        signals = self._read_signals(status, headers)
         if self._http.their_state is h11.SEND_BODY:
             if rejected:
                 self._abort()
@@ -426,7 +426,7 @@
             True,
             healthy,
             self._parse_load(headers),
-            self._read_signals(headers),
+            self._read_signals(response.status_code, headers),
         )
 
     def _parse_load(self, headers: calls.Headers) -> upstream_state.Load | None:
@@ -434,13 +434,13 @@
         return self._dialect.read_load(value) if value else None
 
     def _read_signals(
-        self, headers: calls.Headers
+        self, status: int, headers: calls.Headers
     ) -> upstream_signals.Signals | None:
         """Returns the signals of an answer; None if of another upstream."""
         responder_id = http1.get_header(headers, self._dialect.upstream_id)
         if responder_id not in (None, self._record.upstream_id.encode()):
             return None
-        return self._dialect.read_signals(headers)
+        return self._dialect.read_signals(status, headers)
 
     async def _next_response(self) -> h11.Response | None:
         """Returns the next final answer; None if there is none.
--- a/tests/forwarding/test_upstream_signals.py
+++ b/tests/forwarding/test_upstream_signals.py
@@ -9,6 +9,7 @@
 
 from sesamevale import outcomes
 from sesamevale.policy import rate_shares
+from sesamevale.policy import upstream_signals
 from tests.builders import gateway
 from tests.forwarding import test_service_task
 from tests.standins import scripted_upstream
@@ -103,3 +104,68 @@
             assert len(one.requests) == 1
 
     test_service_task.run(scenario)
+
+
+LEAVES = ScriptedAnswer(headers=(("server-leaving", "1"),))
+PAUSES = scripted_upstream.rejection(headers=(("retry-after", "3"),))
+
+
+def test_an_upstream_that_says_it_leaves_gets_nothing_more():
+    async def scenario():
+        one = test_service_task.upstream(LEAVES)
+        two = test_service_task.upstream(name="u-2", load="4,4,4,900")
+        async with test_service_task.Harness(one, two) as harness:
+            await harness.submit(gateway.request())
+            assert len(one.requests) == 1
+            for _ in range(4):
+                result = await harness.submit(gateway.request())
+                assert result == (200, b"done")
+            assert len(one.requests) == 1
+
+    test_service_task.run(scenario)
+
+
+def test_requests_are_refused_at_once_when_all_upstreams_have_left():
+    async def scenario():
+        one = test_service_task.upstream(LEAVES)
+        async with test_service_task.Harness(one) as harness:
+            await harness.submit(gateway.request())
+            await asyncio.sleep(upstream_signals.LEAVING_GRACE_S + 0.1)
+            started = time.monotonic()
+            outcome = await harness.submit(gateway.request())
+            assert isinstance(outcome, outcomes.NotRun)
+            assert time.monotonic() - started < 0.2
+            assert len(one.requests) == 1
+
+    test_service_task.run(scenario)
+
+
+def test_an_upstream_that_asks_for_a_pause_gets_nothing_in_it():
+    async def scenario():
+        one = test_service_task.upstream(PAUSES)
+        async with test_service_task.Harness(one) as harness:
+            await harness.submit(gateway.request())
+            sampled = one.health_requests
+            for _ in range(5):
+                outcome = await harness.submit(gateway.request())
+                assert isinstance(outcome, outcomes.NotRun)
+                assert 2000 <= outcome.retry_after_ms <= 3000
+            assert len(one.requests) == 1
+            assert one.health_requests == sampled
+
+    test_service_task.run(scenario)
+
+
+def test_a_pause_in_the_answer_to_a_sample_counts():
+    async def scenario():
+        one = test_service_task.upstream()
+        one.health_status = 503
+        one.health_headers = (("retry-after", "3"),)
+        two = test_service_task.upstream(name="u-2")
+        async with test_service_task.Harness(one, two) as harness:
+            for _ in range(4):
+                await harness.submit(gateway.request())
+            assert not one.requests
+            assert len(two.requests) == 4
+
+    test_service_task.run(scenario)
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -173,7 +173,30 @@
     expected = ()
     if per_second is not None:
         expected = (upstream_signals.RateLimit(per_second),)
-    assert header_fields.read_signals(headers) == expected
+    assert header_fields.read_signals(200, headers) == expected
+
+
+@pytest.mark.parametrize(
+    ("status", "fields", "expected"),
+    [
+        (200, [("server-leaving", "1")], [upstream_signals.Leaving()]),
+        (503, [("server-leaving", "1")], [upstream_signals.Leaving()]),
+        (200, [("server-leaving", "0")], []),
+        (200, [("server-leaving", "")], []),
+        (200, [("server-leaving", "1"), ("server-leaving", "1")], []),
+        (503, [("retry-after", "2")], [upstream_signals.Pause(2.0)]),
+        (503, [("retry-after", "0.25")], [upstream_signals.Pause(0.25)]),
+        (200, [("retry-after", "2")], []),
+        (429, [("retry-after", "2")], []),
+        (503, [("retry-after", "-2")], []),
+        (503, [("retry-after", "nan")], []),
+        (503, [("retry-after", "Sat, 05 Dec 2026 08:00:00 GMT")], []),
+        (503, [("retry-after", "1"), ("retry-after", "2")], []),
+    ],
+)
+def test_leaving_and_pauses_are_parsed(status, fields, expected):
+    headers = tuple((name.encode(), value.encode()) for name, value in fields)
+    assert list(header_fields.read_signals(status, headers)) == expected
 
 
 # One odd entry ended the processes that read the list, or stopped them from
--- a/tests/policy/test_upstream_signals.py
+++ b/tests/policy/test_upstream_signals.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 
 from sesamevale.policy import upstream_signals
 from tests.builders import gateway
@@ -55,3 +56,51 @@
     assert INSTANCE in signals.instances
     signals.retain([], 501.0 + upstream_signals.RETENTION_S)
     assert INSTANCE not in signals.instances
+
+
+def test_an_upstream_that_leaves_stays_closed_whatever_it_says_later():
+    signals = book(upstream_signals.Leaving())
+    signals.record_answer(INSTANCE, (), 1.0)
+    assert signals.opens_at(INSTANCE, 1.0) == math.inf
+    signals.retain([], 300.0)
+    assert signals.is_leaving(INSTANCE)
+
+
+def test_an_upstream_that_leaves_is_a_last_resort_for_a_short_time():
+    signals = book(upstream_signals.Leaving(), now=5.0)
+    assert signals.is_last_resort(INSTANCE, 5.9)
+    assert not signals.is_last_resort(INSTANCE, 6.1)
+
+
+def test_another_start_of_an_upstream_that_left_is_open():
+    signals = book(upstream_signals.Leaving(), upstream_signals.Pause(9.0))
+    restarted = dataclasses.replace(RECORD, started_ms=2000)
+    instance = upstream_signals.instance_of(restarted)
+    assert signals.opens_at(instance, 1.0) == 1.0
+
+
+def test_a_pause_lasts_for_its_time_whatever_is_answered_meanwhile():
+    signals = book(upstream_signals.Pause(3.0))
+    signals.record_answer(INSTANCE, (), 1.0)
+    assert signals.opens_at(INSTANCE, 1.0) == 3.0
+    assert signals.opens_at(INSTANCE, 3.5) == 3.5
+
+
+def test_a_shorter_pause_does_not_cut_a_longer_one():
+    signals = book(upstream_signals.Pause(3.0))
+    signals.record_answer(INSTANCE, (upstream_signals.Pause(0.5),), 1.0)
+    assert signals.opens_at(INSTANCE, 1.0) == 3.0
+
+
+def test_one_request_comes_first_after_a_pause():
+    signals = book(upstream_signals.Pause(3.0))
+    signals.record_request(INSTANCE, 3.1)
+    assert signals.opens_at(INSTANCE, 3.2) > 3.2
+    signals.record_answer(INSTANCE, (), 3.3)
+    assert signals.opens_at(INSTANCE, 3.3) == 3.3
+
+
+def test_a_first_request_without_an_answer_does_not_close_an_upstream():
+    signals = book(upstream_signals.Pause(3.0))
+    signals.record_request(INSTANCE, 3.1)
+    assert signals.opens_at(INSTANCE, 4.0) == 4.0
--- a/tests/standins/scripted_upstream.py
+++ b/tests/standins/scripted_upstream.py
@@ -53,6 +53,7 @@
 
     Attributes:
       load: Value of the header that reports the load; empty for no header.
+      health_status: Status of the answers to health requests.
       health_headers: Further header fields of the answers to health requests.
       answers_as: Identifier that the answers name.
       silent_health: Whether health requests get no answer for 60 s.
@@ -69,6 +70,7 @@
         self.upstream_id = upstream_id
         self.answers = list(answers)
         self.load = load
+        self.health_status = 200
         self.health_headers: tuple[tuple[str, str], ...] = ()
         self.answers_as = upstream_id
         self.silent_health = False
@@ -90,7 +92,10 @@
                 if self.silent_health:
                     await asyncio.sleep(60)
                 health = ScriptedAnswer(
-                    body=b"", signed=False, headers=self.health_headers
+                    status=self.health_status,
+                    body=b"",
+                    signed=False,
+                    headers=self.health_headers,
                 )
                 self._answer(http, writer, health, None)
             else:
--- a/tests/test_gateway_mutants.py
+++ b/tests/test_gateway_mutants.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import gc
+import math
+import sys
 
 import pytest
 from hypothesis import stateful
@@ -48,6 +50,7 @@
 from tests.policy import test_retry_budget_machine
 from tests.policy import test_routes
 from tests.policy import test_shared_state_machine
+from tests.policy import test_signals_machine
 from tests.policy import test_upstream_signals
 from tests.upstreams import test_http_link
 
@@ -69,6 +72,10 @@
     stateful.run_state_machine_as_test(machine, settings=settings)
 
 
+def run_signals_machine() -> None:
+    run_machine(test_signals_machine.SignalsMachine)
+
+
 def report_unknown_outcomes_as_refusals(monkeypatch) -> None:
     def refuse(self):
         return forwarding.Refuse(self.reason)
@@ -352,6 +359,47 @@
     monkeypatch.setattr(upstream_signals, "RETENTION_S", 0.0)
 
 
+def forget_who_leaves(monkeypatch) -> None:
+    original = upstream_signals.UpstreamSignals.record_answer
+
+    def record_answer(self, instance, signals, now):
+        if not signals:
+            self._states.pop(instance, None)
+        return original(self, instance, signals, now)
+
+    monkeypatch.setattr(
+        upstream_signals.UpstreamSignals, "record_answer", record_answer
+    )
+
+
+def ignore_pauses(monkeypatch) -> None:
+    def opens_at(self, instance, now):
+        return math.inf if self.is_leaving(instance) else now
+
+    monkeypatch.setattr(upstream_signals.UpstreamSignals, "opens_at", opens_at)
+
+
+def use_upstreams_that_leave_as_long_as_others_fail(monkeypatch) -> None:
+    monkeypatch.setattr(upstream_signals, "LEAVING_GRACE_S", 1000.0)
+
+
+def send_all_after_a_pause(monkeypatch) -> None:
+    monkeypatch.setattr(upstream_signals, "TRIAL_S", 0.0)
+
+
+def let_repeats_pass(monkeypatch) -> None:
+    original = load_sampling.LoadBalancer._takes_requests
+
+    def takes_requests(self, candidate, now):
+        if sys._getframe(1).f_locals.get("excluded"):
+            return True
+        return original(self, candidate, now)
+
+    monkeypatch.setattr(
+        load_sampling.LoadBalancer, "_takes_requests", takes_requests
+    )
+
+
 def with_arguments(test, *arguments):
     return lambda: test(*arguments)
 
@@ -445,6 +493,17 @@
         never_lift_limits,
         test_rate_shares.test_the_end_of_a_limit_gives_room_at_once,
     ),
+    (
+        forget_who_leaves,
+        test_upstream_signals.test_an_upstream_that_leaves_stays_closed_whatever_it_says_later,
+    ),
+    (ignore_pauses, run_signals_machine),
+    (use_upstreams_that_leave_as_long_as_others_fail, run_signals_machine),
+    (let_repeats_pass, run_signals_machine),
+    (
+        send_all_after_a_pause,
+        test_upstream_signals.test_one_request_comes_first_after_a_pause,
+    ),
     (
         forget_limits_with_the_record,
         test_upstream_signals.test_a_limit_outlives_the_record_of_its_upstream,
