Have upstreams of the soak send signals, and check what they get

Upstreams name limits that may change, ask for pauses and leave, in the modes faults and mixed and, undisturbed, in signals. The checks judge from the upstreams' side, with entries and links excused that were disturbed.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -79,6 +79,7 @@
         status, fields, body = await answer_reader.read_answer(self._reader)
         exchange.status, exchange.body = status, body
         exchange.signed = "x-response-signature" in fields
+        exchange.says_leaving = "server-leaving" in fields
         exchange.ended = time.monotonic()
         self._answered = True
         self._closing = fields.get("connection") == "close"
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -86,4 +86,6 @@
     ended: float = math.inf
     status: int = 0
     body: bytes = b""
+    # Whether the answer says that its upstream leaves.
+    says_leaving: bool = False
     signed: bool = False
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -5,8 +5,9 @@
 of the processes may still differ, because their timing varies.
 
 Modes: ``faults`` injects faults one by one, ``planned`` only stops, reloads
-and configures, ``mixed`` does both, and ``drawn`` draws ``planned`` or
-``mixed`` from the seed.
+and configures, ``mixed`` does both, ``signals`` only has upstreams send
+signals, which ``faults`` and ``mixed`` do too, and ``drawn`` draws ``planned``
+or ``mixed`` from the seed.
 """
 
 from __future__ import annotations
@@ -28,6 +29,7 @@
 from tests.soak import launch
 from tests.soak import planned_work
 from tests.soak import records
+from tests.soak import signals
 
 # Callers with a connection for each request, and with kept connections.
 CALLERS = (12, 24)
@@ -41,7 +43,7 @@
 # an answer that is under way then is not judged late.
 STALL_S = 0.25
 DRAWN_MODES = ("planned", "mixed")
-MODES = ("drawn", "faults", *DRAWN_MODES)
+MODES = ("drawn", "faults", "signals", *DRAWN_MODES)
 OPTIONS = ("entries", "upstreams", "mode")
 
 
@@ -101,16 +103,20 @@
             self.fleet, self.callers.exchanges, self._stalls
         )
         seen = [*self.callers.violations, *recovery]
-        return [*run_checks.find_violations(), *seen]
+        said = signals.find_violations(self.fleet, self.callers.exchanges)
+        return [*run_checks.find_violations(), *seen, *said]
 
     async def _inject(self, end):
         work = []
         if self.mode != "planned":
+            signal_rng = random.Random(self.seed + 8_000_000)
+            work.append(signals.SignalFaults(self.fleet, signal_rng).run(end))
+        if self.mode in ("faults", "mixed"):
             fault_rng = random.Random(self.seed)
             link_rng = random.Random(self.seed + 3_000_000)
             injected = faults.Faults(self.fleet, fault_rng, link_rng)
             work.append(injected.inject(end))
-        if self.mode != "faults":
+        if self.mode in ("planned", "mixed"):
             planned_rng = random.Random(self.seed + 5_000_000)
             planned = planned_work.PlannedWork(self.fleet, planned_rng)
             work.append(planned.run(end))
--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -40,9 +40,14 @@
         attempt = dict(request.headers)[b"x-attempt-id"].decode()
         expected = dict(request.headers)[b"x-expected-instance"].decode()
         self.signals.record_arrival(attempt)
+        retry_after = self.signals.ask_to_pause(attempt)
         run, breaks_off = None, False
         if expected != self.upstream_id:
             answer = scripted_upstream.rejection(421)
+        elif retry_after is not None:
+            answer = scripted_upstream.rejection(
+                headers=(("retry-after", retry_after),)
+            )
         elif self.rng.random() < self.failure_share / 2:
             answer = scripted_upstream.rejection()
         else:
--- a/tests/standins/signal_log.py
+++ b/tests/standins/signal_log.py
@@ -28,6 +28,15 @@
     ended_at: float = math.inf
 
 
+@dataclasses.dataclass(frozen=True)
+class Pause:
+    """An attempt that was answered with the request for a pause."""
+
+    attempt: str
+    answered_at: float
+    ends_at: float
+
+
 class SignalLog:
     """Signals of one upstream and the requests that reach it.
 
@@ -38,6 +47,10 @@
     def __init__(self, clock: Callable[[], float] = time.monotonic):
         self._clock = clock
         self.limits: list[Limit] = []
+        self.leaving_since = math.inf
+        self.departures: list[tuple[float, float]] = []
+        self.pause_until = -math.inf
+        self.pauses: list[Pause] = []
         self.arrivals: list[tuple[float, str]] = []
 
     @property
@@ -50,8 +63,25 @@
     @property
     def headers(self) -> tuple[tuple[str, str], ...]:
         """Header fields of its answers at this moment."""
-        limit = self.limit
-        return () if limit is None else (("server-limit", f"{limit}"),)
+        fields: list[tuple[str, str]] = []
+        if self.limit is not None:
+            fields.append(("server-limit", f"{self.limit}"))
+        if self.leaving_since <= self._clock():
+            fields.append(("server-leaving", "1"))
+        return tuple(fields)
+
+    def start_anew(self) -> None:
+        """Ends the time in which the upstream leaves."""
+        self.departures.append((self.leaving_since, self._clock()))
+        self.leaving_since = math.inf
+
+    def ask_to_pause(self, attempt: str) -> str | None:
+        """Returns the value of ``Retry-After`` for a request, if any."""
+        now = self._clock()
+        if now >= self.pause_until:
+            return None
+        self.pauses.append(Pause(attempt, now, self.pause_until))
+        return f"{self.pause_until - now:.3f}"
 
     def name_limit(self, per_second: float) -> None:
         """Names a limit, or another one, from now on."""
