Keep what is known of closed upstreams until a signal changes

Each choice asked for the limit and the share of each of some 180 upstreams anew, and each sample of a service marked rechecks as done that were not among the three it sampled. The code that applies the signals moves into policy/upstream_openings, which keeps its results until a signal or a share changes, and adds one recheck to a round of samples.

--- a/src/sesamevale/policy/load_sampling.py
+++ b/src/sesamevale/policy/load_sampling.py
@@ -16,6 +16,7 @@
 
 from sesamevale.policy import rate_shares
 from sesamevale.policy import route_durations
+from sesamevale.policy import upstream_openings
 from sesamevale.policy import upstream_search
 from sesamevale.policy import upstream_signals
 from sesamevale.policy import upstream_state
@@ -80,7 +81,7 @@
         self._shares = shares or rate_shares.RateShares(
             "", data_center, upstream_signals.UpstreamSignals()
         )
-        self._signals = self._shares.signals
+        self._openings = upstream_openings.Openings(self._shares)
         self._candidates: dict[str, upstream_state.Candidate] = {}
         self._average = upstream_state.AverageLoad(INITIAL_AVERAGE_SLOWDOWN)
         self._durations = route_durations.RouteDurations()
@@ -99,7 +100,7 @@
     @property
     def signals(self) -> upstream_signals.UpstreamSignals:
         """Signals that the upstreams have sent."""
-        return self._signals
+        return self._shares.signals
 
     @property
     def shares(self) -> rate_shares.RateShares:
@@ -166,8 +167,7 @@
     ) -> None:
         """Records that a request is sent to an upstream."""
         candidate.attempt_started()
-        self._shares.record_request(candidate.record, now)
-        self._signals.record_request(candidate.instance, now)
+        self._openings.record_request(candidate, now)
 
     def record_missing_load(self) -> None:
         """Records that an upstream answered without a load report."""
@@ -209,14 +209,11 @@
         staying = [
             each
             for each in self._untried(search)
-            if not self._signals.is_leaving(each.instance)
+            if not self._openings.is_leaving(each)
         ]
         if not staying:
             return upstream_search.NoCandidates()
-        rate = sum(self._shares.rate_of(each.record, now) for each in staying)
-        room_at = min(self._opens_at(each, now) for each in staying)
-        if rate > 0.0:
-            room_at += search.ahead / rate
+        room_at = self._openings.room_after(staying, search.ahead, now)
         if not self.can_meet_objective(search, room_at):
             return upstream_search.NoRoom(room_at - now)
         delay_s = max(ROOM_CHECK_DELAY_MIN_S, room_at - now)
@@ -261,7 +258,7 @@
         delay_s = min(
             RESAMPLE_DELAY_S * search.wait_count, RESAMPLE_DELAY_MAX_S
         )
-        if not search.ahead and self._signals.instances:
+        if not search.ahead and self._openings.any_signal:
             room_at = min(
                 self._room_at(each, now) for each in self._untried(search)
             )
@@ -280,32 +277,10 @@
     def _room_at(
         self, candidate: upstream_state.Candidate, now: float
     ) -> float:
-        """Returns when a limited candidate without room will have some."""
-        room_at = self._opens_at(candidate, now)
+        """Returns when a candidate without room will have some."""
+        room_at = self._openings.opens_at(candidate, now)
         return room_at if room_at > now else math.inf
 
-    def _opens_at(
-        self, candidate: upstream_state.Candidate, now: float
-    ) -> float:
-        """Returns when this entry may send a request to a candidate."""
-        if candidate.instance not in self._signals.instances:
-            return now
-        opens_at = self._signals.opens_at(candidate.instance, now)
-        return max(opens_at, self._shares.room_at(candidate.record, now))
-
-    def _takes_requests(
-        self, candidate: upstream_state.Candidate, now: float
-    ) -> bool:
-        return self._opens_at(candidate, now) <= now
-
-    def _may_recheck(
-        self, candidate: upstream_state.Candidate, now: float
-    ) -> bool:
-        """Whether to sample a limited candidate that this entry cannot use."""
-        if self._signals.opens_at(candidate.instance, now) > now:
-            return False
-        return self._shares.take_recheck(candidate.record, now)
-
     def _last_resorts(
         self, excluded: frozenset[str], now: float
     ) -> list[upstream_state.Candidate]:
@@ -314,8 +289,7 @@
             candidate
             for name, candidate in self._candidates.items()
             if name not in excluded
-            and self._signals.is_last_resort(candidate.instance, now)
-            and self._shares.has_room(candidate.record, now)
+            and self._openings.is_last_resort(candidate, now)
         ]
 
     def expected_duration_s(
@@ -371,7 +345,7 @@
             for name, each in self._candidates.items()
             if name not in search.excluded
             and each.record.data_center == self._data_center
-            and self._takes_requests(each, now)
+            and self._openings.takes_requests(each, now)
         ]
         if not local:
             return False
@@ -402,15 +376,21 @@
             if name not in excluded
             and local == (candidate.record.data_center == self._data_center)
             and not candidate.is_ejected(now)
-            and (
-                self._takes_requests(candidate, now)
-                or self._may_recheck(candidate, now)
-            )
         ]
+        recheck = None
+        if self._openings.any_signal:
+            recheck = self._openings.find_recheck(available, now)
+            available = [
+                each
+                for each in available
+                if self._openings.takes_requests(each, now)
+            ]
         self._rng.shuffle(available)
         idle = upstream_state.AverageLoad(1.0)
         available.sort(key=lambda each: each.expected_slowdown(idle, now))
         chosen = available[: LOCAL_SAMPLES if local else REMOTE_SAMPLES]
+        if recheck is not None:
+            chosen.append(recheck)
         return [each for each in chosen if not each.is_fresh(now)]
 
     def _leave_room(
@@ -418,9 +398,7 @@
     ) -> list[upstream_state.Candidate]:
         """Removes limited candidates if more urgent requests need them all."""
         unlimited = [
-            each
-            for each in candidates
-            if self._shares.limit_of(each.record) is None
+            each for each in candidates if not self._openings.is_limited(each)
         ]
         limited_count = len(candidates) - len(unlimited)
         return candidates if ahead < limited_count else unlimited
@@ -442,7 +420,8 @@
         untried = [
             candidate
             for name, candidate in self._candidates.items()
-            if name not in excluded and self._takes_requests(candidate, now)
+            if name not in excluded
+            and self._openings.takes_requests(candidate, now)
         ]
         if ahead:
             untried = self._leave_room(untried, ahead)
--- a/src/sesamevale/policy/rate_shares.py
+++ b/src/sesamevale/policy/rate_shares.py
@@ -81,6 +81,11 @@
         """Signals of the service's upstreams."""
         return self._signals
 
+    @property
+    def version(self) -> int:
+        """Number that increases with each change of the entries."""
+        return self._version
+
     def set_members(
         self,
         peers: Iterable[registered_peers.Peer],
--- /dev/null
+++ b/src/sesamevale/policy/upstream_openings.py
@@ -0,0 +1,154 @@
+"""When this entry may send requests to an upstream, by the upstream's signals.
+
+Each choice looks at all upstreams of a service, so results are kept until a
+signal or a share changes.
+"""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from sesamevale.policy import rate_shares
+    from sesamevale.policy import upstream_signals
+    from sesamevale.policy import upstream_state
+
+__all__ = ["Openings"]
+
+# Longest time for which a result is kept. Shares also change with the age of
+# the registrations.
+CACHE_LIFETIME_S = 0.25
+# Shortest interval between two searches for an upstream to recheck.
+RECHECK_SEARCH_INTERVAL_S = 0.05
+
+
+class Openings:
+    """Applies the signals of a service's upstreams to this entry.
+
+    Args:
+        shares: Shares of this entry in the limits that upstreams name.
+    """
+
+    def __init__(self, shares: rate_shares.RateShares) -> None:
+        self._shares = shares
+        self._signals = shares.signals
+        self._closed_until: dict[upstream_signals.Instance, float] = {}
+        self._versions = (0, 0)
+        self._cached_at = -math.inf
+        self._recheck_searched_at = -math.inf
+
+    @property
+    def any_signal(self) -> bool:
+        """Whether any upstream has sent a signal that is in force."""
+        return bool(self._signals.instances)
+
+    def is_limited(self, candidate: upstream_state.Candidate) -> bool:
+        """Whether an upstream names a rate limit."""
+        return self._signals.limit_of(candidate.instance) is not None
+
+    def is_leaving(self, candidate: upstream_state.Candidate) -> bool:
+        """Whether an upstream has announced that it leaves."""
+        return self._signals.is_leaving(candidate.instance)
+
+    def takes_requests(
+        self, candidate: upstream_state.Candidate, now: float
+    ) -> bool:
+        """Whether this entry may send a request to an upstream now."""
+        return not self._signals.instances or (
+            self.opens_at(candidate, now) <= now
+        )
+
+    def opens_at(
+        self, candidate: upstream_state.Candidate, now: float
+    ) -> float:
+        """Returns when this entry may send a request to an upstream.
+
+        Returns:
+            Monotonic time in seconds; infinity if it may not, as far as it is
+            known now.
+        """
+        instance = candidate.instance
+        if instance not in self._signals.instances:
+            return now
+        self._drop_old_results(now)
+        known = self._closed_until.get(instance, -math.inf)
+        if now < known:
+            return known
+        opens_at = max(
+            self._signals.opens_at(instance, now),
+            self._shares.room_at(candidate.record, now),
+        )
+        if opens_at > now:
+            self._closed_until[instance] = opens_at
+        return opens_at
+
+    def is_last_resort(
+        self, candidate: upstream_state.Candidate, now: float
+    ) -> bool:
+        """Whether an upstream that leaves may be used if no other can be."""
+        return self._signals.is_last_resort(
+            candidate.instance, now
+        ) and self._shares.has_room(candidate.record, now)
+
+    def room_after(
+        self,
+        candidates: Iterable[upstream_state.Candidate],
+        ahead: int,
+        now: float,
+    ) -> float:
+        """Returns when there is room for a request.
+
+        Args:
+            candidates: Upstreams that it may be sent to, at least one.
+            ahead: Number of requests that get room before it.
+            now: Monotonic time in seconds.
+
+        Returns:
+            Monotonic time in seconds; infinity if there is none.
+        """
+        room_at, rate = math.inf, 0.0
+        for each in candidates:
+            room_at = min(room_at, self.opens_at(each, now))
+            if ahead:
+                rate += self._shares.rate_of(each.record, now)
+        return room_at + ahead / rate if rate > 0.0 else room_at
+
+    def find_recheck(
+        self, candidates: Iterable[upstream_state.Candidate], now: float
+    ) -> upstream_state.Candidate | None:
+        """Returns an upstream that is sampled only to hear of its limit.
+
+        Only upstreams without room for this entry are rechecked, since the
+        others answer requests.
+        """
+        if now - self._recheck_searched_at < RECHECK_SEARCH_INTERVAL_S:
+            return None
+        self._recheck_searched_at = now
+        for each in candidates:
+            if (
+                self.opens_at(each, now) > now
+                and self._signals.opens_at(each.instance, now) <= now
+                and self._shares.take_recheck(each.record, now)
+            ):
+                return each
+        return None
+
+    def record_request(
+        self, candidate: upstream_state.Candidate, now: float
+    ) -> None:
+        """Records that a request is sent to an upstream."""
+        if candidate.instance in self._signals.instances:
+            self._shares.record_request(candidate.record, now)
+            self._signals.record_request(candidate.instance, now)
+
+    def _drop_old_results(self, now: float) -> None:
+        versions = (self._signals.version, self._shares.version)
+        if (
+            versions != self._versions
+            or now - self._cached_at > CACHE_LIFETIME_S
+        ):
+            self._closed_until.clear()
+            self._versions, self._cached_at = versions, now
--- a/src/sesamevale/policy/upstream_signals.py
+++ b/src/sesamevale/policy/upstream_signals.py
@@ -136,6 +136,12 @@
 
     def __init__(self) -> None:
         self._states: dict[Instance, _InstanceState] = {}
+        self._version = 0
+
+    @property
+    def version(self) -> int:
+        """Number that increases when an upstream may open earlier."""
+        return self._version
 
     @property
     def instances(self) -> KeysView[Instance]:
@@ -163,6 +169,7 @@
                 return []
             state = self._states[instance] = _InstanceState(now)
         state.last_seen = now
+        had_trial = state.trial_until > now
         changes: list[SignalChange] = []
         if not any(isinstance(each, RateLimit) for each in signals):
             changes += _end_limit(state)
@@ -170,6 +177,7 @@
             changes += _apply(signal, state, now)
         if not any(isinstance(each, Pause) for each in signals):
             state.trial_until = -math.inf
+        self._version += bool(changes) or had_trial
         if not state.is_in_force(now):
             del self._states[instance]
         return changes
--- a/tests/test_gateway_mutants.py
+++ b/tests/test_gateway_mutants.py
@@ -29,6 +29,7 @@
 from sesamevale.policy import retry_budget
 from sesamevale.policy import route_durations
 from sesamevale.policy import shared_state
+from sesamevale.policy import upstream_openings
 from sesamevale.policy import upstream_signals
 from sesamevale.policy import upstream_state
 from sesamevale.upstreams import http_link
@@ -388,7 +389,7 @@
 
 
 def let_repeats_pass(monkeypatch) -> None:
-    original = load_sampling.LoadBalancer._takes_requests
+    original = upstream_openings.Openings.takes_requests
 
     def takes_requests(self, candidate, now):
         if sys._getframe(1).f_locals.get("excluded"):
@@ -396,7 +397,7 @@
         return original(self, candidate, now)
 
     monkeypatch.setattr(
-        load_sampling.LoadBalancer, "_takes_requests", takes_requests
+        upstream_openings.Openings, "takes_requests", takes_requests
     )
 
 
