Show operators what upstreams say of themselves

The status and the gateway command list the signals that are in force, since when, the share of this entry in a limit and how much of it is used; a gauge counts them by service; explain shows those at the service of a request, so that a refusal (rate_limited) has its cause.

--- a/src/sesamevale/operators/commands/gateway.py
+++ b/src/sesamevale/operators/commands/gateway.py
@@ -40,6 +40,22 @@
             f"mean slowdown {service['average_slowdown']:.2f}, "
             f"{service['average_utilization']:.0%} of the slots in use"
         )
+        for each in service["signals"]:
+            typer.echo(f"    {_format_signal(each)}")
+
+
+def _format_signal(content: dict[str, Any]) -> str:
+    begin = f"{content['upstream_id']}: {content['signal']}"
+    since = f"for {content['age_s']:.1f} s"
+    if content["signal"] == "pause":
+        return f"{begin} {since}, {content['value']:.1f} s left"
+    if content["signal"] == "leaving":
+        return f"{begin} {since}"
+    begin += f" {content['value']:g} a second {since}"
+    used = content.get("used")
+    if used is None:
+        return f"{begin}, no share here"
+    return f"{begin}, share here {content['share']:.2g}, {used:.0%} used"
 
 
 def _readiness(content: dict[str, Any]) -> str:
--- a/src/sesamevale/operators/event_files.py
+++ b/src/sesamevale/operators/event_files.py
@@ -28,6 +28,7 @@
         "store_lost",
         "store_values_rejected",
         "upstream",
+        "upstream_signal",
     )
 )
 
@@ -92,22 +93,38 @@
         The state of the entry, then the request's own events. The state is
         the last event of each kind in ``STATE_EVENTS`` that the entry wrote
         before the end of the request; for ``upstream``, the last one of each
-        upstream that the request used.
+        upstream that the request used. Signals that were in force at the
+        upstreams of its service are part of it.
     """
     own = [each for each in events if each.fields.get("request") == request_id]
     if not own:
         return []
     upstreams = {each.fields.get("upstream") for each in own} - {None}
+    services = {each.fields.get("service") for each in own} - {None}
     last: dict[object, Event] = {}
     for each in events:
         if each.time > own[-1].time:
             break
         if each.entry != own[0].entry or each.name not in STATE_EVENTS:
             continue
-        if each.name == "upstream":
-            if each.fields.get("upstream") in upstreams:
-                last[each.fields["upstream"]] = each
-        else:
-            last[each.name] = each
+        key = _state_key(each, upstreams, services)
+        if each.fields.get("change") == "ended":
+            last.pop(key, None)
+        elif key is not None:
+            last[key] = each
     state = sorted(last.values(), key=lambda each: each.time)
     return [*state, *own]
+
+
+def _state_key(
+    event: Event, upstreams: set[object], services: set[object]
+) -> object:
+    """Returns what a later event replaces; None for others' upstreams."""
+    upstream = event.fields.get("upstream")
+    if event.name == "upstream":
+        return upstream if upstream in upstreams else None
+    if event.name == "upstream_signal":
+        if event.fields.get("service") not in services:
+            return None
+        return upstream, event.fields.get("signal")
+    return event.name
--- a/src/sesamevale/operators/gateway_pages.py
+++ b/src/sesamevale/operators/gateway_pages.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import collections
+import dataclasses
 import json
 import time
 from typing import TYPE_CHECKING
@@ -68,6 +70,23 @@
             gauge("requests_active", "Requests now", self._router.active_count),
             gauge("members", "Entries in use", len(view.members)),
             gauge("log_lines_dropped", "Not written", self._events.dropped),
+            *self._signal_gauges(),
+        ]
+
+    def _signal_gauges(self) -> list[metrics.MetricSample]:
+        now = time.monotonic()
+        counts: collections.Counter[tuple[str, str]] = collections.Counter()
+        for name, task in self._router.tasks.items():
+            for each in task.balancer.signals.list_in_force(now):
+                counts[name, each.signal] += 1
+        return [
+            metrics.MetricSample(
+                "sesamevale_upstream_signals",
+                "Signals in force",
+                {"service": service, "signal": signal},
+                count,
+            )
+            for (service, signal), count in counts.items()
         ]
 
     def _metrics(self, query: str) -> admin_server.Page:
@@ -100,6 +119,22 @@
         return admin_server.Page(200, "application/json", body)
 
 
+def _signals(
+    task: service_task.ServiceTask, now: float
+) -> list[dict[str, object]]:
+    """Returns what the upstreams of a service say of themselves."""
+    found = []
+    candidates, shares = task.balancer.candidates, task.balancer.shares
+    for each in task.balancer.signals.list_in_force(now):
+        status: dict[str, object] = dataclasses.asdict(each)
+        candidate = candidates.get(each.upstream_id)
+        if each.signal == "limit" and candidate is not None:
+            status["share"] = shares.rate_of(candidate.record, now)
+            status["used"] = shares.used_share(candidate.record, now)
+        found.append(status)
+    return found
+
+
 def _service_status(
     task: service_task.ServiceTask, now: float
 ) -> dict[str, object]:
@@ -108,6 +143,7 @@
         "active": task.active_count,
         "average_slowdown": average.slowdown,
         "average_utilization": average.utilization,
+        "signals": _signals(task, now),
         "upstreams": {
             upstream_id: {
                 "data_center": candidate.record.data_center,
--- a/src/sesamevale/policy/rate_shares.py
+++ b/src/sesamevale/policy/rate_shares.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import collections
 import dataclasses
 import math
 from typing import TYPE_CHECKING
@@ -40,6 +41,9 @@
 RECHECK_INTERVAL_S = 0.25
 RECHECK_INTERVAL_MIN_S = 1.0
 
+# Time over which the use of a share is reported.
+USE_WINDOW_S = 8.0
+
 
 @dataclasses.dataclass(slots=True)
 class _Bucket:
@@ -50,6 +54,9 @@
     rate: float = 0.0
     # What the rate was computed from.
     basis: tuple[float, int, bool] = (0.0, 0, False)
+    sent: collections.deque[float] = dataclasses.field(
+        default_factory=collections.deque
+    )
 
 
 class RateShares:
@@ -140,11 +147,33 @@
             return math.inf
         return self._refill(record, limit, now).rate
 
+    def used_share(
+        self, record: routes.UpstreamRecord, now: float
+    ) -> float | None:
+        """Returns how much of its share this entry has used lately.
+
+        Returns:
+            The part of the requests that were allowed in the last seconds, or
+            None without a share.
+        """
+        limit = self.limit_of(record)
+        if limit is None:
+            return None
+        bucket = self._refill(record, limit, now)
+        if bucket.rate <= 0.0:
+            return None
+        sent = [at for at in bucket.sent if now - at <= USE_WINDOW_S]
+        return len(sent) / (bucket.rate * USE_WINDOW_S)
+
     def record_request(self, record: routes.UpstreamRecord, now: float) -> None:
         """Counts a request that is sent to an upstream."""
         limit = self.limit_of(record)
         if limit is not None:
-            self._refill(record, limit, now).tokens -= 1.0
+            bucket = self._refill(record, limit, now)
+            bucket.tokens -= 1.0
+            bucket.sent.append(now)
+            while now - bucket.sent[0] > USE_WINDOW_S:
+                bucket.sent.popleft()
 
     def take_recheck(self, record: routes.UpstreamRecord, now: float) -> bool:
         """Whether to sample an upstream without room; True once an interval."""
--- a/src/sesamevale/policy/upstream_signals.py
+++ b/src/sesamevale/policy/upstream_signals.py
@@ -20,6 +20,7 @@
     "RateLimit",
     "Signal",
     "SignalChange",
+    "SignalStatus",
     "Signals",
     "UpstreamSignals",
     "instance_of",
@@ -109,11 +110,31 @@
     value: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SignalStatus:
+    """A signal that is in force.
+
+    Attributes:
+        upstream_id: Identifier of the upstream.
+        signal: Name of the signal.
+        value: The limit in requests a second, or the rest of the pause in
+            seconds; 0 for an upstream that leaves.
+        age_s: Time in seconds since it was first heard.
+    """
+
+    upstream_id: str
+    signal: str
+    value: float
+    age_s: float
+
+
 @dataclasses.dataclass(slots=True)
 class _InstanceState:
     last_seen: float
     limit: RateLimit | None = None
+    limit_since: float = math.inf
     leaving_since: float = math.inf
+    paused_since: float = math.inf
     paused_until: float = -math.inf
     awaits_trial: bool = False
     trial_until: float = -math.inf
@@ -215,6 +236,25 @@
             return math.inf
         return max(now, state.paused_until, state.trial_until)
 
+    def list_in_force(self, now: float) -> list[SignalStatus]:
+        """Returns all signals that are in force."""
+        found = []
+        for instance, state in self._states.items():
+            name = instance.upstream_id
+            if state.limit is not None:
+                rate, age_s = state.limit.per_second, now - state.limit_since
+                found.append(SignalStatus(name, "limit", rate, age_s))
+            if state.leaving_since < math.inf:
+                age_s = now - state.leaving_since
+                found.append(SignalStatus(name, "leaving", 0.0, age_s))
+            if now < state.paused_until:
+                rest_s, age_s = (
+                    state.paused_until - now,
+                    now - state.paused_since,
+                )
+                found.append(SignalStatus(name, "pause", rest_s, age_s))
+        return found
+
     def retain(self, instances: Iterable[Instance], now: float) -> None:
         """Forgets instances that have been gone for a long time.
 
@@ -251,6 +291,8 @@
     signal: RateLimit, state: _InstanceState, now: float
 ) -> list[SignalChange]:
     previous, state.limit = state.limit, signal
+    if previous is None:
+        state.limit_since = now
     if previous == signal:
         return []
     change = "began" if previous is None else "changed"
@@ -268,6 +310,8 @@
 @_apply.register
 def _(signal: Pause, state: _InstanceState, now: float) -> list[SignalChange]:
     was_paused = now < state.paused_until
+    if not was_paused:
+        state.paused_since = now
     state.paused_until = max(state.paused_until, now + signal.seconds)
     state.awaits_trial = True
     change = "changed" if was_paused else "began"
--- a/tests/operators/test_event_files.py
+++ b/tests/operators/test_event_files.py
@@ -54,3 +54,36 @@
     runner = typer.testing.CliRunner()
     result = runner.invoke(command_line.app, ["explain", "r-9", str(path)])
     assert result.exit_code == 1
+
+
+def test_signals_in_force_at_the_service_explain_a_refusal():
+    def signal(second, upstream, change, service="sheet"):
+        return events.line(
+            second,
+            "upstream_signal",
+            service=service,
+            upstream=upstream,
+            signal="limit",
+            change=change,
+            value=1.5,
+        )
+
+    lines = [
+        signal(1, "u-1", "began"),
+        signal(2, "u-2", "began"),
+        signal(3, "u-2", "ended"),
+        signal(3, "u-3", "began", service="till"),
+        events.line(
+            4,
+            "request",
+            request="r-1",
+            outcome="not-run",
+            reason="rate_limited",
+            service="sheet",
+        ),
+        signal(5, "u-4", "began"),
+    ]
+    found = event_files.find_request_events(
+        event_files.parse_lines(lines), "r-1"
+    )
+    assert [each.fields.get("upstream") for each in found] == ["u-1", None]
--- /dev/null
+++ b/tests/operators/test_gateway_pages.py
@@ -0,0 +1,84 @@
+"""Status of a gateway entry, and the command that shows it."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import time
+
+import typer.testing
+
+from sesamevale.operators import command_line
+from sesamevale.operators import gateway_pages
+from sesamevale.operators.commands import common
+from sesamevale.policy import active_configuration
+from sesamevale.policy import discovered_upstreams
+from sesamevale.policy import upstream_signals
+from tests.builders import gateway
+from tests.standins import gateway_entry
+from tests.standins import scripted_upstream
+
+SIGNALS = {
+    "u-1": upstream_signals.RateLimit(1.5),
+    "u-2": upstream_signals.Pause(30.0),
+    "u-3": upstream_signals.Leaving(),
+}
+
+
+async def read_status():
+    """Returns the status and the gauges of an entry whose upstreams signal."""
+    upstreams = [scripted_upstream.ScriptedUpstream(name) for name in SIGNALS]
+    async with gateway_entry.GatewayEntry(*upstreams) as entry:
+        await asyncio.sleep(0.05)
+        pages = gateway_pages.GatewayPages(
+            "e-1",
+            entry.router,
+            active_configuration.ActiveConfiguration(),
+            discovered_upstreams.DiscoveredUpstreams(),
+            entry.task._runner._events,
+            entry.recorder,
+        )
+        for each in upstreams:
+            record = gateway.upstream(each.upstream_id, port=each.port)
+            entry.task.balancer.signals.record_answer(
+                upstream_signals.instance_of(record),
+                (SIGNALS[each.upstream_id],),
+                time.monotonic(),
+            )
+        content = json.loads(pages.handlers["/status"]("").body)
+        gauges = {
+            each.labels["signal"]: each.value
+            for each in entry.recorder.samples
+            if each.name == "sesamevale_upstream_signals"
+        }
+        return content, gauges
+
+
+def test_signals_in_force_are_in_the_status_and_the_gauges():
+    content, gauges = asyncio.run(read_status())
+    found = {
+        each["upstream_id"]: each
+        for each in content["services"]["sheet"]["signals"]
+    }
+    assert found["u-1"]["signal"] == "limit"
+    assert found["u-1"]["value"] == 1.5
+    assert 0 < found["u-1"]["share"] <= 1.5
+    assert found["u-1"]["used"] == 0.0
+    assert 29 < found["u-2"]["value"] <= 30
+    assert found["u-3"]["signal"] == "leaving"
+    assert gauges == {"limit": 1, "pause": 1, "leaving": 1}
+
+
+def test_the_command_shows_the_signals(monkeypatch):
+    content, _ = asyncio.run(read_status())
+    content["members"] = ["e-1"]
+    monkeypatch.setattr(common, "read_status", lambda admin: content)
+    runner = typer.testing.CliRunner()
+    result = runner.invoke(
+        command_line.app, ["gateway", "--admin", "127.0.0.1:1"]
+    )
+    assert result.exit_code == 0, result.output
+    assert "u-1: limit 1.5 a second for" in result.output
+    assert "share here 0.6, 0% used" in result.output
+    assert "u-2: pause for" in result.output
+    assert "u-3: leaving for" in result.output
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -24,3 +24,11 @@
     violations, statuses = run.soak(2, 4.0, tmp_path, mode="planned")
     assert not violations, "\n".join(violations)
     assert statuses[200] > 100
+
+
+# Upstreams got more requests than the limits that they had named, and requests
+# while they left or had asked for a pause.
+def test_entries_keep_to_what_upstreams_say_of_themselves(tmp_path):
+    violations, statuses = run.soak(2, 12.0, tmp_path, mode="signals")
+    assert not violations, "\n".join(violations)
+    assert statuses[200] > 100
