--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 export PYTHONPATH := $(CURDIR)/src:$(CURDIR)
 export PYTHONHASHSEED := 0
 
-.PHONY: setup demo test format lint types unit features bench bench-routing bench-control bench-recovery report soak wire clean
+.PHONY: setup demo test format lint types unit features bench bench-routing bench-control bench-recovery bench-limits report soak wire clean
 
 setup: $(STAMP)
 
@@ -53,6 +53,9 @@
 bench-recovery: setup
 	$(BIN)/python -m bench.recovery
 
+bench-limits: setup
+	$(BIN)/python -m bench.limits
+
 report: setup
 	$(BIN)/python -m bench.report journal --draw build/report
 
--- a/src/sesamevale/policy/load_sampling.py
+++ b/src/sesamevale/policy/load_sampling.py
@@ -48,9 +48,10 @@
 # The same if no upstream of this data centre has a free slot. It is shorter
 # because slots become free less often than slowdowns change.
 FULL_LOCAL_WAIT_SHARE = 0.05
-# Share of the latency objective for which a request waits for a free slot even
-# if it can no longer meet its objective. A request whose route has no known
-# duration counts as unable to meet it once this share has passed.
+# Share of the latency objective for which a request waits for a free slot, or
+# for room under a limit, even if it can no longer meet its objective. A request
+# whose route has no known duration counts as unable to meet it once this share
+# has passed.
 SLOT_WAIT_SHARE = 0.5
 # Delay before upstreams are sampled again. It grows by the first value with
 # each wait, up to the second. The slowdowns of a few upstreams change several
@@ -214,7 +215,10 @@
         if not staying:
             return upstream_search.NoCandidates()
         room_at = self._openings.room_after(staying, search.ahead, now)
-        if not self.can_meet_objective(search, room_at):
+        may_wait = self.can_meet_objective(search, room_at) or (
+            room_at - search.started < SLOT_WAIT_SHARE * search.objective_s
+        )
+        if not may_wait or not self._can_end_in_time(search, 1.0, room_at):
             return upstream_search.NoRoom(room_at - now)
         delay_s = max(ROOM_CHECK_DELAY_MIN_S, room_at - now)
         return upstream_search.Wait(min(delay_s, RESAMPLE_DELAY_MAX_S))
