--- a/tests/operators/test_gateway_pages.py
+++ b/tests/operators/test_gateway_pages.py
@@ -35,7 +35,7 @@
             entry.router,
             active_configuration.ActiveConfiguration(),
             discovered_upstreams.DiscoveredUpstreams(),
-            entry.task._runner._events,
+            entry.events,
             entry.recorder,
         )
         for each in upstreams:
--- a/tests/platform/test_border.py
+++ b/tests/platform/test_border.py
@@ -8,7 +8,7 @@
 SOURCES = pathlib.Path(__file__).resolve().parents[2] / "src" / "sesamevale"
 WIRE_NAMES = re.compile(
     r"x-attempt-id|x-deadline-ms|x-response-signature|x-expected-instance"
-    r"|x-not-executed|x-server-load|x-instance-id|/api/|kv-|op/config"
+    r"|x-not-executed|x-server-load|x-instance-id|server-limit|server-leaving|/api/|kv-|op/config"
     r"|servers/|trafficSplit|virtualHosts|targetLatencyMs|healthPath"
     r"|warmupLeftMs|seqNo|\bttlS\b|maxAttempts|nodeName|SESAMEVALE_NODE_FILE",
     re.IGNORECASE,
--- a/tests/standins/gateway_entry.py
+++ b/tests/standins/gateway_entry.py
@@ -79,7 +79,7 @@
             await self._stack.enter_async_context(each)
         sink = os.open(os.devnull, os.O_WRONLY)
         self._stack.callback(os.close, sink)
-        events = event_log.EventLog("e-1", sink)
+        self.events = events = event_log.EventLog("e-1", sink)
         self.task = service_task.ServiceTask(
             routes.Service("sheet", "/health", 100),
             load_sampling.LoadBalancer("here", random.Random(1)),
