Determine open upstreams in one pass

A choice among 180 upstreams of which 126 name limits took 2.3 ms, without limits 1.4 (1.25 before limits were known): each upstream was looked up by its instance for each look at it.

--- a/src/sesamevale/policy/load_sampling.py
+++ b/src/sesamevale/policy/load_sampling.py
@@ -349,8 +349,8 @@
             for name, each in self._candidates.items()
             if name not in search.excluded
             and each.record.data_center == self._data_center
-            and self._openings.takes_requests(each, now)
         ]
+        local = self._openings.select_open(local, now)
         if not local:
             return False
         wait_share = FULL_LOCAL_WAIT_SHARE
@@ -384,11 +384,7 @@
         recheck = None
         if self._openings.any_signal:
             recheck = self._openings.find_recheck(available, now)
-            available = [
-                each
-                for each in available
-                if self._openings.takes_requests(each, now)
-            ]
+            available = self._openings.select_open(available, now)
         self._rng.shuffle(available)
         idle = upstream_state.AverageLoad(1.0)
         available.sort(key=lambda each: each.expected_slowdown(idle, now))
@@ -425,8 +421,8 @@
             candidate
             for name, candidate in self._candidates.items()
             if name not in excluded
-            and self._openings.takes_requests(candidate, now)
         ]
+        untried = self._openings.select_open(untried, now)
         if ahead:
             untried = self._leave_room(untried, ahead)
         if not untried:
--- a/src/sesamevale/policy/upstream_openings.py
+++ b/src/sesamevale/policy/upstream_openings.py
@@ -13,14 +13,13 @@
     from collections.abc import Iterable
 
     from sesamevale.policy import rate_shares
-    from sesamevale.policy import upstream_signals
     from sesamevale.policy import upstream_state
 
 __all__ = ["Openings"]
 
 # Longest time for which a result is kept. Shares also change with the age of
 # the registrations.
-CACHE_LIFETIME_S = 0.25
+RESULT_LIFETIME_S = 0.25
 # Shortest interval between two searches for an upstream to recheck.
 RECHECK_SEARCH_INTERVAL_S = 0.05
 
@@ -35,9 +34,9 @@
     def __init__(self, shares: rate_shares.RateShares) -> None:
         self._shares = shares
         self._signals = shares.signals
-        self._closed_until: dict[upstream_signals.Instance, float] = {}
+        self._epoch = 0
         self._versions = (0, 0)
-        self._cached_at = -math.inf
+        self._refreshed_at = -math.inf
         self._recheck_searched_at = -math.inf
 
     @property
@@ -53,13 +52,23 @@
         """Whether an upstream has announced that it leaves."""
         return self._signals.is_leaving(candidate.instance)
 
-    def takes_requests(
-        self, candidate: upstream_state.Candidate, now: float
-    ) -> bool:
-        """Whether this entry may send a request to an upstream now."""
-        return not self._signals.instances or (
-            self.opens_at(candidate, now) <= now
-        )
+    def select_open(
+        self, candidates: list[upstream_state.Candidate], now: float
+    ) -> list[upstream_state.Candidate]:
+        """Returns the upstreams that this entry may send a request to now."""
+        if not self._signals.instances:
+            return candidates
+        epoch = self._refresh_epoch(now)
+        found = []
+        for each in candidates:
+            if (
+                each.opening_epoch != epoch
+                or -math.inf < each.closed_until <= now
+            ):
+                self._update(each, now)
+            if each.closed_until <= now:
+                found.append(each)
+        return found
 
     def opens_at(
         self, candidate: upstream_state.Candidate, now: float
@@ -70,20 +79,10 @@
             Monotonic time in seconds; infinity if it may not, as far as it is
             known now.
         """
-        instance = candidate.instance
-        if instance not in self._signals.instances:
-            return now
-        self._drop_old_results(now)
-        known = self._closed_until.get(instance, -math.inf)
-        if now < known:
-            return known
-        opens_at = max(
-            self._signals.opens_at(instance, now),
-            self._shares.room_at(candidate.record, now),
-        )
-        if opens_at > now:
-            self._closed_until[instance] = opens_at
-        return opens_at
+        epoch = self._refresh_epoch(now)
+        if candidate.opening_epoch != epoch or candidate.closed_until <= now:
+            self._update(candidate, now)
+        return max(now, candidate.closed_until)
 
     def is_last_resort(
         self, candidate: upstream_state.Candidate, now: float
@@ -144,11 +143,28 @@
             self._shares.record_request(candidate.record, now)
             self._signals.record_request(candidate.instance, now)
 
-    def _drop_old_results(self, now: float) -> None:
+    def _update(self, candidate: upstream_state.Candidate, now: float) -> None:
+        """Determines until when an upstream is closed for this entry.
+
+        An upstream that is open although it has sent a signal is determined
+        anew each time, since each request may close it.
+        """
+        instance = candidate.instance
+        candidate.opening_epoch, candidate.closed_until = self._epoch, -math.inf
+        if instance not in self._signals.instances:
+            return
+        opens_at = max(
+            self._signals.opens_at(instance, now),
+            self._shares.room_at(candidate.record, now),
+        )
+        candidate.closed_until = max(now, opens_at)
+
+    def _refresh_epoch(self, now: float) -> int:
+        """Returns the number of the period in which results stay valid."""
         versions = (self._signals.version, self._shares.version)
-        if (
-            versions != self._versions
-            or now - self._cached_at > CACHE_LIFETIME_S
+        if versions != self._versions or (
+            now - self._refreshed_at > RESULT_LIFETIME_S
         ):
-            self._closed_until.clear()
-            self._versions, self._cached_at = versions, now
+            self._epoch += 1
+            self._versions, self._refreshed_at = versions, now
+        return self._epoch
--- a/src/sesamevale/policy/upstream_state.py
+++ b/src/sesamevale/policy/upstream_state.py
@@ -84,14 +84,19 @@
         "_reset_count",
         "_sampled_at",
         "_sent_since_sample",
+        "closed_until",
         "instance",
         "load",
+        "opening_epoch",
         "record",
         "warm_at",
     )
 
     def __init__(self, record: routes.UpstreamRecord, now: float) -> None:
         self.record = record
+        # Kept by ``upstream_openings.Openings``.
+        self.opening_epoch = -1
+        self.closed_until = -math.inf
         self.instance = upstream_signals.instance_of(record)
         self.load: Load | None = None
         self.warm_at = now + record.warmup_s
--- a/tests/test_gateway_mutants.py
+++ b/tests/test_gateway_mutants.py
@@ -389,16 +389,14 @@
 
 
 def let_repeats_pass(monkeypatch) -> None:
-    original = upstream_openings.Openings.takes_requests
+    original = upstream_openings.Openings.select_open
 
-    def takes_requests(self, candidate, now):
+    def select_open(self, candidates, now):
         if sys._getframe(1).f_locals.get("excluded"):
-            return True
-        return original(self, candidate, now)
+            return candidates
+        return original(self, candidates, now)
 
-    monkeypatch.setattr(
-        upstream_openings.Openings, "takes_requests", takes_requests
-    )
+    monkeypatch.setattr(upstream_openings.Openings, "select_open", select_open)
 
 
 def with_arguments(test, *arguments):
