Sample upstreams with room under their limits first

A token of a share that is not used is lost once the next one is there. With many upstreams in a data centre, three samples often met none of the few that had room.

--- a/src/sesamevale/policy/load_sampling.py
+++ b/src/sesamevale/policy/load_sampling.py
@@ -388,6 +388,9 @@
         self._rng.shuffle(available)
         idle = upstream_state.AverageLoad(1.0)
         available.sort(key=lambda each: each.expected_slowdown(idle, now))
+        if self._openings.any_signal:
+            # Room under a limit is lost if it is not used soon.
+            available.sort(key=self._openings.is_limited, reverse=True)
         chosen = available[: LOCAL_SAMPLES if local else REMOTE_SAMPLES]
         if recheck is not None:
             chosen.append(recheck)
