--- a/src/sesamevale/operators/gateway_pages.py
+++ b/src/sesamevale/operators/gateway_pages.py
@@ -128,9 +128,12 @@
     for each in task.balancer.signals.list_in_force(now):
         status: dict[str, object] = dataclasses.asdict(each)
         candidate = candidates.get(each.upstream_id)
+        used = None
         if each.signal == "limit" and candidate is not None:
+            used = shares.used_share(candidate.record, now)
+        if candidate is not None and used is not None:
             status["share"] = shares.rate_of(candidate.record, now)
-            status["used"] = shares.used_share(candidate.record, now)
+            status["used"] = used
         found.append(status)
     return found
 
