--- a/tests/standins/signal_log.py
+++ b/tests/standins/signal_log.py
@@ -104,60 +104,45 @@
     ) -> Iterator[str]:
         """Yields the windows with more requests than the limit allows.
 
+        Of several values in force in a window, or just before it, the highest
+        counts.
+
         Args:
           is_excused: Gets an attempt and the start of a window.
         """
+        spans = self._spans()
         for index, (start, _) in enumerate(self.arrivals):
-            limit = self._judged_limit(start)
-            if limit is None:
+            span = next((each for each in spans if _binds(each, start)), None)
+            if span is None:
                 continue
-            end = min(start + LIMIT_WINDOW_S, limit.ended_at)
+            end = min(start + LIMIT_WINDOW_S, span[-1].ended_at)
+            per_second = max(
+                each.per_second
+                for each in span
+                if each.ended_at > start - REACTION_S and each.named_at < end
+            )
             count = sum(
                 at < end and not is_excused(attempt, start)
                 for at, attempt in self.arrivals[index:]
             )
-            allowed = EXCESS_FACTOR * limit.per_second * LIMIT_WINDOW_S
+            allowed = EXCESS_FACTOR * per_second * LIMIT_WINDOW_S
             if count > allowed + EXCESS_COUNT:
                 yield (
                     f"{count} requests in {LIMIT_WINDOW_S:g} s from "
-                    f"{start:.3f} at a limit of {limit.per_second:g}"
+                    f"{start:.3f} at a limit of {per_second:g}"
                 )
 
-    def _judged_limit(self, start: float) -> Limit | None:
-        """Returns the limit that binds a window; None if none does yet.
-
-        Of the values in force in the window, or just before it, that is the
-        highest.
-        """
-        first_named = end = None
-        highest = 0.0
+    def _spans(self) -> list[list[Limit]]:
+        """Returns the limits, grouped by the times without a gap."""
+        spans: list[list[Limit]] = []
         for each in self.limits:
-            if each.named_at != end:
-                first_named = each.named_at
-                highest = 0.0
-            end = each.ended_at
-            if end > start - REACTION_S and (
-                each.named_at < start + LIMIT_WINDOW_S
-            ):
-                highest = max(highest, each.per_second)
-            if each.named_at <= start < end:
-                span_end = self._span_end(each)
-                later = [
-                    other.per_second
-                    for other in self.limits
-                    if start
-                    < other.named_at
-                    < min(start + LIMIT_WINDOW_S, span_end)
-                ]
-                if start < first_named + CONTACT_S:
-                    return None
-                return Limit(max([highest, *later]), first_named, span_end)
-        return None
+            if spans and spans[-1][-1].ended_at == each.named_at:
+                spans[-1].append(each)
+            else:
+                spans.append([each])
+        return spans
 
-    def _span_end(self, limit: Limit) -> float:
-        """Returns when the upstream stopped naming any limit."""
-        end = limit.ended_at
-        for each in self.limits:
-            if each.named_at == end:
-                end = each.ended_at
-        return end
+
+def _binds(span: list[Limit], start: float) -> bool:
+    """Returns whether a span of limits binds a window that starts then."""
+    return span[0].named_at + CONTACT_S <= start < span[-1].ended_at
