--- a/tests/forwarding/test_upstream_signals.py
+++ b/tests/forwarding/test_upstream_signals.py
@@ -87,6 +87,7 @@
     test_service_task.run(scenario)
 
 
+# Upstreams got more requests than the limit that they had named.
 def test_a_retry_does_not_go_to_an_upstream_without_room():
     async def scenario():
         one = test_service_task.upstream(NAMED)
@@ -110,6 +111,7 @@
 PAUSES = scripted_upstream.rejection(headers=(("retry-after", "3"),))
 
 
+# Upstreams that said that they leave got requests until the store said so too.
 def test_an_upstream_that_says_it_leaves_gets_nothing_more():
     async def scenario():
         one = test_service_task.upstream(LEAVES)
@@ -140,6 +142,7 @@
     test_service_task.run(scenario)
 
 
+# Upstreams that had asked for a pause with a 503 got the next request at once.
 def test_an_upstream_that_asks_for_a_pause_gets_nothing_in_it():
     async def scenario():
         one = test_service_task.upstream(PAUSES)
