--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -9,6 +9,7 @@
 import asyncio
 import base64
 import contextlib
+import dataclasses
 import itertools
 import json
 import os
@@ -26,20 +27,25 @@
 HOST = "127.0.0.1"
 RUN = ("python3", "deploy/start.py")
 OK = 200
+SIGNATURE = "3e1b.07.5a2.600.0.c9f2a4d1"
+# Mean duration of a payment at the users.
+PAYMENT_S = 0.29
 
 
 def free_ports(count: int) -> list[int]:
     """Returns ports that are free for TCP and UDP at this moment."""
     found: list[int] = []
     while len(found) < count:
-        with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as tcp:
+        with (
+            socket.socket(socket.AF_INET, socket.SOCK_STREAM) as tcp,
+            socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp,
+            contextlib.suppress(OSError),
+        ):
             tcp.bind((HOST, 0))
             port = tcp.getsockname()[1]
-            with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp:
-                with contextlib.suppress(OSError):
-                    udp.bind((HOST, port))
-                    if port not in found:
-                        found.append(port)
+            udp.bind((HOST, port))
+            if port not in found:
+                found.append(port)
     return found
 
 
@@ -56,6 +62,7 @@
         return time.monotonic() - self._start
 
     def write(self, text: str) -> None:
+        """Writes one line with the time."""
         self._file.write(f"{self.now:9.3f} {text}\n")
         self._file.flush()
 
@@ -70,6 +77,7 @@
 
     @property
     def status(self) -> int:
+        """Status of an answer."""
         return int(self.start.split(" ", 2)[1])
 
 
@@ -106,7 +114,7 @@
 def encode(start: str, headers: dict[str, str], body: bytes = b"") -> bytes:
     """Encodes a message with a length."""
     lines = [start, *(f"{name}: {value}" for name, value in headers.items())]
-    if body or start.startswith("HTTP/") or start.startswith("POST"):
+    if body or start.startswith(("HTTP/", "POST")):
         lines.append(f"Content-Length: {len(body)}")
     return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
 
@@ -143,6 +151,7 @@
             writer.transport.abort()
 
     async def serve(self, reader, writer) -> None:
+        """Serves one connection."""
         raise NotImplementedError
 
 
@@ -162,6 +171,7 @@
         self._write(key, value, lease)
 
     def remove(self, key: str) -> None:
+        """Removes an item."""
         self.revision += 1
         self.items.pop(key, None)
 
@@ -190,6 +200,7 @@
                 self._end_lease(lease)
 
     async def serve(self, reader, writer) -> None:
+        """Answers the calls on one connection."""
         while True:
             message = await read_message(reader)
             if message is None:
@@ -263,6 +274,127 @@
         return OK, {"revision": self.revision}
 
 
+class Upstream(Server):
+    """A sound upstream; records which requests it has run."""
+
+    def __init__(self, name: str, ran: dict[str, str]) -> None:
+        super().__init__()
+        self.name = name
+        self.running = 0
+        self._ran = ran
+
+    async def serve(self, reader, writer) -> None:
+        """Answers the requests on one connection."""
+        while True:
+            head = await read_head(reader)
+            if head is None:
+                return
+            start, headers = head
+            left = int(headers.get("content-length", 0))
+            while left:
+                data = await reader.read(min(left, 1 << 18))
+                if not data:
+                    return
+                left -= len(data)
+            answer = {
+                "X-Instance-Id": self.name,
+                "X-Server-Load": f"{self.running},0,4,100",
+            }
+            if start.startswith("GET /health"):
+                writer.write(encode("HTTP/1.1 200 OK", answer))
+                continue
+            attempt = headers["x-attempt-id"]
+            self._ran[attempt] = self.name
+            self.running += 1
+            try:
+                await asyncio.sleep(PAYMENT_S)
+            finally:
+                self.running -= 1
+            answer |= {
+                "X-Attempt-Id": attempt,
+                "X-Response-Signature": SIGNATURE,
+            }
+            writer.write(encode("HTTP/1.1 200 OK", answer, b"done"))
+
+
+@dataclasses.dataclass(frozen=True)
+class Result:
+    """What a client saw of one request.
+
+    Attributes:
+        attempt: Identifier of the attempt.
+        answer: Status, or ``closed`` or ``no answer``.
+        seconds: Time from the end of sending to the answer or the end.
+        kept: Whether an earlier request was answered on the connection.
+    """
+
+    attempt: str
+    answer: str
+    seconds: float
+    kept: bool
+
+
+class Client:
+    """Sends requests one after the other on a kept connection.
+
+    It waits for each answer until its deadline, and opens another connection
+    after an answer that is no success.
+    """
+
+    DEADLINE_S = 5.0
+
+    def __init__(self, name: str, port: int, results: list[Result]) -> None:
+        self._name = name
+        self._port = port
+        self._results = results
+
+    async def run(self, path: str, body: bytes, pause_s: float, until: float):
+        """Sends requests until a monotonic time."""
+        number = 0
+        while time.monotonic() < until:
+            try:
+                reader, writer = await asyncio.open_connection(HOST, self._port)
+            except OSError:
+                await asyncio.sleep(0.1)
+                continue
+            kept = False
+            while time.monotonic() < until:
+                number += 1
+                attempt = f"{self._name}-{number}"
+                answer, seconds = await self._send(
+                    reader, writer, path, body, attempt
+                )
+                self._results.append(Result(attempt, answer, seconds, kept))
+                if answer != "200":
+                    break
+                kept = True
+                await asyncio.sleep(pause_s)
+            writer.transport.abort()
+            await asyncio.sleep(0.1)
+
+    async def _send(self, reader, writer, path, body, attempt):
+        head = (
+            f"POST {path}{attempt} HTTP/1.1\r\nHost: jepu9.example\r\n"
+            f"X-Attempt-Id: {attempt}\r\n"
+            f"X-Deadline-Ms: {int(self.DEADLINE_S * 1000)}\r\n"
+            f"Content-Length: {len(body)}\r\n\r\n"
+        )
+        sent_at = time.monotonic()
+        try:
+            async with asyncio.timeout(self.DEADLINE_S):
+                writer.write(head.encode())
+                writer.write(body)
+                await writer.drain()
+                sent_at = time.monotonic()
+                message = await read_message(reader)
+                answer = str(message.status) if message else "closed"
+        except TimeoutError:
+            answer = "no answer"
+        except ConnectionError:
+            answer = "closed"
+        return answer, time.monotonic() - sent_at
+
+
 def heartbeat(service: str, port: int, zone: str, **changes: object) -> dict:
     """Returns the entry of an upstream in the store."""
     values: dict[str, object] = {
