--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -283,6 +283,13 @@
         self.running = 0
         self._ran = ran
 
+    def signals(self) -> dict[str, str]:
+        """Returns further header fields of each answer."""
+        return {}
+
+    def arrived(self, attempt: str) -> None:
+        """Is called when a request has arrived."""
+
     async def serve(self, reader, writer) -> None:
         """Answers the requests on one connection."""
         while True:
@@ -301,15 +308,18 @@
                 "X-Server-Load": f"{self.running},0,4,100",
             }
             if start.startswith("GET /health"):
+                answer |= self.signals()
                 writer.write(encode("HTTP/1.1 200 OK", answer))
                 continue
             attempt = headers["x-attempt-id"]
+            self.arrived(attempt)
             self._ran[attempt] = self.name
             self.running += 1
             try:
                 await asyncio.sleep(PAYMENT_S)
             finally:
                 self.running -= 1
+            answer |= self.signals()
             answer |= {
                 "X-Attempt-Id": attempt,
                 "X-Response-Signature": SIGNATURE,
