--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -281,6 +281,8 @@
         super().__init__()
         self.name = name
         self.running = 0
+        self.reports_load = True
+        self.work_s = PAYMENT_S
         self._ran = ran
 
     def signals(self) -> dict[str, str]:
@@ -303,10 +305,9 @@
                 if not data:
                     return
                 left -= len(data)
-            answer = {
-                "X-Instance-Id": self.name,
-                "X-Server-Load": f"{self.running},0,4,100",
-            }
+            answer = {"X-Instance-Id": self.name}
+            if self.reports_load:
+                answer["X-Server-Load"] = f"{self.running},0,4,100"
             if start.startswith("GET /health"):
                 answer |= self.signals()
                 writer.write(encode("HTTP/1.1 200 OK", answer))
@@ -316,7 +317,7 @@
             self._ran[attempt] = self.name
             self.running += 1
             try:
-                await asyncio.sleep(PAYMENT_S)
+                await asyncio.sleep(self.work_s)
             finally:
                 self.running -= 1
             answer |= self.signals()
@@ -357,6 +358,7 @@
         self._name = name
         self._port = port
         self._results = results
+        self.on_send = lambda attempt: None
 
     async def run(self, path: str, body: bytes, pause_s: float, until: float):
         """Sends requests until a monotonic time."""
@@ -371,6 +373,7 @@
             while time.monotonic() < until:
                 number += 1
                 attempt = f"{self._name}-{number}"
+                self.on_send(attempt)
                 answer, seconds = await self._send(
                     reader, writer, path, body, attempt
                 )
