--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -289,6 +289,10 @@
         """Returns further header fields of each answer."""
         return {}
 
+    def status(self) -> str:
+        """Returns the status of the next answer."""
+        return "200 OK"
+
     def arrived(self, attempt: str) -> None:
         """Is called when a request has arrived."""
 
@@ -325,7 +329,7 @@
                 "X-Attempt-Id": attempt,
                 "X-Response-Signature": SIGNATURE,
             }
-            writer.write(encode("HTTP/1.1 200 OK", answer, b"done"))
+            writer.write(encode(f"HTTP/1.1 {self.status()}", answer, b"done"))
 
 
 @dataclasses.dataclass(frozen=True)
