Give the decisions rooms by what they decide, and split the service task

Change: policy/ has a package each for admission, balancing, calls, configuration, membership, the register and what upstreams say, with the tests beside them. The course of a request (steps and decisions) moves from ServiceTask to RequestFlow; the task keeps the messages.

--- a/bench/baseline_entry.py
+++ b/bench/baseline_entry.py
@@ -14,10 +14,10 @@
 from sesamevale import daemon
 from sesamevale import outcomes
 from sesamevale.dispatching import coordinator
-from sesamevale.policy import call_state
-from sesamevale.policy import dispatch
-from sesamevale.policy import effects
-from sesamevale.policy import homes
+from sesamevale.policy.balancing import homes
+from sesamevale.policy.calls import call_state
+from sesamevale.policy.calls import dispatch
+from sesamevale.policy.calls import effects
 
 BASELINE_KIND = os.environ.get("BASELINE", "own-count")
 
--- a/bench/limits.py
+++ b/bench/limits.py
@@ -16,7 +16,7 @@
 import random
 import sys
 
-from sesamevale.policy import rate_shares
+from sesamevale.policy.admission import rate_shares
 from tests.standins import limited_fleet
 from tests.standins import signal_log
 
--- a/bench/register_memory.py
+++ b/bench/register_memory.py
@@ -7,8 +7,8 @@
 
 from bench import measuring
 from sesamevale import outcomes
-from sesamevale.policy import identity
-from sesamevale.policy import register
+from sesamevale.policy.register import identity
+from sesamevale.policy.register import register
 
 ANSWER_BYTES = 200
 COUNTS = (5_000, 10_000, 20_000)
--- a/bench/sampling.py
+++ b/bench/sampling.py
@@ -22,9 +22,9 @@
 from unittest import mock
 
 from sesamevale import routes
-from sesamevale.policy import load_sampling
-from sesamevale.policy import upstream_search
-from sesamevale.policy import upstream_state
+from sesamevale.policy.balancing import load_sampling
+from sesamevale.policy.balancing import upstream_search
+from sesamevale.policy.balancing import upstream_state
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/src/sesamevale/api.py
+++ b/src/sesamevale/api.py
@@ -17,17 +17,17 @@
 
 from sesamevale.entries.gossip import Gossip
 from sesamevale.metrics import MetricsRecorder as Book
-from sesamevale.policy.document_follower import DocumentFollower
-from sesamevale.policy.document_follower import Manifest
-from sesamevale.policy.leases import LeaseHolder
-from sesamevale.policy.leases import LeaseState
-from sesamevale.policy.membership import Membership
-from sesamevale.policy.membership import Timing
-from sesamevale.policy.membership_types import Member
-from sesamevale.policy.membership_types import Status
-from sesamevale.policy.probing import ProbeBudget
-from sesamevale.policy.register import Register
-from sesamevale.policy.rendezvous import score
+from sesamevale.policy.balancing.probing import ProbeBudget
+from sesamevale.policy.balancing.rendezvous import score
+from sesamevale.policy.configuration.document_follower import DocumentFollower
+from sesamevale.policy.configuration.document_follower import Manifest
+from sesamevale.policy.membership.leases import LeaseHolder
+from sesamevale.policy.membership.leases import LeaseState
+from sesamevale.policy.membership.membership import Membership
+from sesamevale.policy.membership.membership import Timing
+from sesamevale.policy.membership.membership_types import Member
+from sesamevale.policy.membership.membership_types import Status
+from sesamevale.policy.register.register import Register
 
 __all__ = [
     "Book",
--- a/src/sesamevale/callers/caller_connection.py
+++ b/src/sesamevale/callers/caller_connection.py
@@ -17,8 +17,8 @@
 from sesamevale.callers import answers
 from sesamevale.callers import entry_directory
 from sesamevale.callers import http_connection
-from sesamevale.policy import identity as identities
-from sesamevale.policy import matching
+from sesamevale.policy.configuration import matching
+from sesamevale.policy.register import identity as identities
 
 if TYPE_CHECKING:
     from sesamevale import documents
--- a/src/sesamevale/callers/entry_directory.py
+++ b/src/sesamevale/callers/entry_directory.py
@@ -6,11 +6,11 @@
 from typing import TYPE_CHECKING
 from urllib import parse
 
-from sesamevale.policy import directory
+from sesamevale.policy.membership import directory
 
 if TYPE_CHECKING:
     from sesamevale.dispatching import router
-    from sesamevale.policy import identity
+    from sesamevale.policy.register import identity
 
 __all__ = ["PATH", "answer"]
 
--- a/src/sesamevale/callers/gateway_connection.py
+++ b/src/sesamevale/callers/gateway_connection.py
@@ -19,7 +19,7 @@
 from sesamevale.callers import gateway_exchange
 from sesamevale.callers import http_connection
 from sesamevale.callers import request_reader
-from sesamevale.policy import pipelining
+from sesamevale.policy.admission import pipelining
 
 if TYPE_CHECKING:
     from sesamevale import event_log
--- a/src/sesamevale/dispatching/at_most_once.py
+++ b/src/sesamevale/dispatching/at_most_once.py
@@ -13,8 +13,8 @@
 from sesamevale import calls
 from sesamevale import messaging
 from sesamevale import outcomes
-from sesamevale.policy import identity
-from sesamevale.policy import register
+from sesamevale.policy.register import identity
+from sesamevale.policy.register import register
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/src/sesamevale/dispatching/coordinator.py
+++ b/src/sesamevale/dispatching/coordinator.py
@@ -13,9 +13,9 @@
 from sesamevale import messaging
 from sesamevale.dispatching import dispatcher
 from sesamevale.dispatching import router as routers
-from sesamevale.policy import dispatch
-from sesamevale.policy import homes
-from sesamevale.policy import membership_types
+from sesamevale.policy.balancing import homes
+from sesamevale.policy.calls import dispatch
+from sesamevale.policy.membership import membership_types
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/src/sesamevale/dispatching/dispatcher.py
+++ b/src/sesamevale/dispatching/dispatcher.py
@@ -12,17 +12,17 @@
 from sesamevale import outcomes
 from sesamevale import tracing
 from sesamevale.dispatching import exchanges
-from sesamevale.policy import attempts
-from sesamevale.policy import call_state
-from sesamevale.policy import dispatch
-from sesamevale.policy import effects
+from sesamevale.policy.calls import attempts
+from sesamevale.policy.calls import call_state
+from sesamevale.policy.calls import dispatch
+from sesamevale.policy.calls import effects
 from sesamevale.upstreams import connection
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from sesamevale import documents
-    from sesamevale.policy import homes
+    from sesamevale.policy.balancing import homes
 
 __all__ = [
     "CallerGone",
--- a/src/sesamevale/dispatching/exchanges.py
+++ b/src/sesamevale/dispatching/exchanges.py
@@ -9,7 +9,7 @@
 if TYPE_CHECKING:
     from sesamevale import calls
     from sesamevale import documents
-    from sesamevale.policy import attempts
+    from sesamevale.policy.calls import attempts
 
 __all__ = ["AttemptEnded", "Exchange", "Link", "ResultReceiver"]
 
--- a/src/sesamevale/dispatching/links.py
+++ b/src/sesamevale/dispatching/links.py
@@ -11,7 +11,7 @@
 from sesamevale import sockets
 from sesamevale import tracing
 from sesamevale.dispatching import exchanges
-from sesamevale.policy import attempts
+from sesamevale.policy.calls import attempts
 
 __all__ = ["LinkTask"]
 
--- a/src/sesamevale/dispatching/router.py
+++ b/src/sesamevale/dispatching/router.py
@@ -11,14 +11,14 @@
 from sesamevale import outcomes
 from sesamevale.dispatching import at_most_once
 from sesamevale.dispatching import dispatcher
-from sesamevale.policy import identity
+from sesamevale.policy.register import identity
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from sesamevale import documents
-    from sesamevale.policy import homes
-    from sesamevale.policy import membership_types
+    from sesamevale.policy.balancing import homes
+    from sesamevale.policy.membership import membership_types
 
 __all__ = ["CallRouter", "ClusterView"]
 
--- a/src/sesamevale/document_models.py
+++ b/src/sesamevale/document_models.py
@@ -11,7 +11,7 @@
 import pydantic
 
 from sesamevale import documents
-from sesamevale.policy import matching
+from sesamevale.policy.configuration import matching
 
 __all__ = [
     "DocumentModel",
--- a/src/sesamevale/draining.py
+++ b/src/sesamevale/draining.py
@@ -12,7 +12,7 @@
     from sesamevale import event_log
     from sesamevale.callers import gateway_server
     from sesamevale.forwarding import router as routers
-    from sesamevale.policy import drain_schedule
+    from sesamevale.policy.admission import drain_schedule
 
 __all__ = ["Drain"]
 
--- a/src/sesamevale/entries/codec.py
+++ b/src/sesamevale/entries/codec.py
@@ -11,8 +11,8 @@
 from thrift.protocol import TProtocol
 
 from sesamevale.entries.wire import ttypes as wire
-from sesamevale.policy import attempts
-from sesamevale.policy import membership_types
+from sesamevale.policy.calls import attempts
+from sesamevale.policy.membership import membership_types
 
 if TYPE_CHECKING:
     from sesamevale import sockets
--- a/src/sesamevale/entries/gossip.py
+++ b/src/sesamevale/entries/gossip.py
@@ -13,8 +13,8 @@
 
 from sesamevale import messaging
 from sesamevale.entries import codec
-from sesamevale.policy import membership
-from sesamevale.policy import membership_types
+from sesamevale.policy.membership import membership
+from sesamevale.policy.membership import membership_types
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/src/sesamevale/entries/issuer_relay.py
+++ b/src/sesamevale/entries/issuer_relay.py
@@ -20,13 +20,13 @@
 from sesamevale.entries import codec
 from sesamevale.entries import relay_client
 from sesamevale.entries.wire import ttypes as wire
-from sesamevale.policy import attempts
+from sesamevale.policy.calls import attempts
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from sesamevale import documents
-    from sesamevale.policy import membership_types
+    from sesamevale.policy.membership import membership_types
 
 __all__ = ["relay"]
 
--- a/src/sesamevale/entries/peer_documents.py
+++ b/src/sesamevale/entries/peer_documents.py
@@ -13,8 +13,8 @@
 from sesamevale.etcd import manifests
 
 if TYPE_CHECKING:
-    from sesamevale.policy import document_follower
-    from sesamevale.policy import membership_types
+    from sesamevale.policy.configuration import document_follower
+    from sesamevale.policy.membership import membership_types
 
 __all__ = ["DocumentAnswer", "fetch_document", "make_answer"]
 
--- a/src/sesamevale/entries/relay_server.py
+++ b/src/sesamevale/entries/relay_server.py
@@ -13,9 +13,9 @@
 from sesamevale.dispatching import at_most_once
 from sesamevale.entries import codec
 from sesamevale.entries.wire import ttypes as wire
-from sesamevale.policy import attempts
-from sesamevale.policy import identity
-from sesamevale.policy import register
+from sesamevale.policy.calls import attempts
+from sesamevale.policy.register import identity
+from sesamevale.policy.register import register
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/src/sesamevale/entries/state_exchange.py
+++ b/src/sesamevale/entries/state_exchange.py
@@ -16,7 +16,7 @@
 from sesamevale import sockets
 from sesamevale.operators import admin_client
 from sesamevale.operators import admin_server
-from sesamevale.policy import shared_state
+from sesamevale.policy.membership import shared_state
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/src/sesamevale/entries/state_reader.py
+++ b/src/sesamevale/entries/state_reader.py
@@ -15,8 +15,8 @@
 from sesamevale import messaging
 from sesamevale.entries import state_exchange
 from sesamevale.operators import admin_server
-from sesamevale.policy import read_scheduling
-from sesamevale.policy import shared_state
+from sesamevale.policy.membership import read_scheduling
+from sesamevale.policy.membership import shared_state
 
 if TYPE_CHECKING:
     from sesamevale import metrics
--- a/src/sesamevale/entry.py
+++ b/src/sesamevale/entry.py
@@ -40,10 +40,10 @@
 from sesamevale.operators import admin_server
 from sesamevale.operators import document_files
 from sesamevale.operators import status
-from sesamevale.policy import document_follower
-from sesamevale.policy import membership
-from sesamevale.policy import membership_types
-from sesamevale.policy import register
+from sesamevale.policy.configuration import document_follower
+from sesamevale.policy.membership import membership
+from sesamevale.policy.membership import membership_types
+from sesamevale.policy.register import register
 from sesamevale.upstreams import prober
 
 if TYPE_CHECKING:
--- a/src/sesamevale/etcd/document_task.py
+++ b/src/sesamevale/etcd/document_task.py
@@ -18,7 +18,7 @@
 from sesamevale.etcd import client
 from sesamevale.etcd import manifests
 from sesamevale.etcd import watching
-from sesamevale.policy import document_follower
+from sesamevale.policy.configuration import document_follower
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
--- a/src/sesamevale/etcd/manifests.py
+++ b/src/sesamevale/etcd/manifests.py
@@ -6,7 +6,7 @@
 
 import pydantic
 
-from sesamevale.policy import document_follower
+from sesamevale.policy.configuration import document_follower
 
 __all__ = [
     "Registration",
--- a/src/sesamevale/etcd/registration.py
+++ b/src/sesamevale/etcd/registration.py
@@ -15,7 +15,7 @@
 from sesamevale.etcd import client
 from sesamevale.etcd import keys
 from sesamevale.etcd import manifests
-from sesamevale.policy import leases
+from sesamevale.policy.membership import leases
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/src/sesamevale/etcd/store.py
+++ b/src/sesamevale/etcd/store.py
@@ -10,7 +10,7 @@
 from sesamevale.etcd import client
 from sesamevale.etcd import keys
 from sesamevale.etcd import manifests
-from sesamevale.policy import document_follower
+from sesamevale.policy.configuration import document_follower
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/src/sesamevale/forwarding/attempt_runner.py
+++ b/src/sesamevale/forwarding/attempt_runner.py
@@ -6,15 +6,15 @@
 from typing import TYPE_CHECKING
 
 from sesamevale.forwarding import messages
-from sesamevale.policy import forwarding
+from sesamevale.policy.calls import forwarding
 from sesamevale.upstreams import link_messages
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from sesamevale import event_log
-    from sesamevale.policy import load_sampling
-    from sesamevale.policy import upstream_state
+    from sesamevale.policy.balancing import load_sampling
+    from sesamevale.policy.balancing import upstream_state
     from sesamevale.upstreams import link_pool
 
 __all__ = ["AttemptRunner"]
--- a/src/sesamevale/forwarding/messages.py
+++ b/src/sesamevale/forwarding/messages.py
@@ -5,17 +5,17 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
-from sesamevale.policy import forwarding
-from sesamevale.policy import upstream_search
-from sesamevale.policy import upstream_state
+from sesamevale.policy.balancing import upstream_search
+from sesamevale.policy.balancing import upstream_state
+from sesamevale.policy.calls import forwarding
 
 if TYPE_CHECKING:
     import asyncio
 
     from sesamevale import routes
     from sesamevale.forwarding import requests
-    from sesamevale.policy import drain_schedule
-    from sesamevale.policy import registered_peers
+    from sesamevale.policy.admission import drain_schedule
+    from sesamevale.policy.membership import registered_peers
     from sesamevale.upstreams import http_link
     from sesamevale.upstreams import link_messages
 
--- a/src/sesamevale/forwarding/router.py
+++ b/src/sesamevale/forwarding/router.py
@@ -10,15 +10,15 @@
 from sesamevale import outcomes
 from sesamevale.forwarding import messages
 from sesamevale.forwarding import service_task
-from sesamevale.policy import route_matching
-from sesamevale.policy import splits
+from sesamevale.policy.configuration import route_matching
+from sesamevale.policy.configuration import splits
 
 if TYPE_CHECKING:
     from sesamevale import http1
     from sesamevale import routes
     from sesamevale.forwarding import requests
-    from sesamevale.policy import drain_schedule
-    from sesamevale.policy import registered_peers as peers
+    from sesamevale.policy.admission import drain_schedule
+    from sesamevale.policy.membership import registered_peers as peers
 
 __all__ = ["RequestRouter", "RoutingView"]
 
--- a/src/sesamevale/forwarding/sampling.py
+++ b/src/sesamevale/forwarding/sampling.py
@@ -11,7 +11,7 @@
     from collections.abc import Callable
 
     from sesamevale import metrics
-    from sesamevale.policy import upstream_state
+    from sesamevale.policy.balancing import upstream_state
     from sesamevale.upstreams import link_pool
 
 __all__ = ["Sampler"]
--- a/src/sesamevale/forwarding/signal_recorder.py
+++ b/src/sesamevale/forwarding/signal_recorder.py
@@ -6,7 +6,7 @@
 import time
 from typing import TYPE_CHECKING
 
-from sesamevale.policy import upstream_signals
+from sesamevale.policy.signals import upstream_signals
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
--- a/src/sesamevale/forwarding/upstream_health.py
+++ b/src/sesamevale/forwarding/upstream_health.py
@@ -7,8 +7,8 @@
 from collections.abc import Callable
 
 from sesamevale import metrics
-from sesamevale.policy import forwarding
-from sesamevale.policy import upstream_state
+from sesamevale.policy.balancing import upstream_state
+from sesamevale.policy.calls import forwarding
 
 __all__ = ["record_result"]
 
--- a/src/sesamevale/forwarding/waiting.py
+++ b/src/sesamevale/forwarding/waiting.py
@@ -8,7 +8,7 @@
     from collections.abc import Iterable
 
     from sesamevale.forwarding import messages
-    from sesamevale.policy import load_sampling
+    from sesamevale.policy.balancing import load_sampling
 
 __all__ = ["any_can_meet_objective", "by_urgency", "count_ahead"]
 
--- a/src/sesamevale/gateway.py
+++ b/src/sesamevale/gateway.py
@@ -22,16 +22,16 @@
 from sesamevale.forwarding import service_task
 from sesamevale.operators import admin_server
 from sesamevale.operators import gateway_pages
-from sesamevale.policy import active_configuration
-from sesamevale.policy import discovered_upstreams
-from sesamevale.policy import drain_schedule
-from sesamevale.policy import load_sampling
-from sesamevale.policy import membership
-from sesamevale.policy import membership_types
-from sesamevale.policy import rate_shares
-from sesamevale.policy import registered_peers
-from sesamevale.policy import retry_budget
-from sesamevale.policy import upstream_signals
+from sesamevale.policy.admission import drain_schedule
+from sesamevale.policy.admission import rate_shares
+from sesamevale.policy.admission import retry_budget
+from sesamevale.policy.balancing import load_sampling
+from sesamevale.policy.configuration import active_configuration
+from sesamevale.policy.membership import membership
+from sesamevale.policy.membership import membership_types
+from sesamevale.policy.membership import registered_peers
+from sesamevale.policy.signals import discovered_upstreams
+from sesamevale.policy.signals import upstream_signals
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/src/sesamevale/gateway_messages.py
+++ b/src/sesamevale/gateway_messages.py
@@ -8,9 +8,9 @@
 if TYPE_CHECKING:
     from sesamevale import routes
     from sesamevale import settings as checked_settings
-    from sesamevale.policy import drain_schedule
-    from sesamevale.policy import registered_peers as peers
-    from sesamevale.policy import retry_budget
+    from sesamevale.policy.admission import drain_schedule
+    from sesamevale.policy.admission import retry_budget
+    from sesamevale.policy.membership import registered_peers as peers
 
 __all__ = [
     "ConfigurationRead",
--- a/src/sesamevale/http1.py
+++ b/src/sesamevale/http1.py
@@ -10,8 +10,8 @@
     from collections.abc import Iterable
 
     from sesamevale import calls
-    from sesamevale.policy import upstream_signals
-    from sesamevale.policy import upstream_state
+    from sesamevale.policy.balancing import upstream_state
+    from sesamevale.policy.signals import upstream_signals
 
 __all__ = [
     "Dialect",
--- a/src/sesamevale/operators/commands/common.py
+++ b/src/sesamevale/operators/commands/common.py
@@ -20,8 +20,8 @@
 from sesamevale.etcd import store
 from sesamevale.operators import admin_client
 from sesamevale.operators import document_files
-from sesamevale.policy import differences
-from sesamevale.policy import document_follower
+from sesamevale.policy.configuration import differences
+from sesamevale.policy.configuration import document_follower
 
 __all__ = [
     "AdminOption",
--- a/src/sesamevale/operators/commands/promote.py
+++ b/src/sesamevale/operators/commands/promote.py
@@ -10,7 +10,7 @@
 from sesamevale.etcd import store
 from sesamevale.operators.commands import common
 from sesamevale.operators.commands import submit
-from sesamevale.policy import document_follower
+from sesamevale.policy.configuration import document_follower
 
 __all__ = ["promote"]
 
--- a/src/sesamevale/operators/commands/submit.py
+++ b/src/sesamevale/operators/commands/submit.py
@@ -12,7 +12,7 @@
 from sesamevale.etcd import client
 from sesamevale.etcd import store
 from sesamevale.operators.commands import common
-from sesamevale.policy import differences
+from sesamevale.policy.configuration import differences
 
 __all__ = ["report_outcome", "submit"]
 
--- a/src/sesamevale/operators/document_files.py
+++ b/src/sesamevale/operators/document_files.py
@@ -11,7 +11,7 @@
 
 from sesamevale import document_models
 from sesamevale.etcd import manifests
-from sesamevale.policy import document_follower
+from sesamevale.policy.configuration import document_follower
 
 __all__ = ["DocumentError", "Fault", "as_manifest", "load", "parse"]
 
--- a/src/sesamevale/operators/gateway_pages.py
+++ b/src/sesamevale/operators/gateway_pages.py
@@ -17,8 +17,8 @@
     from sesamevale import event_log
     from sesamevale.forwarding import router as routers
     from sesamevale.forwarding import service_task
-    from sesamevale.policy import active_configuration
-    from sesamevale.policy import discovered_upstreams
+    from sesamevale.policy.configuration import active_configuration
+    from sesamevale.policy.signals import discovered_upstreams
 
 __all__ = ["GatewayPages"]
 
--- a/src/sesamevale/platform/daemon.py
+++ b/src/sesamevale/platform/daemon.py
@@ -21,7 +21,7 @@
 from sesamevale.platform import settings as deployment_settings
 from sesamevale.platform import store_client
 from sesamevale.platform import store_reader
-from sesamevale.policy import read_scheduling
+from sesamevale.policy.membership import read_scheduling
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/src/sesamevale/platform/decoding.py
+++ b/src/sesamevale/platform/decoding.py
@@ -11,8 +11,8 @@
 
 from sesamevale import routes
 from sesamevale.platform import models
-from sesamevale.policy import registered_peers
-from sesamevale.policy import shared_state
+from sesamevale.policy.membership import registered_peers
+from sesamevale.policy.membership import shared_state
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
--- a/src/sesamevale/platform/header_fields.py
+++ b/src/sesamevale/platform/header_fields.py
@@ -7,8 +7,8 @@
 from typing import TYPE_CHECKING
 
 from sesamevale import http1
-from sesamevale.policy import upstream_signals
-from sesamevale.policy import upstream_state
+from sesamevale.policy.balancing import upstream_state
+from sesamevale.policy.signals import upstream_signals
 
 if TYPE_CHECKING:
     from sesamevale import calls
--- a/src/sesamevale/platform/registration.py
+++ b/src/sesamevale/platform/registration.py
@@ -13,7 +13,7 @@
 from sesamevale.platform import decoding
 from sesamevale.platform import models
 from sesamevale.platform import store_client
-from sesamevale.policy import backoff
+from sesamevale.policy.membership import backoff
 
 if TYPE_CHECKING:
     from sesamevale import event_log
--- a/src/sesamevale/platform/settings.py
+++ b/src/sesamevale/platform/settings.py
@@ -13,7 +13,7 @@
 
 from sesamevale import gateway_messages
 from sesamevale import settings as checked_settings
-from sesamevale.policy import retry_budget
+from sesamevale.policy.admission import retry_budget
 
 __all__ = ["DeploymentSettings", "SettingsError", "load"]
 
--- a/src/sesamevale/platform/store_reader.py
+++ b/src/sesamevale/platform/store_reader.py
@@ -8,7 +8,7 @@
 from sesamevale.platform import decoding
 from sesamevale.platform import models
 from sesamevale.platform import store_client
-from sesamevale.policy import shared_state
+from sesamevale.policy.membership import shared_state
 
 if TYPE_CHECKING:
     from sesamevale import event_log
--- a/src/sesamevale/policy/rate_shares.py
+++ b/src/sesamevale/policy/admission/rate_shares.py
@@ -13,14 +13,14 @@
 import math
 from typing import TYPE_CHECKING
 
-from sesamevale.policy import rendezvous
-from sesamevale.policy import upstream_signals
+from sesamevale.policy.balancing import rendezvous
+from sesamevale.policy.signals import upstream_signals
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
     from sesamevale import routes
-    from sesamevale.policy import registered_peers
+    from sesamevale.policy.membership import registered_peers
 
 __all__ = ["RateShares"]
 
--- /dev/null
+++ b/src/sesamevale/policy/balancing/__init__.py
@@ -0,0 +1,3 @@
+"""Which upstream a request goes to: load, health, openings, homes."""
+
+from __future__ import annotations
--- a/src/sesamevale/policy/homes.py
+++ b/src/sesamevale/policy/balancing/homes.py
@@ -12,7 +12,7 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
-from sesamevale.policy import rendezvous
+from sesamevale.policy.balancing import rendezvous
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
--- a/src/sesamevale/policy/load_sampling.py
+++ b/src/sesamevale/policy/balancing/load_sampling.py
@@ -14,12 +14,12 @@
 import math
 from typing import TYPE_CHECKING
 
-from sesamevale.policy import rate_shares
-from sesamevale.policy import route_durations
-from sesamevale.policy import upstream_openings
-from sesamevale.policy import upstream_search
-from sesamevale.policy import upstream_signals
-from sesamevale.policy import upstream_state
+from sesamevale.policy.admission import rate_shares
+from sesamevale.policy.balancing import route_durations
+from sesamevale.policy.balancing import upstream_openings
+from sesamevale.policy.balancing import upstream_search
+from sesamevale.policy.balancing import upstream_state
+from sesamevale.policy.signals import upstream_signals
 
 if TYPE_CHECKING:
     import random
--- a/src/sesamevale/policy/peer_loads.py
+++ b/src/sesamevale/policy/balancing/peer_loads.py
@@ -6,7 +6,7 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
-from sesamevale.policy import attempts
+from sesamevale.policy.calls import attempts
 
 if TYPE_CHECKING:
     from collections.abc import Collection
--- a/src/sesamevale/policy/upstream_openings.py
+++ b/src/sesamevale/policy/balancing/upstream_openings.py
@@ -12,8 +12,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from sesamevale.policy import rate_shares
-    from sesamevale.policy import upstream_state
+    from sesamevale.policy.admission import rate_shares
+    from sesamevale.policy.balancing import upstream_state
 
 __all__ = ["Openings"]
 
--- a/src/sesamevale/policy/upstream_search.py
+++ b/src/sesamevale/policy/balancing/upstream_search.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from sesamevale.policy import upstream_state
+    from sesamevale.policy.balancing import upstream_state
 
 __all__ = [
     "NoCandidates",
--- a/src/sesamevale/policy/dispatch.py
+++ b/src/sesamevale/policy/calls/dispatch.py
@@ -12,17 +12,17 @@
 from typing import TYPE_CHECKING
 
 from sesamevale import outcomes
-from sesamevale.policy import attempts
-from sesamevale.policy import call_state
-from sesamevale.policy import effects
-from sesamevale.policy import hedging
-from sesamevale.policy import peer_loads
-from sesamevale.policy import pool
-from sesamevale.policy import queueing
+from sesamevale.policy.admission import queueing
+from sesamevale.policy.balancing import hedging
+from sesamevale.policy.balancing import peer_loads
+from sesamevale.policy.balancing import pool
+from sesamevale.policy.calls import attempts
+from sesamevale.policy.calls import call_state
+from sesamevale.policy.calls import effects
 
 if TYPE_CHECKING:
     from sesamevale import documents
-    from sesamevale.policy import homes
+    from sesamevale.policy.balancing import homes
 
 __all__ = ["DispatchPolicy"]
 
--- a/src/sesamevale/policy/forwarding.py
+++ b/src/sesamevale/policy/calls/forwarding.py
@@ -10,8 +10,8 @@
 
 if TYPE_CHECKING:
     from sesamevale import calls
-    from sesamevale.policy import upstream_signals
-    from sesamevale.policy import upstream_state
+    from sesamevale.policy.balancing import upstream_state
+    from sesamevale.policy.signals import upstream_signals
 
 __all__ = [
     "Answered",
--- a/src/sesamevale/policy/directory.py
+++ b/src/sesamevale/policy/membership/directory.py
@@ -8,8 +8,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from sesamevale.policy import homes
-    from sesamevale.policy import membership_types
+    from sesamevale.policy.balancing import homes
+    from sesamevale.policy.membership import membership_types
 
 __all__ = ["DirectoryEntry", "build"]
 
--- a/src/sesamevale/policy/membership.py
+++ b/src/sesamevale/policy/membership/membership.py
@@ -15,7 +15,7 @@
 import math
 from typing import TYPE_CHECKING
 
-from sesamevale.policy import membership_types
+from sesamevale.policy.membership import membership_types
 
 if TYPE_CHECKING:
     import random
--- a/src/sesamevale/policy/membership_types.py
+++ b/src/sesamevale/policy/membership/membership_types.py
@@ -5,7 +5,7 @@
 import dataclasses
 import enum
 
-from sesamevale.policy import attempts
+from sesamevale.policy.calls import attempts
 
 __all__ = [
     "Ack",
--- a/src/sesamevale/policy/registered_peers.py
+++ b/src/sesamevale/policy/membership/registered_peers.py
@@ -10,7 +10,7 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
-from sesamevale.policy import discovered_upstreams
+from sesamevale.policy.signals import discovered_upstreams
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
--- a/src/sesamevale/policy/shared_state.py
+++ b/src/sesamevale/policy/membership/shared_state.py
@@ -9,7 +9,7 @@
 import dataclasses
 
 from sesamevale import routes
-from sesamevale.policy import registered_peers
+from sesamevale.policy.membership import registered_peers
 
 __all__ = ["Mirror", "SharedState", "StoreContents", "Update"]
 
--- a/src/sesamevale/policy/register.py
+++ b/src/sesamevale/policy/register/register.py
@@ -13,7 +13,7 @@
 from sesamevale import outcomes
 
 if TYPE_CHECKING:
-    from sesamevale.policy import identity as identities
+    from sesamevale.policy.register import identity as identities
 
 __all__ = [
     "Barred",
--- a/src/sesamevale/upstreams/connection.py
+++ b/src/sesamevale/upstreams/connection.py
@@ -15,7 +15,7 @@
 from sesamevale import sockets
 from sesamevale.dispatching import exchanges
 from sesamevale.dispatching import links
-from sesamevale.policy import attempts
+from sesamevale.policy.calls import attempts
 
 if TYPE_CHECKING:
     from sesamevale import documents
--- a/src/sesamevale/upstreams/http_link.py
+++ b/src/sesamevale/upstreams/http_link.py
@@ -17,14 +17,14 @@
 from sesamevale import outcomes
 from sesamevale import sockets
 from sesamevale import tracing
-from sesamevale.policy import forwarding
+from sesamevale.policy.calls import forwarding
 from sesamevale.upstreams import link_messages
 
 if TYPE_CHECKING:
     from sesamevale import routes
     from sesamevale.forwarding import requests
-    from sesamevale.policy import upstream_signals
-    from sesamevale.policy import upstream_state
+    from sesamevale.policy.balancing import upstream_state
+    from sesamevale.policy.signals import upstream_signals
 
 __all__ = ["HttpLink"]
 
--- a/src/sesamevale/upstreams/link_messages.py
+++ b/src/sesamevale/upstreams/link_messages.py
@@ -9,9 +9,9 @@
     from collections.abc import Callable
 
     from sesamevale.forwarding import requests
-    from sesamevale.policy import forwarding
-    from sesamevale.policy import upstream_signals
-    from sesamevale.policy import upstream_state
+    from sesamevale.policy.balancing import upstream_state
+    from sesamevale.policy.calls import forwarding
+    from sesamevale.policy.signals import upstream_signals
 
 __all__ = ["Forward", "Message", "Sample", "SampleResult"]
 
--- a/src/sesamevale/upstreams/prober.py
+++ b/src/sesamevale/upstreams/prober.py
@@ -14,7 +14,7 @@
 from sesamevale import messaging
 from sesamevale import sockets
 from sesamevale.dispatching import dispatcher
-from sesamevale.policy import probing
+from sesamevale.policy.balancing import probing
 
 if TYPE_CHECKING:
     from sesamevale import documents
--- a/tests/builders/gateway.py
+++ b/tests/builders/gateway.py
@@ -9,7 +9,7 @@
 from sesamevale import calls
 from sesamevale import routes
 from sesamevale.forwarding import requests
-from sesamevale.policy import upstream_state
+from sesamevale.policy.balancing import upstream_state
 
 _numbers = itertools.count(1)
 
--- a/tests/builders/policy_values.py
+++ b/tests/builders/policy_values.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from sesamevale.policy import call_state
-from sesamevale.policy import document_follower
-from sesamevale.policy import identity
-from sesamevale.policy import membership_types
+from sesamevale.policy.calls import call_state
+from sesamevale.policy.configuration import document_follower
+from sesamevale.policy.membership import membership_types
+from sesamevale.policy.register import identity
 
 
 def call_properties(
--- a/tests/entries/test_codec.py
+++ b/tests/entries/test_codec.py
@@ -6,8 +6,8 @@
 from hypothesis import strategies as st
 
 from sesamevale.entries import codec
-from sesamevale.policy import attempts
-from sesamevale.policy import membership_types
+from sesamevale.policy.calls import attempts
+from sesamevale.policy.membership import membership_types
 from tests.builders import policy_values
 
 NAMES = st.text(max_size=20)
--- a/tests/entries/test_state_exchange.py
+++ b/tests/entries/test_state_exchange.py
@@ -6,7 +6,7 @@
 
 from sesamevale.entries import state_exchange
 from sesamevale.operators import admin_server
-from sesamevale.policy import shared_state
+from sesamevale.policy.membership import shared_state
 from tests.builders import gateway
 
 ROUTE_COUNT = 1_200
--- a/tests/entries/test_state_reader.py
+++ b/tests/entries/test_state_reader.py
@@ -10,8 +10,8 @@
 from sesamevale import gateway_messages
 from sesamevale import metrics
 from sesamevale.entries import state_reader
-from sesamevale.policy import read_scheduling
-from sesamevale.policy import shared_state
+from sesamevale.policy.membership import read_scheduling
+from sesamevale.policy.membership import shared_state
 from tests.builders import gateway
 
 TIMING = read_scheduling.ReadTiming(bound_s=0.5)
--- a/tests/etcd/test_document_task.py
+++ b/tests/etcd/test_document_task.py
@@ -8,7 +8,7 @@
 from sesamevale import metrics
 from sesamevale.etcd import document_task
 from sesamevale.etcd import store
-from sesamevale.policy import document_follower
+from sesamevale.policy.configuration import document_follower
 from tests.builders import etcd
 from tests.builders import policy_values
 
--- a/tests/forwarding/test_endless_answers.py
+++ b/tests/forwarding/test_endless_answers.py
@@ -125,11 +125,11 @@
 
             def expire_before_result(message):
                 if isinstance(message, messages.AttemptEnded):
-                    task._active_requests[message.number].timer.cancel()
+                    task._flow.active_requests[message.number].timer.cancel()
                     send(messages.DeadlineExpired(message.number))
                 send(message)
 
-            task._runner._send = expire_before_result
+            task._flow.runner._send = expire_before_result
             result = await gateway_entry.call(entry.port, "/read/1", DEADLINE_S)
             await upstream.wait_closed(SLACK_S)
             assert result.seconds < DEADLINE_S + SLACK_S
--- a/tests/forwarding/test_faulty_upstreams.py
+++ b/tests/forwarding/test_faulty_upstreams.py
@@ -11,7 +11,7 @@
 import pytest
 
 from sesamevale import outcomes
-from sesamevale.policy import forwarding
+from sesamevale.policy.calls import forwarding
 from sesamevale.upstreams import http_link
 from sesamevale.upstreams import link_messages
 from tests.builders import gateway
--- a/tests/forwarding/test_full_upstreams.py
+++ b/tests/forwarding/test_full_upstreams.py
@@ -10,7 +10,7 @@
 import time
 
 from sesamevale import outcomes
-from sesamevale.policy import upstream_state
+from sesamevale.policy.balancing import upstream_state
 from tests.builders import gateway
 from tests.forwarding import test_service_task
 from tests.standins import scripted_upstream
--- a/tests/forwarding/test_service_task.py
+++ b/tests/forwarding/test_service_task.py
@@ -18,9 +18,9 @@
 from sesamevale.forwarding import messages
 from sesamevale.forwarding import service_task
 from sesamevale.platform import header_fields
-from sesamevale.policy import drain_schedule
-from sesamevale.policy import load_sampling
-from sesamevale.policy import retry_budget
+from sesamevale.policy.admission import drain_schedule
+from sesamevale.policy.admission import retry_budget
+from sesamevale.policy.balancing import load_sampling
 from tests.builders import gateway
 from tests.standins import scripted_upstream
 from tests.standins.scripted_upstream import ScriptedAnswer
@@ -348,7 +348,7 @@
                     put(messages.DeadlineExpired(request.number))
                 put(message)
 
-            task._runner._send = put_deadline_first
+            task._flow.runner._send = put_deadline_first
             task.send(messages.Submit(request))
             assert await read_answer(request) == (200, b"charged")
 
@@ -415,7 +415,7 @@
                     put(messages.EndRequests())
                 put(message)
 
-            task._runner._send = put_end_first
+            task._flow.runner._send = put_end_first
             task.send(messages.Submit(request))
             assert await read_answer(request) == (200, b"charged")
 
--- a/tests/forwarding/test_upstream_signals.py
+++ b/tests/forwarding/test_upstream_signals.py
@@ -8,8 +8,8 @@
 import pytest
 
 from sesamevale import outcomes
-from sesamevale.policy import rate_shares
-from sesamevale.policy import upstream_signals
+from sesamevale.policy.admission import rate_shares
+from sesamevale.policy.signals import upstream_signals
 from tests.builders import gateway
 from tests.forwarding import test_service_task
 from tests.standins import scripted_upstream
--- a/tests/operators/test_gateway_pages.py
+++ b/tests/operators/test_gateway_pages.py
@@ -11,9 +11,9 @@
 from sesamevale.operators import command_line
 from sesamevale.operators import gateway_pages
 from sesamevale.operators.commands import common
-from sesamevale.policy import active_configuration
-from sesamevale.policy import discovered_upstreams
-from sesamevale.policy import upstream_signals
+from sesamevale.policy.configuration import active_configuration
+from sesamevale.policy.signals import discovered_upstreams
+from sesamevale.policy.signals import upstream_signals
 from tests.builders import gateway
 from tests.standins import gateway_entry
 from tests.standins import scripted_upstream
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -9,8 +9,8 @@
 from sesamevale.platform import decoding
 from sesamevale.platform import header_fields
 from sesamevale.platform import models
-from sesamevale.policy import upstream_signals
-from sesamevale.policy import upstream_state
+from sesamevale.policy.balancing import upstream_state
+from sesamevale.policy.signals import upstream_signals
 from tests.builders import odd_heartbeats
 from tests.builders import store_items
 
--- a/tests/policy/test_drain_schedule.py
+++ b/tests/policy/admission/test_drain_schedule.py
@@ -5,7 +5,7 @@
 import hypothesis
 from hypothesis import strategies
 
-from sesamevale.policy import drain_schedule
+from sesamevale.policy.admission import drain_schedule
 
 seconds = strategies.floats(min_value=0.0, max_value=30.0)
 graces = strategies.floats(min_value=1.0, max_value=30.0)
--- a/tests/policy/test_pipelining_machine.py
+++ b/tests/policy/admission/test_pipelining_machine.py
@@ -12,7 +12,7 @@
 from hypothesis import stateful
 from hypothesis import strategies as st
 
-from sesamevale.policy import pipelining
+from sesamevale.policy.admission import pipelining
 from tests.builders import hypothesis_settings
 
 REQUESTS_MAX = 4
--- a/tests/policy/test_rate_shares.py
+++ b/tests/policy/admission/test_rate_shares.py
@@ -8,8 +8,8 @@
 from hypothesis import stateful
 from hypothesis import strategies
 
-from sesamevale.policy import rate_shares
-from sesamevale.policy import upstream_signals
+from sesamevale.policy.admission import rate_shares
+from sesamevale.policy.signals import upstream_signals
 from tests.builders import gateway
 from tests.builders import hypothesis_settings
 from tests.standins import limited_fleet
--- a/tests/policy/test_retry_budget_machine.py
+++ b/tests/policy/admission/test_retry_budget_machine.py
@@ -6,7 +6,7 @@
 from hypothesis import stateful
 from hypothesis import strategies
 
-from sesamevale.policy import retry_budget
+from sesamevale.policy.admission import retry_budget
 
 LIMITS = retry_budget.RetryBudgetLimits(ratio=0.2, extra=20.0, window_s=10.0)
 
--- a/tests/policy/test_load_sampling.py
+++ b/tests/policy/balancing/test_load_sampling.py
@@ -4,9 +4,9 @@
 
 import random
 
-from sesamevale.policy import load_sampling
-from sesamevale.policy import upstream_search
-from sesamevale.policy import upstream_state
+from sesamevale.policy.balancing import load_sampling
+from sesamevale.policy.balancing import upstream_search
+from sesamevale.policy.balancing import upstream_state
 from tests.builders import gateway
 
 
--- a/tests/policy/test_route_durations.py
+++ b/tests/policy/balancing/test_route_durations.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from sesamevale.policy import route_durations
+from sesamevale.policy.balancing import route_durations
 
 MEMORY_S = route_durations.DURATION_MEMORY_S
 
--- a/tests/policy/test_dispatch_machine.py
+++ b/tests/policy/calls/test_dispatch_machine.py
@@ -8,10 +8,10 @@
 from hypothesis import strategies as st
 
 from sesamevale import outcomes
-from sesamevale.policy import attempts
-from sesamevale.policy import call_state
-from sesamevale.policy import dispatch
-from sesamevale.policy import effects
+from sesamevale.policy.calls import attempts
+from sesamevale.policy.calls import call_state
+from sesamevale.policy.calls import dispatch
+from sesamevale.policy.calls import effects
 from tests.builders import documents
 from tests.builders import hypothesis_settings
 from tests.builders import policy_values
--- a/tests/policy/test_forwarding_machine.py
+++ b/tests/policy/calls/test_forwarding_machine.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies
 
 from sesamevale import outcomes
-from sesamevale.policy import forwarding
+from sesamevale.policy.calls import forwarding
 
 Reason = outcomes.Reason
 
--- a/tests/policy/test_slot_bound.py
+++ b/tests/policy/calls/test_slot_bound.py
@@ -8,10 +8,10 @@
 from hypothesis import strategies as st
 
 from sesamevale import outcomes
-from sesamevale.policy import attempts
-from sesamevale.policy import dispatch
-from sesamevale.policy import effects
-from sesamevale.policy import homes
+from sesamevale.policy.balancing import homes
+from sesamevale.policy.calls import attempts
+from sesamevale.policy.calls import dispatch
+from sesamevale.policy.calls import effects
 from tests.builders import documents
 from tests.builders import policy_values
 
--- a/tests/policy/test_document_follower_machine.py
+++ b/tests/policy/configuration/test_document_follower_machine.py
@@ -5,7 +5,7 @@
 from hypothesis import stateful
 from hypothesis import strategies as st
 
-from sesamevale.policy import document_follower
+from sesamevale.policy.configuration import document_follower
 from tests.builders import hypothesis_settings
 from tests.builders import policy_values
 
--- a/tests/policy/test_backoff.py
+++ b/tests/policy/membership/test_backoff.py
@@ -4,7 +4,7 @@
 
 import random
 
-from sesamevale.policy import backoff
+from sesamevale.policy.membership import backoff
 
 
 def test_delays_double_up_to_the_longest_and_start_again():
--- a/tests/policy/test_leases_machine.py
+++ b/tests/policy/membership/test_leases_machine.py
@@ -5,7 +5,7 @@
 from hypothesis import stateful
 from hypothesis import strategies as st
 
-from sesamevale.policy import leases
+from sesamevale.policy.membership import leases
 from tests.builders import hypothesis_settings
 
 TTL_S = 10.0
--- a/tests/policy/test_membership_machine.py
+++ b/tests/policy/membership/test_membership_machine.py
@@ -9,8 +9,8 @@
 from hypothesis import stateful
 from hypothesis import strategies as st
 
-from sesamevale.policy import membership
-from sesamevale.policy import membership_types
+from sesamevale.policy.membership import membership
+from sesamevale.policy.membership import membership_types
 from tests.builders import hypothesis_settings
 from tests.builders import policy_values
 
--- a/tests/policy/test_read_scheduling.py
+++ b/tests/policy/membership/test_read_scheduling.py
@@ -5,7 +5,7 @@
 import hypothesis
 from hypothesis import strategies
 
-from sesamevale.policy import read_scheduling
+from sesamevale.policy.membership import read_scheduling
 
 TIMING = read_scheduling.ReadTiming(bound_s=2.0)
 TIME_STEP_S = 0.01
--- a/tests/policy/test_shared_state_machine.py
+++ b/tests/policy/membership/test_shared_state_machine.py
@@ -6,8 +6,8 @@
 from hypothesis import stateful
 from hypothesis import strategies
 
-from sesamevale.policy import registered_peers
-from sesamevale.policy import shared_state
+from sesamevale.policy.membership import registered_peers
+from sesamevale.policy.membership import shared_state
 from tests.builders import gateway
 
 PEER = registered_peers.Peer("e-2", "there", "10.0.0.2", 80, 90)
--- a/tests/policy/test_store_outages.py
+++ b/tests/policy/membership/test_store_outages.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from sesamevale.policy import read_scheduling
+from sesamevale.policy.membership import read_scheduling
 
 TIMING = read_scheduling.ReadTiming(bound_s=3.0)
 ENTRIES = [f"e-{number:03}" for number in range(25)]
--- a/tests/policy/test_register_machine.py
+++ b/tests/policy/register/test_register_machine.py
@@ -14,8 +14,8 @@
 from hypothesis import strategies as st
 
 from sesamevale import outcomes
-from sesamevale.policy import identity
-from sesamevale.policy import register
+from sesamevale.policy.register import identity
+from sesamevale.policy.register import register
 from tests.builders import hypothesis_settings
 from tests.builders import policy_values
 
--- a/tests/policy/test_discovered_upstreams.py
+++ b/tests/policy/signals/test_discovered_upstreams.py
@@ -6,7 +6,7 @@
 from hypothesis import stateful
 from hypothesis import strategies
 
-from sesamevale.policy import discovered_upstreams
+from sesamevale.policy.signals import discovered_upstreams
 from tests.builders import gateway
 
 
--- a/tests/policy/test_signals_machine.py
+++ b/tests/policy/signals/test_signals_machine.py
@@ -8,10 +8,10 @@
 from hypothesis import stateful
 from hypothesis import strategies
 
-from sesamevale.policy import load_sampling
-from sesamevale.policy import rate_shares
-from sesamevale.policy import upstream_search
-from sesamevale.policy import upstream_signals
+from sesamevale.policy.admission import rate_shares
+from sesamevale.policy.balancing import load_sampling
+from sesamevale.policy.balancing import upstream_search
+from sesamevale.policy.signals import upstream_signals
 from tests.builders import gateway
 from tests.builders import hypothesis_settings
 
--- a/tests/policy/test_upstream_signals.py
+++ b/tests/policy/signals/test_upstream_signals.py
@@ -5,7 +5,7 @@
 import dataclasses
 import math
 
-from sesamevale.policy import upstream_signals
+from sesamevale.policy.signals import upstream_signals
 from tests.builders import gateway
 
 RECORD = gateway.upstream()
--- a/tests/policy/test_parts.py
+++ b/tests/policy/test_parts.py
@@ -11,18 +11,18 @@
 from hypothesis import strategies as st
 
 from sesamevale import outcomes
-from sesamevale.policy import attempts
-from sesamevale.policy import differences
-from sesamevale.policy import dispatch
-from sesamevale.policy import effects
-from sesamevale.policy import hedging
-from sesamevale.policy import homes
-from sesamevale.policy import identity
-from sesamevale.policy import matching
-from sesamevale.policy import pool
-from sesamevale.policy import probing
-from sesamevale.policy import queueing
-from sesamevale.policy import rendezvous
+from sesamevale.policy.admission import queueing
+from sesamevale.policy.balancing import hedging
+from sesamevale.policy.balancing import homes
+from sesamevale.policy.balancing import pool
+from sesamevale.policy.balancing import probing
+from sesamevale.policy.balancing import rendezvous
+from sesamevale.policy.calls import attempts
+from sesamevale.policy.calls import dispatch
+from sesamevale.policy.calls import effects
+from sesamevale.policy.configuration import differences
+from sesamevale.policy.configuration import matching
+from sesamevale.policy.register import identity
 from tests.builders import documents
 from tests.builders import policy_values
 
--- a/tests/policy/test_routes.py
+++ b/tests/policy/test_routes.py
@@ -8,10 +8,10 @@
 from hypothesis import strategies
 
 from sesamevale import routes
-from sesamevale.policy import active_configuration
-from sesamevale.policy import registered_peers
-from sesamevale.policy import route_matching
-from sesamevale.policy import splits
+from sesamevale.policy.configuration import active_configuration
+from sesamevale.policy.configuration import route_matching
+from sesamevale.policy.configuration import splits
+from sesamevale.policy.membership import registered_peers
 from tests.builders import gateway
 
 
--- a/tests/standins/dispatching_entry.py
+++ b/tests/standins/dispatching_entry.py
@@ -10,7 +10,7 @@
 from sesamevale.callers import caller_server
 from sesamevale.dispatching import dispatcher
 from sesamevale.dispatching import router
-from sesamevale.policy import dispatch
+from sesamevale.policy.calls import dispatch
 from tests.builders import documents
 from tests.builders import policy_values
 
--- a/tests/standins/gateway_entry.py
+++ b/tests/standins/gateway_entry.py
@@ -20,8 +20,8 @@
 from sesamevale.forwarding import router
 from sesamevale.forwarding import service_task
 from sesamevale.platform import header_fields
-from sesamevale.policy import load_sampling
-from sesamevale.policy import retry_budget
+from sesamevale.policy.admission import retry_budget
+from sesamevale.policy.balancing import load_sampling
 from tests.builders import gateway
 from tests.standins import processor_time
 
--- a/tests/standins/limited_fleet.py
+++ b/tests/standins/limited_fleet.py
@@ -8,9 +8,9 @@
 import dataclasses
 import random
 
-from sesamevale.policy import rate_shares
-from sesamevale.policy import registered_peers
-from sesamevale.policy import upstream_signals
+from sesamevale.policy.admission import rate_shares
+from sesamevale.policy.membership import registered_peers
+from sesamevale.policy.signals import upstream_signals
 from tests.builders import gateway
 from tests.standins import signal_log
 
--- a/tests/standins/non_deduplicating_entry.py
+++ b/tests/standins/non_deduplicating_entry.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 from sesamevale import daemon
-from sesamevale.policy import register
+from sesamevale.policy.register import register
 
 register.Register.submit = lambda *arguments: register.Run()
 
--- a/tests/standins/simulated_service.py
+++ b/tests/standins/simulated_service.py
@@ -12,9 +12,9 @@
 import random
 from collections.abc import Callable
 
-from sesamevale.policy import load_sampling
-from sesamevale.policy import upstream_search
-from sesamevale.policy import upstream_state
+from sesamevale.policy.balancing import load_sampling
+from sesamevale.policy.balancing import upstream_search
+from sesamevale.policy.balancing import upstream_state
 from tests.builders import gateway
 
 ROUTE = "read"
--- a/tests/test_mutants.py
+++ b/tests/test_mutants.py
@@ -6,24 +6,24 @@
 from hypothesis import stateful
 
 from sesamevale.etcd import store
-from sesamevale.policy import dispatch
-from sesamevale.policy import document_follower
-from sesamevale.policy import identity
-from sesamevale.policy import leases
-from sesamevale.policy import membership
-from sesamevale.policy import pool
-from sesamevale.policy import probing
-from sesamevale.policy import queueing
-from sesamevale.policy import register
+from sesamevale.policy.admission import queueing
+from sesamevale.policy.balancing import pool
+from sesamevale.policy.balancing import probing
+from sesamevale.policy.calls import dispatch
+from sesamevale.policy.configuration import document_follower
+from sesamevale.policy.membership import leases
+from sesamevale.policy.membership import membership
+from sesamevale.policy.register import identity
+from sesamevale.policy.register import register
 from sesamevale.upstreams import connection
 from tests.builders import hypothesis_settings
-from tests.policy import test_acceptance_machine
-from tests.policy import test_dispatch_machine
-from tests.policy import test_document_follower_machine
-from tests.policy import test_leases_machine
-from tests.policy import test_membership_machine
 from tests.policy import test_parts
-from tests.policy import test_register_machine
+from tests.policy.calls import test_dispatch_machine
+from tests.policy.configuration import test_document_follower_machine
+from tests.policy.membership import test_leases_machine
+from tests.policy.membership import test_membership_machine
+from tests.policy.register import test_acceptance_machine
+from tests.policy.register import test_register_machine
 from tests.upstreams import test_connection
 
 
--- a/tests/upstreams/test_connection.py
+++ b/tests/upstreams/test_connection.py
@@ -9,7 +9,7 @@
 from sesamevale import documents as document_types
 from sesamevale.dispatching import at_most_once
 from sesamevale.dispatching import exchanges
-from sesamevale.policy import attempts
+from sesamevale.policy.calls import attempts
 from sesamevale.upstreams import connection
 from tests.builders import documents
 
--- a/tests/upstreams/test_http_link.py
+++ b/tests/upstreams/test_http_link.py
@@ -12,7 +12,7 @@
 from sesamevale import outcomes
 from sesamevale import sockets
 from sesamevale.platform import header_fields
-from sesamevale.policy import forwarding
+from sesamevale.policy.calls import forwarding
 from sesamevale.upstreams import http_link
 from sesamevale.upstreams import link_messages
 from tests.builders import endless_answers
