Read tenants, warm-up rates, evacuations and the machine's resources

Cause: the new deployments configure tenants with keys and rates, rates for cold upstreams and evacuations of data centres, and the settings name the machine's memory, descriptors and link; nothing read them.

Change: validated at the border and carried as data classes: routes.Tenant, the warm-up of routes.Service, StoreContents.evacuated and era, resources. Entries pass evacuations on to each other. Requests carry their priority and tenant. Nothing acts on them yet.

--- a/src/sesamevale/callers/gateway_exchange.py
+++ b/src/sesamevale/callers/gateway_exchange.py
@@ -256,6 +256,7 @@
             deadline=min(self._arrived + route.timeout_s, caller_deadline),
             caller_deadline=caller_deadline,
             answer=calls.AnswerChannel(),
+            priority=route.priority,
         )
 
     async def _send_answer(self) -> _Result:
--- a/src/sesamevale/forwarding/requests.py
+++ b/src/sesamevale/forwarding/requests.py
@@ -34,6 +34,9 @@
         answer: Channel that receives the answer.
         traceparent: W3C trace context, if the request is traced.
         upstream_seconds: Total duration of its attempts.
+        priority: Priority of its tenant or else of its route; 0 is the most
+            urgent.
+        tenant: Tenant whose key it carried; None without one.
     """
 
     number: int
@@ -51,3 +54,5 @@
     answer: calls.AnswerChannel
     traceparent: bytes | None = None
     upstream_seconds: float = 0.0
+    priority: int = 0
+    tenant: routes.Tenant | None = None
--- a/src/sesamevale/forwarding/waiting.py
+++ b/src/sesamevale/forwarding/waiting.py
@@ -33,12 +33,12 @@
 ) -> int:
     """Returns how many waiting requests get room before a request.
 
-    They are ordered by priority of the route, then by deadline.
+    They are ordered by priority, then by deadline.
     """
 
     def order(each: messages.ActiveRequest) -> tuple[int, float, int]:
         found = each.request
-        return found.route.priority, found.deadline, found.number
+        return found.priority, found.deadline, found.number
 
     own = order(request)
     return sum(each.is_waiting and order(each) < own for each in requests)
@@ -51,13 +51,13 @@
 ) -> list[messages.ActiveRequest]:
     """Returns the waiting requests, the most urgent first.
 
-    They are ordered by priority of the route, then by whether they can still
-    meet their objective, then by age.
+    They are ordered by priority, then by whether they can still meet their
+    objective, then by age.
     """
 
     def urgency(each: messages.ActiveRequest) -> tuple[int, bool, float]:
         assert each.search is not None
         late = not balancer.can_meet_objective(each.search, now)
-        return each.request.route.priority, late, each.search.arrived
+        return each.request.priority, late, each.search.arrived
 
     return sorted((each for each in requests if each.is_waiting), key=urgency)
--- a/src/sesamevale/gateway_messages.py
+++ b/src/sesamevale/gateway_messages.py
@@ -5,6 +5,8 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
+from sesamevale import resources
+
 if TYPE_CHECKING:
     from sesamevale import routes
     from sesamevale import settings as checked_settings
@@ -45,6 +47,13 @@
             seconds.
         grace_s: Time from the stop signal to the end of the process, in
             seconds.
+        quota: Bounds on the requests of tenants with a rate limit; None if
+            the deployment has none.
+        warmup: Bounds on the requests to cold upstreams; None if the
+            deployment has none.
+        evacuation_bound_s: Longest time until an evacuation must be in force,
+            in seconds.
+        machine: Resources of the machine.
     """
 
     entry_id: str
@@ -57,6 +66,12 @@
     directory_lifetime_s: float
     config_bound_s: float
     grace_s: float
+    quota: resources.QuotaBounds | None = None
+    warmup: resources.WarmupBounds | None = None
+    evacuation_bound_s: float = 5.0
+    machine: resources.Machine = dataclasses.field(
+        default_factory=resources.Machine
+    )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/sesamevale/platform/decoding.py
+++ b/src/sesamevale/platform/decoding.py
@@ -30,6 +30,7 @@
 REGISTRATION_PREFIX = "sesamevale/entries/"
 # Value of ``kind`` for routes whose requests may run more than once.
 REPEATABLE_KIND = "safe"
+EVACUATION_PREFIX = "op/evacuate/"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -70,6 +71,11 @@
             each for each in values if isinstance(each, routes.Configuration)
         ]
         contents = shared_state.StoreContents(
+            evacuated=frozenset(
+                key.removeprefix(EVACUATION_PREFIX)
+                for key in decoded
+                if key.startswith(EVACUATION_PREFIX)
+            ),
             configuration=found[0] if found else None,
             upstreams=tuple(
                 each
@@ -157,7 +163,11 @@
         routes=by_host,
         services={
             each.name: routes.Service(
-                each.name, each.health_path, each.connections_max
+                each.name,
+                each.health_path,
+                each.connections_max,
+                each.warmup_s,
+                each.warmup_rate_per_s or None,
             )
             for each in found.services
         },
@@ -167,6 +177,16 @@
             header_timeout_s=limits.header_timeout_ms / 1000,
             idle_timeout_s=limits.idle_timeout_ms / 1000,
         ),
+        tenants={
+            each.name: routes.Tenant(
+                each.name,
+                tuple(each.keys),
+                each.priority,
+                each.rate_per_s or None,
+                each.burst,
+            )
+            for each in found.tenants
+        },
     )
 
 
@@ -188,4 +208,5 @@
         priority=found.priority,
         parts=parts,
         upstreams_max=found.upstreams_max,
+        needs_key=not found.is_open,
     )
--- a/src/sesamevale/platform/models.py
+++ b/src/sesamevale/platform/models.py
@@ -128,6 +128,7 @@
         alias="trafficSplit", default=None
     )
     upstreams_max: int = pydantic.Field(alias="maxAttempts", ge=1, default=1)
+    is_open: bool = pydantic.Field(alias="authExempt", default=False)
 
     @pydantic.model_validator(mode="after")
     def _has_service(self) -> _Route:
@@ -147,6 +148,22 @@
     connections_max: int = pydantic.Field(
         alias="maxConnections", ge=1, default=100
     )
+    warmup_s: float = pydantic.Field(alias="warmupS", ge=0, default=0.0)
+    # 0 for no limit.
+    warmup_rate_per_s: float = pydantic.Field(
+        alias="warmupPerS", ge=0, default=0.0
+    )
+
+
+class _Tenant(_Model):
+    name: Text
+    keys: list[Text] = pydantic.Field(
+        alias="apiKeys", default_factory=list, repr=False
+    )
+    priority: int | None = None
+    # 0 for no limit.
+    rate_per_s: float = pydantic.Field(alias="ratePerS", ge=0, default=0.0)
+    burst: float = pydantic.Field(ge=0, default=0.0)
 
 
 class _Limits(_Model):
@@ -163,6 +180,7 @@
     services: list[_Service]
     limits: _Limits
     hosts: list[_Host] = pydantic.Field(alias="virtualHosts")
+    tenants: list[_Tenant] = pydantic.Field(default_factory=list)
 
 
 class Registration(_Model):
--- a/src/sesamevale/platform/settings.py
+++ b/src/sesamevale/platform/settings.py
@@ -12,6 +12,7 @@
 import pydantic
 
 from sesamevale import gateway_messages
+from sesamevale import resources
 from sesamevale import settings as checked_settings
 from sesamevale.policy.admission import retry_budget
 
@@ -53,6 +54,12 @@
     retry_window_s: float = 10.0
     retry_extra: float = 0.0
     directory_lifetime_max_s: float = DIRECTORY_LIFETIME_S
+    quota_window_s: float | None = None
+    quota_overage: float = 0.1
+    quota_tolerance: float = 20.0
+    warmup_overage: float | None = None
+    warmup_tolerance: float = 8.0
+    evacuate_ms: float = 5000.0
 
     @pydantic.model_validator(mode="before")
     @classmethod
@@ -66,6 +73,32 @@
     address: Endpoint
 
 
+class _Machine(pydantic.BaseModel):
+    """Resources of the machine; one that is not limited is null."""
+
+    memory_mb: float | None = pydantic.Field(default=None, gt=0)
+    descriptors_max: int | None = pydantic.Field(default=None, gt=0)
+    cpu_share: float | None = pydantic.Field(default=None, gt=0)
+    cores: float | None = pydantic.Field(default=None, gt=0)
+    link_mbps: float | None = pydantic.Field(default=None, gt=0)
+
+    def to_machine(self) -> resources.Machine:
+        """Returns the resources; defaults stand for those not limited."""
+        usual = resources.Machine()
+        memory_bytes = usual.memory_bytes
+        if self.memory_mb is not None:
+            memory_bytes = int(self.memory_mb * resources.MIB)
+        link_bytes_per_s = usual.link_bytes_per_s
+        if self.link_mbps is not None:
+            link_bytes_per_s = self.link_mbps * 1e6 / 8
+        return resources.Machine(
+            memory_bytes=memory_bytes,
+            descriptors_max=self.descriptors_max or usual.descriptors_max,
+            cores=(self.cpu_share or 1.0) * (self.cores or usual.cores),
+            link_bytes_per_s=link_bytes_per_s,
+        )
+
+
 class DeploymentSettings(pydantic.BaseModel):
     """Contents of the settings file."""
 
@@ -80,6 +113,7 @@
     entry_ports: tuple[int, int]
     bounds: _Bounds
     store: _Store
+    machine: _Machine = pydantic.Field(default_factory=_Machine)
     # Control addresses of the first machines; their entries use other ports.
     seed_addresses: tuple[Endpoint, ...] | None = pydantic.Field(
         alias="seeds", default=None
@@ -126,9 +160,29 @@
             directory_lifetime_s=self.directory_lifetime_s,
             config_bound_s=bounds.config_apply_ms / 1000,
             grace_s=bounds.grace_s,
+            quota=_quota(bounds),
+            warmup=_warmup(bounds),
+            evacuation_bound_s=bounds.evacuate_ms / 1000,
+            machine=self.machine.to_machine(),
         )
 
 
+def _quota(bounds: _Bounds) -> resources.QuotaBounds | None:
+    if bounds.quota_window_s is None:
+        return None
+    return resources.QuotaBounds(
+        bounds.quota_window_s, bounds.quota_overage, bounds.quota_tolerance
+    )
+
+
+def _warmup(bounds: _Bounds) -> resources.WarmupBounds | None:
+    if bounds.warmup_overage is None:
+        return None
+    return resources.WarmupBounds(
+        bounds.warmup_overage, bounds.warmup_tolerance
+    )
+
+
 def load() -> DeploymentSettings:
     """Reads the settings file that the environment names.
 
--- a/src/sesamevale/policy/membership/shared_state.py
+++ b/src/sesamevale/policy/membership/shared_state.py
@@ -22,11 +22,16 @@
         configuration: The configuration, if there is a valid one.
         upstreams: Upstreams whose records are valid.
         peers: Entries that are registered.
+        evacuated: Data centres whose upstreams are to get nothing more.
+        era: Number of the store's history; it rises when the store comes back
+            older than it was. 0 if the store does not say.
     """
 
     configuration: routes.Configuration | None
     upstreams: tuple[routes.UpstreamRecord, ...]
     peers: tuple[registered_peers.Peer, ...]
+    evacuated: frozenset[str] = frozenset()
+    era: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -42,6 +47,9 @@
         changed: Upstreams that are new or have changed.
         removed: Identifiers of removed upstreams.
         peers: Registered entries, if they have changed.
+        evacuated: Data centres whose upstreams are to get nothing more, if
+            they have changed.
+        era: Number of the store's history.
     """
 
     epoch: int
@@ -52,6 +60,8 @@
     changed: tuple[routes.UpstreamRecord, ...]
     removed: tuple[str, ...]
     peers: tuple[registered_peers.Peer, ...] | None
+    evacuated: frozenset[str] | None = None
+    era: int = 0
 
 
 class SharedState:
@@ -67,6 +77,8 @@
         self._read_at: float | None = None
         self._configuration: tuple[int, routes.Configuration | None] = (0, None)
         self._peers: tuple[int, tuple[registered_peers.Peer, ...]] = (0, ())
+        self._evacuated: tuple[int, frozenset[str]] = (0, frozenset())
+        self._era = 0
         self._upstreams: dict[str, tuple[int, routes.UpstreamRecord]] = {}
         self._removed: dict[str, int] = {}
 
@@ -91,6 +103,9 @@
             self._configuration = (revision, contents.configuration)
         if contents.peers != self._peers[1]:
             self._peers = (revision, contents.peers)
+        if contents.evacuated != self._evacuated[1]:
+            self._evacuated = (revision, contents.evacuated)
+        self._era = contents.era
         found = {each.upstream_id: each for each in contents.upstreams}
         for name in self._upstreams.keys() - found.keys():
             del self._upstreams[name]
@@ -118,6 +133,7 @@
         after = 0 if is_full else revision
         changed_at, configuration = self._configuration
         peers_at, peers = self._peers
+        evacuated_at, evacuated = self._evacuated
         return Update(
             epoch=self._epoch,
             revision=self._revision,
@@ -131,6 +147,8 @@
                 name for name, at in self._removed.items() if at > after
             ),
             peers=peers if peers_at > after else None,
+            evacuated=evacuated if evacuated_at > after else None,
+            era=self._era,
         )
 
 
@@ -143,6 +161,7 @@
         self._configuration: routes.Configuration | None = None
         self._upstreams: dict[str, routes.UpstreamRecord] = {}
         self._peers: tuple[registered_peers.Peer, ...] = ()
+        self._evacuated: frozenset[str] = frozenset()
 
     @property
     def epoch(self) -> int:
@@ -164,6 +183,7 @@
             self._upstreams.clear()
             self._configuration = None
             self._peers = ()
+            self._evacuated = frozenset()
         elif update.epoch != self._epoch:
             return None
         self._epoch, self._revision = update.epoch, update.revision
@@ -171,12 +191,18 @@
             self._configuration = update.configuration
         if update.peers is not None:
             self._peers = update.peers
+        if update.evacuated is not None:
+            self._evacuated = update.evacuated
         for name in update.removed:
             self._upstreams.pop(name, None)
         for record in update.changed:
             self._upstreams[record.upstream_id] = record
         return StoreContents(
-            self._configuration, tuple(self._upstreams.values()), self._peers
+            self._configuration,
+            tuple(self._upstreams.values()),
+            self._peers,
+            self._evacuated,
+            update.era,
         )
 
 
--- a/src/sesamevale/routes.py
+++ b/src/sesamevale/routes.py
@@ -10,6 +10,7 @@
     "Route",
     "Service",
     "SplitPart",
+    "Tenant",
     "UpstreamRecord",
 ]
 
@@ -42,6 +43,8 @@
         parts: Services and their weights.
         upstreams_max: Largest number of upstreams that one request may be
             sent to.
+        needs_key: Whether a request needs the key of a tenant, if the
+            configuration has tenants.
     """
 
     name: str
@@ -53,6 +56,7 @@
     priority: int
     parts: tuple[SplitPart, ...]
     upstreams_max: int
+    needs_key: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -64,11 +68,37 @@
         health_path: Path of the health and load report.
         connections_max: Largest number of connections that one upstream
             accepts from all entries together.
+        warmup_s: Time in seconds for which an upstream is cold after a start.
+        warmup_rate_per_s: Requests a second that a cold upstream accepts from
+            all entries together; None if there is no such limit.
     """
 
     name: str
     health_path: str
     connections_max: int
+    warmup_s: float = 0.0
+    warmup_rate_per_s: float | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Tenant:
+    """A customer whose requests carry one of its keys.
+
+    Attributes:
+        name: Name of the tenant.
+        keys: Secret keys; they are left out of logs and representations.
+        priority: Priority of its requests, which goes before that of the
+            route; None if it has none.
+        rate_per_s: Requests a second that all entries together let through;
+            None if there is no limit.
+        burst: Requests that may be let through at once in addition.
+    """
+
+    name: str
+    keys: tuple[str, ...] = dataclasses.field(repr=False)
+    priority: int | None = None
+    rate_per_s: float | None = None
+    burst: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -90,12 +120,14 @@
         routes: Routes by host, longest prefix first.
         services: Services by name.
         limits: Limits on callers.
+        tenants: Tenants by name; without any, requests need no key.
     """
 
     version: int
     routes: dict[str, tuple[Route, ...]]
     services: dict[str, Service]
     limits: CallerLimits
+    tenants: dict[str, Tenant] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
