Show that hard clients exhaust the memory, the event loop and the descriptors of an entry

Cause: a body is held whole and twice, answers are held per connection, and nothing bounds the bytes of all connections together; a body in tiny chunks keeps the event loop; connections are accepted without a limit.

Tests against a process of its own, on a machine of 200 MB and 500 descriptors.

--- a/tests/system/entry_process.py
+++ b/tests/system/entry_process.py
@@ -30,14 +30,16 @@
 class Entry:
     """A daemon process with stand-ins for the store and one upstream.
 
-    ``bounds`` are bounds of the settings that differ from the usual ones, and
+    ``bounds`` are bounds of the settings that differ from the usual ones,
+    ``machine`` the resources of the machine if they are limited, and
     ``program`` holds the arguments of the interpreter.
     """
 
     program = ("-m", MODULE)
 
-    def __init__(self, folder, answers=(), config=None, **bounds):
+    def __init__(self, folder, answers=(), config=None, machine=None, **bounds):
         self.folder = folder
+        self.machine = machine
         self.bounds = {"grace_s": 3.0, "retry_extra": 10} | bounds
         self.store = platform_store.PlatformStore()
         self.upstream = scripted_upstream.ScriptedUpstream("i-1", answers)
@@ -92,6 +94,8 @@
             "bounds": self.bounds,
             "store": {"address": f"{HOST}:{self.store.port}"},
         }
+        if self.machine is not None:
+            settings["machine"] = self.machine
         path = self.folder / "settings.json"
         path.write_text(json.dumps(settings))
         environment = os.environ | {
