--- a/src/sesamevale/callers/answer_encoder.py
+++ b/src/sesamevale/callers/answer_encoder.py
@@ -9,16 +9,20 @@
 from sesamevale import calls
 from sesamevale import http1
 from sesamevale.callers import answers
+from sesamevale.policy.admission import memory_account
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from sesamevale import memory_room
     from sesamevale import outcomes
     from sesamevale import sockets
 
 __all__ = ["AnswerEncoder"]
 
 NO_BODY_STATUSES = (204, 304)
+# Longer bodies are written by themselves, since joining them copies them.
+JOINED_BYTES_MAX = 64 * 1024
 
 
 class AnswerEncoder:
@@ -44,6 +48,8 @@
         self._entry_id = entry_id
         self._closes_connection = closes_connection
         self._status = 0
+        self._claim: memory_room.Claim | None = None
+        self._is_behind = False
 
     @property
     def status(self) -> int:
@@ -56,6 +62,10 @@
         done = {h11.CLIENT: h11.DONE, h11.SERVER: h11.DONE}
         return self._http.states == done
 
+    def set_claim(self, claim: memory_room.Claim) -> None:
+        """Sets the memory that the request holds until its answer is sent."""
+        self._claim = claim
+
     def send_failure(
         self,
         outcome: outcomes.NotRun | outcomes.Unknown,
@@ -96,7 +106,13 @@
             length = (http1.HeaderName.CONTENT_LENGTH, b"%d" % len(body))
             headers = (*headers, length)
         data = self._encode_head(head.status, headers)
-        if body and method != b"HEAD":
+        if method == b"HEAD":
+            body = b""
+        if len(body) > JOINED_BYTES_MAX:
+            self._stream.write(data)
+            self._write_data(body)
+            data = b""
+        elif body:
             data += self._http.send(h11.Data(data=body)) or b""
         data += self._http.send(h11.EndOfMessage()) or b""
         self._stream.write(data)
@@ -121,14 +137,14 @@
         Raises:
             h11.LocalProtocolError: The answer cannot be encoded.
         """
-        data = self._encode_head(head.status, head.headers)
-        data += self._http.send(h11.Data(data=received)) or b""
+        self._stream.write(self._encode_head(head.status, head.headers))
+        data = received
         while True:
-            self._stream.write(data)
-            await self._stream.drain()
+            self._write_data(data)
+            await self.drain(len(data))
             message = await answer.get()
             if isinstance(message, calls.AnswerData):
-                data = self._http.send(h11.Data(data=message.data)) or b""
+                data = message.data
             elif isinstance(message, calls.AnswerEnd):
                 end = self._http.send(h11.EndOfMessage()) or b""
                 self._stream.write(end)
@@ -138,6 +154,50 @@
                 self._stream.abort()
                 return message
 
+    async def drain(self, count: int) -> None:
+        """Waits while the write buffer is over its limit.
+
+        Args:
+            count: Bytes written since the last call.
+        """
+        self.note_unsent()
+        await self._stream.drain()
+        if self._is_behind and self._claim is not None:
+            self._claim.add_progress(count)
+
+    async def flush(self, timeout_s: float) -> None:
+        """Waits until the write buffer is empty or the connection is lost.
+
+        Args:
+            timeout_s: Time without progress, in seconds, after which the
+                connection is aborted.
+        """
+        stream = self._stream
+        while stream.has_unsent and not stream.closed:
+            self.note_unsent()
+            taken = await stream.wait_until_taken(
+                memory_account.PROGRESS_BYTES, timeout_s
+            )
+            if not taken:
+                stream.abort()
+            elif self._claim is not None:
+                self._claim.add_progress(taken)
+
+    def note_unsent(self) -> None:
+        """Notes whether the request waits for its caller to read."""
+        is_behind = self._stream.has_unsent
+        if is_behind == self._is_behind or self._claim is None:
+            return
+        self._is_behind = is_behind
+        phase = memory_account.Phase
+        self._claim.enter(phase.ANSWERING if is_behind else phase.SERVED)
+
+    def _write_data(self, data: bytes) -> None:
+        """Writes a part of the body without joining it to its framing."""
+        event = h11.Data(data=data)
+        for part in self._http.send_with_data_passthrough(event) or ():
+            self._stream.write(part)
+
     def _encode_head(self, status: int, headers: calls.Headers) -> bytes:
         self._status = status
         fields = list(headers)
--- a/src/sesamevale/callers/gateway_connection.py
+++ b/src/sesamevale/callers/gateway_connection.py
@@ -15,14 +15,18 @@
 
 from sesamevale import messaging
 from sesamevale import outcomes
+from sesamevale.callers import body_reader
 from sesamevale.callers import framing
 from sesamevale.callers import gateway_exchange
 from sesamevale.callers import http_connection
 from sesamevale.callers import request_reader
+from sesamevale.policy.admission import memory_account
 from sesamevale.policy.admission import pipelining
 
 if TYPE_CHECKING:
+    from sesamevale import bodies
     from sesamevale import event_log
+    from sesamevale import memory_room
     from sesamevale import metrics
     from sesamevale import routes
     from sesamevale import sockets
@@ -51,6 +55,7 @@
         limits: Limits for callers.
         events: Event log for the results of requests.
         recorder: Recorder of the metrics.
+        room: Memory of the entry.
     """
 
     def __init__(
@@ -61,8 +66,10 @@
         limits: routes.CallerLimits,
         events: event_log.EventLog,
         recorder: metrics.MetricsRecorder,
+        room: memory_room.MemoryRoom,
     ) -> None:
         self._stream = stream
+        self._room = room
         self._router = router
         self._limits = limits
         self._recorder = recorder
@@ -71,6 +78,7 @@
         )
         self._reader = request_reader.RequestReader(stream, limits)
         self._reading: gateway_exchange.GatewayExchange | None = None
+        self._body_reader: body_reader.BodyReader | None = None
         self._pipeline: pipelining.Pipeline[
             gateway_exchange.GatewayExchange
         ] = pipelining.Pipeline(
@@ -113,6 +121,8 @@
         finally:
             self._release()
             await self._stream.linger(http_connection.LINGER_S)
+            if self._stream.has_unsent:
+                self._stream.abort()
             self._stream.close()
 
     def expire(self) -> None:
@@ -140,6 +150,9 @@
         try:
             while await self._read_one():
                 self._reader.start_next()
+                if self._reader.is_reading:
+                    # Others get a turn before a pipelined request is parsed.
+                    await asyncio.sleep(0)
         except h11.RemoteProtocolError as error:
             self._recorder.count("malformed_requests")
             self._refuse(Reason.BAD_REQUEST, error.error_status_hint)
@@ -169,32 +182,41 @@
             self._context, self._reader.http, head
         )
 
-    async def _read_body(self) -> bytes | None:
-        """Reads the whole body; refuses the request if it is too long.
+    async def _read_body(self) -> bodies.RequestBody | None:
+        """Reads the whole body, or refuses the request.
 
         Returns:
-            The body, or None if it is too long or incomplete.
+            The body, or None if the request is refused or incomplete.
 
         Raises:
             h11.RemoteProtocolError: The body is malformed or ends early.
         """
+        assert self._reading is not None
+        claim = self._room.open_claim(self._reading.priority, self._turn_away)
+        if claim is None:
+            self._refuse(Reason.MEMORY)
+            return None
+        self._reading.set_claim(claim)
         if self._reader.http.they_are_waiting_for_100_continue:
             await self._wait_until_answered()
-        declared = self._reader.declared_length
-        limit = self._limits.body_bytes
-        body = bytearray()
-        with self._reader.reading_body():
-            while declared is None or declared <= limit:
-                event = await self._reader.next_body_event()
-                if isinstance(event, h11.EndOfMessage):
-                    return bytes(body)
-                if not isinstance(event, h11.Data):
-                    return None
-                body += event.data
-                if len(body) > limit:
-                    break
-        self._refuse(Reason.TOO_LARGE)
-        return None
+        self._body_reader = body_reader.BodyReader(
+            self._reader, claim, self._limits.body_bytes
+        )
+        found = await self._body_reader.read()
+        if isinstance(found, Reason):
+            self._body_reader.release()
+            self._refuse(found)
+            return None
+        return found
+
+    def _turn_away(self, cause: memory_account.Cause) -> None:
+        """Gives up the request that is read or answered, to free memory."""
+        if cause is memory_account.Cause.STALLED_READER:
+            self._stream.abort()
+            return
+        if self._body_reader is not None:
+            self._body_reader.release()
+        self.expire()
 
     async def _may_start(
         self, exchange: gateway_exchange.GatewayExchange
@@ -223,7 +245,7 @@
         self._reading.refuse(outcomes.NotRun(reason), status)
         self._start(None)
 
-    def _start(self, body: bytes | None) -> None:
+    def _start(self, body: bodies.RequestBody | None) -> None:
         """Starts the request that has been read, or takes its refusal."""
         exchange = self._reading
         assert exchange is not None
@@ -240,7 +262,7 @@
             return False
         try:
             await exchange.deliver()
-            await self._stream.flush(self._limits.idle_timeout_s)
+            await exchange.flush(self._limits.idle_timeout_s)
         except h11.LocalProtocolError:
             self._stream.abort()
             return False
--- a/src/sesamevale/callers/gateway_exchange.py
+++ b/src/sesamevale/callers/gateway_exchange.py
@@ -21,7 +21,9 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from sesamevale import bodies
     from sesamevale import event_log
+    from sesamevale import memory_room
     from sesamevale import metrics
     from sesamevale import routes
     from sesamevale import sockets
@@ -35,6 +37,8 @@
 # Retry-After of a request without a known route, e.g. because no
 # configuration has been read yet.
 UNROUTED_RETRY_AFTER_MS = 300
+# Priority of a request without a route.
+LEAST_URGENT = 9
 # Reason in the log of a request whose task has failed.
 UNEXPECTED_ERROR = "unexpected_error"
 
@@ -100,6 +104,7 @@
         self._refused_status: int | None = None
         self._span: tracing.CallSpan | None = None
         self._body_bytes = 0
+        self._claim: memory_room.Claim | None = None
         self._is_recorded = False
         self._has_ended = False
         context.router.request_started()
@@ -109,6 +114,11 @@
         """Whether the request may run more than once, or does not run."""
         return self._route is None or self._route.repeatable
 
+    @property
+    def priority(self) -> int:
+        """Priority by the route; 0 is the most urgent."""
+        return LEAST_URGENT if self._route is None else self._route.priority
+
     @property
     def held_bytes(self) -> int:
         """Bytes of the body and of the answer that have not been sent."""
@@ -121,7 +131,12 @@
         """Whether another request can follow on the connection."""
         return self._encoder.keeps_connection
 
-    def submit(self, body: bytes) -> None:
+    def set_claim(self, claim: memory_room.Claim) -> None:
+        """Hands over the memory of the request, which ends with it."""
+        self._claim = claim
+        self._encoder.set_claim(claim)
+
+    def submit(self, body: bodies.RequestBody) -> None:
         """Passes the request to the router, or refuses it."""
         self._body_bytes = len(body)
         if self._route is None:
@@ -133,6 +148,7 @@
         )
         request = self._new_request(self._route, body)
         request.traceparent = self._span.traceparent
+        request.claim = self._claim
         self._request = request
         if self._context.stream.closed:
             self.caller_lost()
@@ -186,11 +202,25 @@
         finally:
             self._record(result)
 
+    async def flush(self, timeout_s: float) -> None:
+        """Waits until the caller has taken the answer.
+
+        Args:
+            timeout_s: Time without progress, in seconds, after which the
+                connection is aborted.
+        """
+        await self._encoder.flush(timeout_s)
+
     def end(self) -> None:
         """Counts the request as ended."""
-        if not self._has_ended:
-            self._has_ended = True
-            self._context.router.request_ended()
+        if self._has_ended:
+            return
+        self._has_ended = True
+        self._context.router.request_ended()
+        if self._request is not None and self._request.body is not None:
+            self._request.body.release()
+        if self._claim is not None:
+            self._claim.close()
 
     def _find_route(self) -> routes.Route | None:
         if self._head is None:
@@ -213,7 +243,7 @@
         return outcomes.NotRun(reason, UNROUTED_RETRY_AFTER_MS)
 
     def _new_request(
-        self, route: routes.Route, body: bytes
+        self, route: routes.Route, body: bodies.RequestBody
     ) -> requests.Request:
         assert self._head is not None
         router = self._context.router
@@ -270,21 +300,19 @@
         if isinstance(first, calls.AnswerFailed):
             return self._end_without_answer(request, first.outcome)
         assert isinstance(first, calls.AnswerHead)
-        body = bytearray()
+        body = b""
         message = await request.answer.get()
         while isinstance(message, calls.AnswerData):
-            body += message.data
+            body = body + message.data if body else message.data
             if not request.answer.has_message():
                 break
             message = await request.answer.get()
         if isinstance(message, calls.AnswerFailed):
             return self._end_without_answer(request, message.outcome)
         if isinstance(message, calls.AnswerEnd):
-            self._encoder.send_whole(first, bytes(body), request.method)
+            self._encoder.send_whole(first, body, request.method)
             return _answered(first.status)
-        last = await self._encoder.send_stream(
-            first, bytes(body), request.answer
-        )
+        last = await self._encoder.send_stream(first, body, request.answer)
         if isinstance(last, calls.AnswerFailed):
             return _Result("unknown", str(last.outcome.reason), 0)
         return _answered(first.status)
--- a/src/sesamevale/callers/idle_timeout_server.py
+++ b/src/sesamevale/callers/idle_timeout_server.py
@@ -81,6 +81,9 @@
         """Returns the connection that will serve an accepted stream."""
         raise NotImplementedError
 
+    def _make_room(self) -> None:
+        """Closes idle connections if there are too many."""
+
     async def _serve(self, stream: sockets.ByteStream) -> None:
         connection = self._create_connection(stream)
         self._connections.add(connection)
@@ -93,6 +96,7 @@
         while True:
             await asyncio.sleep(SWEEP_INTERVAL_S)
             now = time.monotonic()
+            self._make_room()
             for connection in list(self._connections):
                 if connection.expires_at <= now:
                     self._recorder.count("connections_expired")
--- a/src/sesamevale/callers/request_reader.py
+++ b/src/sesamevale/callers/request_reader.py
@@ -89,7 +89,7 @@
     @contextlib.contextmanager
     def reading_body(self) -> Iterator[None]:
         """Applies the idle time-out to the body while the context is open."""
-        self._expires_at = time.monotonic() + self._limits.idle_timeout_s
+        self.restart_body_timeout()
         self._reading_body = True
         try:
             yield
@@ -97,6 +97,10 @@
             self._reading_body = False
             self._expires_at = math.inf
 
+    def restart_body_timeout(self) -> None:
+        """Starts the idle time-out anew, since the body makes progress."""
+        self._expires_at = time.monotonic() + self._limits.idle_timeout_s
+
     async def next_body_event(self) -> object:
         """Returns the next event of h11; asks for a body that is held back.
 
--- a/src/sesamevale/forwarding/requests.py
+++ b/src/sesamevale/forwarding/requests.py
@@ -6,7 +6,9 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from sesamevale import bodies
     from sesamevale import calls
+    from sesamevale import memory_room
     from sesamevale import routes
 
 __all__ = ["Request"]
@@ -37,6 +39,7 @@
         priority: Priority of its tenant or else of its route; 0 is the most
             urgent.
         tenant: Tenant whose key it carried; None without one.
+        claim: Memory that it holds; None if it isn't counted.
     """
 
     number: int
@@ -47,7 +50,7 @@
     method: bytes
     target: bytes
     headers: calls.Headers
-    body: bytes | None
+    body: bodies.RequestBody | None
     arrived: float
     deadline: float
     caller_deadline: float
@@ -56,3 +59,4 @@
     upstream_seconds: float = 0.0
     priority: int = 0
     tenant: routes.Tenant | None = None
+    claim: memory_room.Claim | None = None
--- a/src/sesamevale/gateway.py
+++ b/src/sesamevale/gateway.py
@@ -13,6 +13,7 @@
 from sesamevale import draining
 from sesamevale import gateway_messages
 from sesamevale import incarnations
+from sesamevale import memory_room
 from sesamevale import messaging
 from sesamevale import metrics
 from sesamevale.callers import gateway_server
@@ -23,6 +24,7 @@
 from sesamevale.operators import admin_server
 from sesamevale.operators import gateway_pages
 from sesamevale.policy.admission import drain_schedule
+from sesamevale.policy.admission import memory_account
 from sesamevale.policy.admission import rate_shares
 from sesamevale.policy.admission import retry_budget
 from sesamevale.policy.balancing import load_sampling
@@ -84,6 +86,9 @@
             caller_port=settings.callers.port,
             peer_port=settings.entry_port,
         )
+        self._room = memory_room.MemoryRoom(
+            memory_account.MemoryLimits.plan(settings.machine)
+        )
         self._server = gateway_server.GatewayServer(
             settings.callers.host,
             settings.callers.port,
@@ -91,6 +96,7 @@
             settings.entry_id,
             events,
             recorder,
+            self._room,
         )
         self._gossip = gossip.Gossip(
             membership.Membership(
@@ -113,6 +119,7 @@
             self._upstreams,
             events,
             recorder,
+            self._room.account,
         )
 
     @property
--- a/src/sesamevale/operators/admin_server.py
+++ b/src/sesamevale/operators/admin_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import dataclasses
 from typing import TYPE_CHECKING
 
@@ -19,6 +20,13 @@
 
 REQUEST_TIMEOUT_S = 10.0
 HEADER_BYTES = 16 * 1024
+# Most connections at a time; each carries one request. Above it the oldest one
+# is closed.
+CONNECTIONS_MAX = 128
+# Most parsed events of a request; pages need no body.
+EVENTS_MAX = 4096
+# Number of parsed events after which other tasks get a turn.
+EVENTS_PER_TURN = 64
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -44,9 +52,20 @@
     ) -> None:
         super().__init__(host, port)
         self._pages = pages
+        # Oldest first.
+        self._streams: collections.deque[sockets.ByteStream] = (
+            collections.deque()
+        )
 
     async def _serve(self, stream: sockets.ByteStream) -> None:
         """Serves one request and closes the connection."""
+        try:
+            await self._answer(stream)
+        finally:
+            if stream in self._streams:
+                self._streams.remove(stream)
+
+    async def _answer(self, stream: sockets.ByteStream) -> None:
         http = h11.Connection(
             h11.SERVER, max_incomplete_event_size=HEADER_BYTES
         )
@@ -55,11 +74,20 @@
                 request = await _read_request(stream, http)
                 if request is not None:
                     _send(stream, http, self._page(request))
+                await stream.flush(REQUEST_TIMEOUT_S)
         except (TimeoutError, h11.ProtocolError):
             pass
         finally:
+            if stream.has_unsent:
+                stream.abort()
             stream.close()
 
+    def _on_accepted(self, stream: sockets.ByteStream) -> None:
+        if len(self._streams) >= CONNECTIONS_MAX:
+            self._streams.popleft().abort()
+        self._streams.append(stream)
+        super()._on_accepted(stream)
+
     def _page(self, request: h11.Request) -> Page:
         target = request.target.decode("ascii", "replace")
         path, _, query = target.partition("?")
@@ -76,7 +104,9 @@
     stream: sockets.ByteStream, http: h11.Connection
 ) -> h11.Request | None:
     request = None
-    while True:
+    for event_count in range(EVENTS_MAX):
+        if event_count % EVENTS_PER_TURN == 0:
+            await asyncio.sleep(0)
         event = http.next_event()
         if event is h11.NEED_DATA:
             http.receive_data(await stream.read())
@@ -86,6 +116,7 @@
             return request
         elif not isinstance(event, h11.Data):
             return None
+    return None
 
 
 def _send(stream: sockets.ByteStream, http: h11.Connection, page: Page) -> None:
--- a/src/sesamevale/operators/gateway_pages.py
+++ b/src/sesamevale/operators/gateway_pages.py
@@ -17,6 +17,7 @@
     from sesamevale import event_log
     from sesamevale.forwarding import router as routers
     from sesamevale.forwarding import service_task
+    from sesamevale.policy.admission import memory_account
     from sesamevale.policy.configuration import active_configuration
     from sesamevale.policy.signals import discovered_upstreams
 
@@ -33,6 +34,7 @@
         upstreams: Upstreams that are known.
         events: Log whose dropped lines are counted.
         recorder: Recorder of the metrics.
+        account: Memory of the entry, if it is counted.
     """
 
     def __init__(
@@ -43,6 +45,7 @@
         upstreams: discovered_upstreams.DiscoveredUpstreams,
         events: event_log.EventLog,
         recorder: metrics.MetricsRecorder,
+        account: memory_account.MemoryAccount | None = None,
     ) -> None:
         self._entry_id = entry_id
         self._router = router
@@ -51,6 +54,8 @@
         self._events = events
         self._recorder = recorder
         recorder.add_source(self._gauges)
+        if account is not None:
+            recorder.add_source(lambda: _memory_samples(account))
 
     @property
     def handlers(self) -> dict[str, Callable[[str], admin_server.Page]]:
@@ -119,6 +124,35 @@
         return admin_server.Page(200, "application/json", body)
 
 
+def _memory_samples(
+    account: memory_account.MemoryAccount,
+) -> list[metrics.MetricSample]:
+    """Returns what callers hold and whom there was no room for."""
+    held = [
+        metrics.MetricSample(
+            "sesamevale_held_bytes", "Held now", {"kind": str(kind)}, count
+        )
+        for kind, count in account.held_by_kind.items()
+    ]
+    turned_away = [
+        metrics.MetricSample(
+            "sesamevale_turned_away_total",
+            "Connections and requests without room",
+            {"cause": str(cause)},
+            count,
+            is_counter=True,
+        )
+        for cause, count in account.turned_away.items()
+    ]
+    capacity = metrics.MetricSample(
+        "sesamevale_held_bytes_max",
+        "Bound on the bytes held",
+        {},
+        account.limits.capacity_bytes,
+    )
+    return [*held, capacity, *turned_away]
+
+
 def _signals(
     task: service_task.ServiceTask, now: float
 ) -> list[dict[str, object]]:
--- a/src/sesamevale/outcomes.py
+++ b/src/sesamevale/outcomes.py
@@ -25,6 +25,7 @@
         CUT: The connection to the upstream ended before the whole answer.
         ISSUER_GONE: The process that issued the identity has ended or cannot
             be reached.
+        MEMORY: This entry has no memory for the call.
         NOT_RETAINED: The action has run, but its answer was not kept.
         OVERLOADED: There is no capacity for the call in time.
         PEER_LOST: The connection to another entry failed.
@@ -49,6 +50,7 @@
     NO_ROUTE = "no_route"
     NO_RULE = "no_rule"
     NO_UPSTREAM = "no_upstream"
+    MEMORY = "memory"
     NOT_RETAINED = "not_retained"
     OVERLOADED = "overloaded"
     PEER_LOST = "peer_lost"
--- /dev/null
+++ b/src/sesamevale/policy/admission/memory_account.py
@@ -0,0 +1,390 @@
+"""Account of the memory and the connections that callers take of an entry.
+
+Each request has a holding. What it holds is counted before it is read: bytes
+that find no room are left in the socket. A holding makes room for another one
+in this order: those that have made no progress for ``STALL_S`` before the
+others, the least urgent first, then the one that has stalled longest, then the
+one that holds most. A holding that makes progress gives way only to more
+urgent requests, and only while its body is read, since no upstream can have
+run the request then.
+"""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import enum
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Mapping
+
+    from sesamevale import resources
+
+__all__ = [
+    "Cause",
+    "Holding",
+    "Kind",
+    "MemoryAccount",
+    "MemoryLimits",
+    "Phase",
+]
+
+MIB = 1024 * 1024
+# Memory that a process takes without load, with its view of a large fleet.
+PROCESS_BYTES = 64 * MIB
+# Share of the rest that is given out; what is left covers fragmentation and
+# objects that wait for the garbage collector.
+GIVEN_OUT_SHARE = 0.75
+# Share of the capacity that only requests without a large body or answer use.
+SMALL_SHARE = 1 / 8
+# Memory of a connection and of a head that is received in part.
+CONNECTION_BYTES = 32 * 1024
+# Memory of a request, its small body and answer, and the socket buffers on
+# both sides.
+REQUEST_BYTES = 96 * 1024
+# Time without progress after which a holding gives way to others, in seconds.
+STALL_S = 2.0
+# Bytes that count as progress. A peer that sends or takes less in ``STALL_S``
+# holds memory for far longer than its link requires.
+PROGRESS_BYTES = 16 * 1024
+# Descriptors that are left for files, listeners and links to other processes.
+OTHER_DESCRIPTORS = 220
+CALLER_SHARE = 5 / 8
+REQUEST_SHARE = 1 / 4
+SOCKETS_MIN = 32
+
+
+class Kind(enum.StrEnum):
+    """What memory is held for."""
+
+    CONNECTION = "connection"
+    REQUEST = "request"
+    BODY = "body"
+    ANSWER = "answer"
+
+
+class Phase(enum.Enum):
+    """What a request waits for."""
+
+    READING = "reading"
+    SERVED = "served"
+    ANSWERING = "answering"
+
+
+class Cause(enum.StrEnum):
+    """Why a connection or a request is turned away."""
+
+    CONNECTIONS = "connections"
+    MEMORY = "memory"
+    REQUESTS = "requests"
+    LESS_URGENT = "less_urgent"
+    STALLED_BODY = "stalled_body"
+    STALLED_READER = "stalled_reader"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class MemoryLimits:
+    """What callers may take of an entry.
+
+    Attributes:
+        capacity_bytes: Memory that is given out.
+        connections_max: Most connections of callers.
+        requests_max: Most requests at a time.
+    """
+
+    capacity_bytes: int
+    connections_max: int
+    requests_max: int
+
+    @classmethod
+    def plan(cls, machine: resources.Machine) -> MemoryLimits:
+        """Returns the limits of an entry that has a machine to itself."""
+        usable = max(
+            machine.memory_bytes - PROCESS_BYTES, machine.memory_bytes // 4
+        )
+        capacity = int(usable * GIVEN_OUT_SHARE)
+        sockets = max(SOCKETS_MIN, machine.descriptors_max - OTHER_DESCRIPTORS)
+        return cls(
+            capacity_bytes=capacity,
+            connections_max=min(
+                int(sockets * CALLER_SHARE), capacity // 2 // CONNECTION_BYTES
+            ),
+            requests_max=int(sockets * REQUEST_SHARE),
+        )
+
+    @property
+    def large_bytes(self) -> int:
+        """Memory that large bodies and answers may fill."""
+        return int(self.capacity_bytes * (1 - SMALL_SHARE))
+
+
+class Holding:
+    """Memory that one request holds.
+
+    Args:
+        account: Account that it belongs to.
+        priority: Priority of the request; 0 is the most urgent.
+        turn_away: Called when the request has to give way; its memory counts
+            as free from then on.
+        now: Monotonic time in seconds.
+    """
+
+    __slots__ = (
+        "_account",
+        "_bytes",
+        "_is_open",
+        "_phase",
+        "_progress",
+        "_progress_at",
+        "priority",
+        "turn_away",
+    )
+
+    def __init__(
+        self,
+        account: MemoryAccount,
+        priority: int,
+        turn_away: Callable[[Cause], None],
+        now: float,
+    ) -> None:
+        self.priority = priority
+        self.turn_away = turn_away
+        self._account = account
+        self._bytes = {Kind.REQUEST: REQUEST_BYTES}
+        self._phase = Phase.SERVED
+        self._progress = 0
+        self._progress_at = now
+        self._is_open = True
+
+    @property
+    def held_bytes(self) -> int:
+        """Bytes that are held."""
+        return sum(self._bytes.values())
+
+    @property
+    def phase(self) -> Phase:
+        """What the request waits for."""
+        return self._phase
+
+    @property
+    def is_open(self) -> bool:
+        """Whether the request has neither ended nor been turned away."""
+        return self._is_open
+
+    def stalled_s(self, now: float) -> float:
+        """Seconds since it last made progress."""
+        return now - self._progress_at
+
+    def enter(self, phase: Phase, now: float) -> None:
+        """Notes what the request waits for from now on."""
+        self._phase = phase
+        self._progress = 0
+        self._progress_at = now
+        self._account._note_phase(self)
+
+    def add_progress(self, count: int, now: float) -> None:
+        """Notes that bytes were received from the caller or taken by it."""
+        self._progress += count
+        if self._progress >= PROGRESS_BYTES:
+            self._progress = 0
+            self._progress_at = now
+
+    def try_grow(self, kind: Kind, count: int, now: float) -> bool:
+        """Takes more memory, if need be from others.
+
+        Args:
+            kind: What for.
+            count: Bytes.
+            now: Monotonic time in seconds.
+
+        Returns:
+            Whether there is room. There is none for one that was turned away.
+        """
+        account = self._account
+        if not self._is_open or not account._make_room(self, count, now):
+            return False
+        self._bytes[kind] = self._bytes.get(kind, 0) + count
+        account._add(kind, count)
+        return True
+
+    def shrink(self, kind: Kind, count: int) -> None:
+        """Gives memory back."""
+        if self._is_open:
+            self._bytes[kind] -= count
+            self._account._give_back(kind, count)
+
+    def close(self) -> None:
+        """Gives all memory back; does nothing the second time."""
+        if self._is_open:
+            self._is_open = False
+            self._account._forget(self)
+
+
+class MemoryAccount:
+    """Counts what callers hold, and decides who gets room.
+
+    Args:
+        limits: Limits of the entry.
+        on_freed: Called when memory was given back.
+    """
+
+    def __init__(
+        self,
+        limits: MemoryLimits,
+        on_freed: Callable[[], None] = lambda: None,
+    ) -> None:
+        self._limits = limits
+        self._on_freed = on_freed
+        self._total = 0
+        self._held = dict.fromkeys(Kind, 0)
+        self._turned_away: collections.Counter[Cause] = collections.Counter()
+        self._request_count = 0
+        # Holdings that wait for their callers.
+        self._waiting: set[Holding] = set()
+
+    @property
+    def limits(self) -> MemoryLimits:
+        """Limits of the entry."""
+        return self._limits
+
+    @property
+    def held_bytes(self) -> int:
+        """Bytes that are held."""
+        return self._total
+
+    @property
+    def held_by_kind(self) -> Mapping[Kind, int]:
+        """Bytes that are held, by what for."""
+        return self._held
+
+    @property
+    def turned_away(self) -> Mapping[Cause, int]:
+        """Connections and requests that were turned away, by cause."""
+        return self._turned_away
+
+    def try_connect(self) -> bool:
+        """Counts a connection; False if there is no room for it."""
+        held = self._held[Kind.CONNECTION]
+        if (
+            held >= self._limits.connections_max * CONNECTION_BYTES
+            or self._total + CONNECTION_BYTES > self._limits.capacity_bytes
+        ):
+            self._turned_away[Cause.CONNECTIONS] += 1
+            return False
+        self._add(Kind.CONNECTION, CONNECTION_BYTES)
+        return True
+
+    def disconnect(self) -> None:
+        """Counts the end of a connection."""
+        self._give_back(Kind.CONNECTION, CONNECTION_BYTES)
+
+    def open(
+        self, priority: int, turn_away: Callable[[Cause], None], now: float
+    ) -> Holding | None:
+        """Admits a request.
+
+        Args:
+            priority: Its priority; 0 is the most urgent.
+            turn_away: Called when the request has to give way.
+            now: Monotonic time in seconds.
+
+        Returns:
+            Its holding, or None if there is no room.
+        """
+        if self._request_count >= self._limits.requests_max:
+            self._turn_away_one(priority, now)
+            if self._request_count >= self._limits.requests_max:
+                self._turned_away[Cause.REQUESTS] += 1
+                return None
+        holding = Holding(self, priority, turn_away, now)
+        if not self._make_room(holding, REQUEST_BYTES, now):
+            self._turned_away[Cause.MEMORY] += 1
+            return None
+        self._request_count += 1
+        self._add(Kind.REQUEST, REQUEST_BYTES)
+        return holding
+
+    def count_refusal(self) -> None:
+        """Counts a request that was refused since it found no room."""
+        self._turned_away[Cause.MEMORY] += 1
+
+    def _make_room(self, holding: Holding, count: int, now: float) -> bool:
+        """Turns others away until bytes fit; False if they can't."""
+        is_large = count > REQUEST_BYTES or holding.held_bytes > REQUEST_BYTES
+        limit = self._limits.capacity_bytes
+        if is_large:
+            limit = self._limits.large_bytes
+        missing = self._total + count - limit
+        if missing <= 0:
+            return True
+        victims = []
+        for each in self._candidates(holding.priority, now):
+            if each is holding:
+                continue
+            victims.append(each)
+            missing -= each.held_bytes
+            if missing <= 0:
+                break
+        if missing > 0:
+            return False
+        for each in victims:
+            self._turn_away(each, now)
+        return True
+
+    def _turn_away_one(self, priority: int, now: float) -> None:
+        """Turns away the first holding that gives way, if there is one."""
+        for each in self._candidates(priority, now):
+            self._turn_away(each, now)
+            return
+
+    def _candidates(self, priority: int, now: float) -> list[Holding]:
+        """Returns the holdings that give way to a priority, first one first."""
+        found = [
+            each
+            for each in self._waiting
+            if each.stalled_s(now) >= STALL_S
+            or (each.phase is Phase.READING and each.priority > priority)
+        ]
+        found.sort(
+            key=lambda each: (
+                each.stalled_s(now) < STALL_S,
+                -each.priority,
+                -each.stalled_s(now),
+                -each.held_bytes,
+            )
+        )
+        return found
+
+    def _turn_away(self, holding: Holding, now: float) -> None:
+        cause = Cause.LESS_URGENT
+        if holding.stalled_s(now) >= STALL_S:
+            cause = Cause.STALLED_READER
+            if holding.phase is Phase.READING:
+                cause = Cause.STALLED_BODY
+        self._turned_away[cause] += 1
+        holding.close()
+        holding.turn_away(cause)
+
+    def _note_phase(self, holding: Holding) -> None:
+        if holding.phase is Phase.SERVED or not holding.is_open:
+            self._waiting.discard(holding)
+        else:
+            self._waiting.add(holding)
+
+    def _forget(self, holding: Holding) -> None:
+        self._waiting.discard(holding)
+        self._request_count -= 1
+        for kind, count in holding._bytes.items():
+            self._held[kind] -= count
+        self._total -= holding.held_bytes
+        self._on_freed()
+
+    def _add(self, kind: Kind, count: int) -> None:
+        self._held[kind] += count
+        self._total += count
+
+    def _give_back(self, kind: Kind, count: int) -> None:
+        self._add(kind, -count)
+        self._on_freed()
--- a/src/sesamevale/sockets.py
+++ b/src/sesamevale/sockets.py
@@ -13,7 +13,9 @@
 
 __all__ = ["ByteStream", "connect", "enable_keepalive", "listen"]
 
-READ_HIGH_WATER_BYTES = 128 * 1024
+READ_HIGH_WATER_BYTES = 32 * 1024
+# Largest number of bytes that are read at once.
+READ_BYTES_MAX = 64 * 1024
 FLUSH_POLL_INTERVAL_S = 0.05
 # A connection is lost if sent data stays unacknowledged for this long.
 USER_TIMEOUT_MS = 1500
@@ -22,9 +24,16 @@
 KEEPALIVE_PROBES = 2
 
 
-class ByteStream(asyncio.Protocol):
+# Shared by all streams: its contents are copied before the next read.
+_read_buffer = memoryview(bytearray(READ_BYTES_MAX))
+
+
+class ByteStream(asyncio.BufferedProtocol):
     """TCP connection with buffered reads and writes for one task.
 
+    At most ``READ_HIGH_WATER_BYTES`` and one read are buffered; the rest stays
+    in the socket.
+
     Args:
         on_connected: Called once with this stream when it is accepted.
     """
@@ -68,8 +77,14 @@
     @property
     def has_unsent(self) -> bool:
         """Whether written bytes are still in the write buffer."""
-        transport = self._transport
-        return transport is not None and transport.get_write_buffer_size() > 0
+        return self.unsent_bytes > 0
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Number of written bytes that are still in the write buffer."""
+        if self._transport is None:
+            return 0
+        return self._transport.get_write_buffer_size()
 
     @property
     def peer_host(self) -> str:
@@ -101,9 +116,13 @@
         if self._on_connected is not None:
             self._on_connected(self)
 
-    def data_received(self, data: bytes) -> None:
-        """Implements ``asyncio.Protocol``."""
-        self._received += data
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Implements ``asyncio.BufferedProtocol``."""
+        return _read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Implements ``asyncio.BufferedProtocol``."""
+        self._received += _read_buffer[:nbytes]
         if len(self._received) > READ_HIGH_WATER_BYTES and self._transport:
             self._paused = True
             self._transport.pause_reading()
@@ -153,7 +172,7 @@
             self._transport.resume_reading()
         return data
 
-    def write(self, data: bytes) -> None:
+    def write(self, data: bytes | memoryview) -> None:
         """Sends bytes; does nothing once the connection is lost."""
         if self._transport is not None and not self._lost:
             self._transport.write(data)
@@ -176,6 +195,25 @@
         while self.has_unsent and not self._lost and loop.time() < deadline:
             await asyncio.sleep(FLUSH_POLL_INTERVAL_S)
 
+    async def wait_until_taken(self, count: int, timeout_s: float) -> int:
+        """Waits until the peer has taken some of the write buffer.
+
+        Args:
+            count: Bytes to wait for, or the rest of the buffer if it is less.
+            timeout_s: Longest time to wait, in seconds.
+
+        Returns:
+            The number of bytes taken; 0 if they were too few in time.
+        """
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + timeout_s
+        first = self.unsent_bytes
+        while self.unsent_bytes > max(0, first - count) and not self._lost:
+            if loop.time() >= deadline:
+                return 0
+            await asyncio.sleep(FLUSH_POLL_INTERVAL_S)
+        return first - self.unsent_bytes
+
     async def linger(self, timeout_s: float) -> None:
         """Discards what the peer still sends, so that it gets what was sent.
 
--- a/src/sesamevale/upstreams/http_link.py
+++ b/src/sesamevale/upstreams/http_link.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import functools
 import math
 import re
@@ -17,10 +18,13 @@
 from sesamevale import outcomes
 from sesamevale import sockets
 from sesamevale import tracing
+from sesamevale.policy.admission import memory_account
 from sesamevale.policy.calls import forwarding
 from sesamevale.upstreams import link_messages
 
 if TYPE_CHECKING:
+    from sesamevale import bodies
+    from sesamevale import memory_room
     from sesamevale import routes
     from sesamevale.forwarding import requests
     from sesamevale.policy.balancing import upstream_state
@@ -39,6 +43,13 @@
 # Largest number of answers that are read to find the one to the request.
 # Answers to other requests are skipped.
 ANSWERS_READ_MAX = 3
+# Bytes of an answer that the memory of each request includes.
+INCLUDED_BYTES = 16 * 1024
+# Steps in which an answer takes more memory. Without room for the next one, it
+# is passed on as it arrives.
+HOLD_STEP_BYTES = 64 * 1024
+# Memory of an answer that is passed on as it arrives, besides its first part.
+STREAM_BYTES = calls.HIGH_WATER_BYTES + sockets.READ_BYTES_MAX
 # Largest number of body parts that are read of an answer whose body is not
 # used. Parsing costs the same for chunks of any size.
 SKIPPED_PARTS_MAX = 4096
@@ -87,6 +98,8 @@
         self._has_sent = False
         self._exchanging = False
         self._event_count = 0
+        self._claim: memory_room.Claim | None = None
+        self._writing: asyncio.Task[None] | None = None
         self._task = asyncio.create_task(self._run())
 
     @property
@@ -125,22 +138,23 @@
 
     def close(self) -> None:
         """Closes the connection without a report of a running exchange."""
-        self._ended = True
         self._task.cancel()
-        if self._stream is not None:
-            self._stream.abort()
+        self._abort()
 
     async def _run(self) -> None:
         while not self._ended:
-            message = await self._inbox.get()
-            try:
-                await _perform(message, self)
-            except Exception:
-                # The exception ends this task and reaches the event loop.
-                self._abort()
-                _report_failure(message, self)
-                self._exchanging = False
-                raise
+            await self._exchange(await self._inbox.get())
+
+    async def _exchange(self, message: link_messages.Message) -> None:
+        """Performs one exchange, whose message is not kept."""
+        try:
+            await _perform(message, self)
+        except Exception:
+            # The exception ends this task and reaches the event loop.
+            self._abort()
+            _report_failure(message, self)
+            self._exchanging = False
+            raise
 
     async def _connect(self) -> sockets.ByteStream | None:
         """Returns the open connection; None if it cannot be opened."""
@@ -163,6 +177,8 @@
 
     def _abort(self) -> None:
         self._ended = True
+        if self._writing is not None:
+            self._writing.cancel()
         if self._stream is not None:
             self._stream.abort()
 
@@ -170,6 +186,9 @@
         stream = await self._connect()
         if stream is None:
             return forwarding.NotSent()
+        if request.body is not None and request.body.is_released:
+            return forwarding.NotSent()
+        self._claim = request.claim
         head = self._request_head(request)
         self._has_sent = True
         self._write(stream, head, request.body)
@@ -203,14 +222,42 @@
         self,
         stream: sockets.ByteStream,
         head: h11.Request,
-        body: bytes | None,
+        body: bodies.RequestBody | None,
     ) -> None:
+        """Writes a request.
+
+        A task of its own writes a long body, so that an early answer is read.
+        """
         data = self._http.send(head) or b""
-        if body:
-            data += self._http.send(h11.Data(data=body)) or b""
+        parts = body.parts() if body is not None else []
+        if len(parts) > 1:
+            stream.write(data)
+            self._writing = asyncio.create_task(
+                self._write_parts(stream, parts)
+            )
+            return
+        for part in parts:
+            data += self._http.send(h11.Data(data=bytes(part))) or b""
         data += self._http.send(h11.EndOfMessage()) or b""
         stream.write(data)
 
+    async def _write_parts(
+        self, stream: sockets.ByteStream, parts: list[memoryview]
+    ) -> None:
+        """Writes a body no faster than the upstream reads it."""
+        http = self._http
+        while parts:
+            await stream.drain()
+            event = h11.Data(data=parts.pop(0))  # type: ignore[arg-type]
+            try:
+                pieces = http.send_with_data_passthrough(event) or ()
+            except h11.LocalProtocolError:
+                return
+            for piece in pieces:
+                stream.write(piece)
+        with contextlib.suppress(h11.LocalProtocolError):
+            http.send(h11.EndOfMessage())
+
     async def _read_answer(
         self, request: requests.Request
     ) -> forwarding.Result:
@@ -331,6 +378,10 @@
         """
         complete = False
         try:
+            if self._claim is not None and not await self._claim.grow(
+                memory_account.Kind.ANSWER, STREAM_BYTES, math.inf
+            ):
+                return False
             event = await self._next_event()
             while isinstance(event, h11.Data):
                 rest.put(calls.AnswerData(bytes(event.data)))
@@ -345,6 +396,12 @@
             rest.put(calls.AnswerEnd() if complete else calls.AnswerFailed(cut))
         return complete
 
+    def _may_hold(self, count: int) -> bool:
+        """Whether more bytes of an answer may be held."""
+        if self._claim is None:
+            return True
+        return self._claim.try_grow(memory_account.Kind.ANSWER, count)
+
     def _parse_rejection(
         self,
         status: int,
@@ -410,6 +467,7 @@
                 reached=False, was_reset=stream.was_reset
             )
         headers = tuple(response.headers)
+        self._claim = None
         body = await self._read_body(SKIPPED_PARTS_MAX)
         if body is None or self._http.their_state is h11.SEND_BODY:
             self._abort()
@@ -459,11 +517,16 @@
         """Reads the body, or its first part if it is long; None if cut."""
         body = bytearray()
         part_count = 0
+        held_bytes = INCLUDED_BYTES
         while len(body) <= BUFFERED_ANSWER_BYTES and part_count < parts_max:
             event = await self._next_event()
             if isinstance(event, h11.Data):
                 body += event.data
                 part_count += 1
+                if len(body) > held_bytes:
+                    if not self._may_hold(HOLD_STEP_BYTES):
+                        break
+                    held_bytes += HOLD_STEP_BYTES
             elif isinstance(event, h11.EndOfMessage):
                 break
             else:
