--- a/src/sesamevale/callers/body_reader.py
+++ b/src/sesamevale/callers/body_reader.py
@@ -8,20 +8,17 @@
 import h11
 
 from sesamevale import bodies
+from sesamevale import memory_room
 from sesamevale import outcomes
 from sesamevale.policy.admission import memory_account
 
 if TYPE_CHECKING:
-    from sesamevale import memory_room
     from sesamevale.callers import request_reader
 
 __all__ = ["BodyReader"]
 
 # Bytes of a body that the memory of each request includes.
 INCLUDED_BYTES = 16 * 1024
-# Longest time that a body waits for room before its request is refused; within
-# it, the bodies that others have nearly sent end.
-ROOM_TIMEOUT_S = 1.0
 # Number of parsed events after which other tasks get a turn. Parsing costs the
 # same for chunks of any size.
 EVENTS_PER_TURN = 64
@@ -105,7 +102,8 @@
             return True
         if self._reader.declared_length is None:
             missing = max(missing, bodies.SEGMENT_BYTES)
-        if not await self._claim.grow(Kind.BODY, missing, ROOM_TIMEOUT_S):
+        timeout_s = memory_room.ROOM_TIMEOUT_S
+        if not await self._claim.grow(Kind.BODY, missing, timeout_s):
             return False
         self._held_bytes += missing
         return True
--- a/src/sesamevale/callers/gateway_connection.py
+++ b/src/sesamevale/callers/gateway_connection.py
@@ -93,6 +93,7 @@
         self._answered = asyncio.Event()
         self._read_task: asyncio.Task[None] | None = None
         self._timed_out = False
+        self._waits_for_room = False
         self._awaits_first_until = (
             time.monotonic() + http_connection.FIRST_REQUEST_S
         )
@@ -137,6 +138,16 @@
         self._timed_out = True
         self._read_task.cancel()
 
+    @property
+    def is_unused(self) -> bool:
+        """Whether no request was admitted that has not been answered."""
+        is_admitted = self._reading is not None and not self._waits_for_room
+        return not self._pipeline and not is_admitted
+
+    def abort(self) -> None:
+        """Closes the connection at once."""
+        self._stream.abort()
+
     def close_if_idle(self) -> None:
         """Closes the connection unless it has or is about to have a request."""
         if time.monotonic() < self._awaits_first_until:
@@ -192,7 +203,7 @@
             h11.RemoteProtocolError: The body is malformed or ends early.
         """
         assert self._reading is not None
-        claim = self._room.open_claim(self._reading.priority, self._turn_away)
+        claim = await self._open_claim(self._reading.priority)
         if claim is None:
             self._refuse(Reason.MEMORY)
             return None
@@ -209,6 +220,13 @@
             return None
         return found
 
+    async def _open_claim(self, priority: int) -> memory_room.Claim | None:
+        self._waits_for_room = True
+        try:
+            return await self._room.open_claim(priority, self._turn_away)
+        finally:
+            self._waits_for_room = False
+
     def _turn_away(self, cause: memory_account.Cause) -> None:
         """Gives up the request that is read or answered, to free memory."""
         if cause is memory_account.Cause.STALLED_READER:
@@ -279,6 +297,8 @@
         return is_last and self._pipeline.close_behind_oldest()
 
     def _caller_lost(self) -> None:
+        if self._waits_for_room and self._read_task is not None:
+            self._read_task.cancel()
         for exchange in self._pipeline.requests:
             exchange.caller_lost()
 
--- a/src/sesamevale/callers/gateway_server.py
+++ b/src/sesamevale/callers/gateway_server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from typing import TYPE_CHECKING
 
 from sesamevale import memory_room
@@ -19,9 +20,10 @@
 
 __all__ = ["GatewayServer"]
 
-# Share of the connections above which those that are idle are closed, longest
-# idle first.
-IDLE_CLOSE_SHARE = 7 / 8
+# Number of unused connections that is worth a look at all connections; after
+# a look that has found fewer, the next one comes later by this time in seconds.
+SORT_YIELD_MIN = 16
+SORT_INTERVAL_S = 0.05
 
 
 class GatewayServer(idle_timeout_server.IdleTimeoutServer):
@@ -52,6 +54,9 @@
             usual = memory_account.MemoryLimits.plan(resources.Machine())
             room = memory_room.MemoryRoom(usual)
         self._room = room
+        # Connections without a request, the one that expires first at the end.
+        self._by_expiry: list[idle_timeout_server.Connection] = []
+        self._sort_at = 0.0
         self._router = router
         self._entry_id = entry_id
         self._events = events
@@ -74,7 +79,11 @@
         )
 
     def _on_accepted(self, stream: sockets.ByteStream) -> None:
-        if self._room.account.try_connect():
+        account = self._room.account
+        has_room = False
+        if self.open_connections >= account.limits.crowded_connections:
+            has_room = self._abort_unused()
+        if account.try_connect(replaces=has_room):
             super()._on_accepted(stream)
         else:
             stream.abort()
@@ -85,11 +94,23 @@
         finally:
             self._room.account.disconnect()
 
-    def _make_room(self) -> None:
-        limit = self._room.account.limits.connections_max
-        excess = len(self._connections) - int(limit * IDLE_CLOSE_SHARE)
-        if excess <= 0:
-            return
-        by_age = sorted(self._connections, key=lambda each: each.expires_at)
-        for connection in by_age[:excess]:
-            connection.close_if_idle()
+    def _abort_unused(self) -> bool:
+        """Aborts the connection without a request that expires first.
+
+        Returns:
+            Whether there was one.
+        """
+        now = time.monotonic()
+        if not self._by_expiry and now >= self._sort_at:
+            found = [each for each in self._connections if each.is_unused]
+            found.sort(key=lambda each: each.expires_at, reverse=True)
+            self._by_expiry = found
+            if len(found) < SORT_YIELD_MIN:
+                self._sort_at = now + SORT_INTERVAL_S
+        while self._by_expiry:
+            connection = self._by_expiry.pop()
+            if connection.is_unused and connection in self._connections:
+                self._recorder.count("connections_displaced")
+                connection.abort()
+                return True
+        return False
--- a/src/sesamevale/callers/http_connection.py
+++ b/src/sesamevale/callers/http_connection.py
@@ -94,6 +94,15 @@
             self._stream.write(framing.REQUEST_TIMEOUT_RESPONSE)
         self._stream.close()
 
+    @property
+    def is_unused(self) -> bool:
+        """Whether no request was admitted that has not been answered."""
+        return not self._busy
+
+    def abort(self) -> None:
+        """Closes the connection at once."""
+        self._stream.abort()
+
     def close_if_idle(self) -> None:
         """Closes the connection unless it has or is about to have a request."""
         if time.monotonic() < self._awaits_first_until:
--- a/src/sesamevale/callers/idle_timeout_server.py
+++ b/src/sesamevale/callers/idle_timeout_server.py
@@ -32,12 +32,19 @@
     def expires_at(self) -> float:
         """Monotonic time in seconds at which the connection times out."""
 
+    @property
+    def is_unused(self) -> bool:
+        """Whether no request was admitted that has not been answered."""
+
     async def run(self) -> None:
         """Serves requests until one side closes the connection."""
 
     def expire(self) -> None:
         """Closes a connection that timed out."""
 
+    def abort(self) -> None:
+        """Closes the connection at once."""
+
     def close_if_idle(self) -> None:
         """Closes the connection unless it has or is about to have a request."""
 
@@ -81,9 +88,6 @@
         """Returns the connection that will serve an accepted stream."""
         raise NotImplementedError
 
-    def _make_room(self) -> None:
-        """Closes idle connections if there are too many."""
-
     async def _serve(self, stream: sockets.ByteStream) -> None:
         connection = self._create_connection(stream)
         self._connections.add(connection)
@@ -96,7 +100,6 @@
         while True:
             await asyncio.sleep(SWEEP_INTERVAL_S)
             now = time.monotonic()
-            self._make_room()
             for connection in list(self._connections):
                 if connection.expires_at <= now:
                     self._recorder.count("connections_expired")
--- a/src/sesamevale/memory_room.py
+++ b/src/sesamevale/memory_room.py
@@ -3,21 +3,38 @@
 from __future__ import annotations
 
 import asyncio
+import heapq
 import itertools
 import time
 from typing import TYPE_CHECKING
+from typing import TypeVar
 
 from sesamevale.policy.admission import memory_account
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-__all__ = ["Claim", "MemoryRoom"]
+__all__ = ["Claim", "MemoryRoom", "ROOM_TIMEOUT_S"]
+
+# Longest time that a request waits for room; within it, holdings that make no
+# progress give way.
+ROOM_TIMEOUT_S = 4.0
+# Interval in which waiting requests look for holdings that have stalled.
+RETRY_INTERVAL_S = 0.25
+# Most requests that wait for room; others are refused at once.
+WAITERS_MAX = 1024
+# Waiting requests that look for room when memory was given back.
+WOKEN_AT_ONCE = 8
+
+Result = TypeVar("Result")
 
 
 class MemoryRoom:
     """The memory account of an entry, and the tasks that wait for room.
 
+    Small requests get room before large ones, then the more urgent before the
+    others, and then the newest: its caller is the likeliest to wait still.
+
     Args:
         limits: Limits of the entry.
     """
@@ -25,36 +42,84 @@
     def __init__(self, limits: memory_account.MemoryLimits) -> None:
         self._account = memory_account.MemoryAccount(limits, self._wake)
         self._numbers = itertools.count()
-        # Keyed by priority and order of arrival.
-        self._waiters: dict[tuple[int, int], asyncio.Future[None]] = {}
+        self._waiters: dict[tuple[bool, int, int], asyncio.Future[None]] = {}
+        self._timer: asyncio.TimerHandle | None = None
 
     @property
     def account(self) -> memory_account.MemoryAccount:
         """Account of the memory."""
         return self._account
 
-    def open_claim(
+    async def open_claim(
         self,
         priority: int,
         turn_away: Callable[[memory_account.Cause], None],
     ) -> Claim | None:
-        """Admits a request; None if there is no room for it."""
+        """Admits a request; None if there is no room for it in time."""
         holding = self._account.open(priority, turn_away, time.monotonic())
-        return None if holding is None else Claim(self, holding)
+        if holding is not None:
+            return Claim(self, holding)
+
+        def try_open() -> memory_account.Holding | None:
+            return self._account.open(priority, turn_away, time.monotonic())
+
+        found = await self.wait(try_open, (False, priority), ROOM_TIMEOUT_S)
+        if found is None:
+            self._account.count_refusal()
+            return None
+        return Claim(self, found)
+
+    async def wait(
+        self,
+        attempt: Callable[[], Result | None],
+        rank: tuple[bool, int],
+        timeout_s: float,
+    ) -> Result | None:
+        """Waits for room until an attempt succeeds.
+
+        Args:
+            attempt: Returns None while there is no room.
+            rank: Whether the attempt is for a large body or answer, and its
+                priority.
+            timeout_s: Longest time to wait, in seconds.
 
-    async def wait_for_change(self, priority: int) -> None:
-        """Waits until memory was given back."""
-        key = (priority, next(self._numbers))
-        self._waiters[key] = asyncio.get_running_loop().create_future()
+        Returns:
+            The result of the attempt; None without room in time.
+        """
+        if len(self._waiters) >= WAITERS_MAX:
+            return None
+        loop = asyncio.get_running_loop()
+        key = (*rank, -next(self._numbers))
+        found = None
         try:
-            await self._waiters[key]
+            async with asyncio.timeout(timeout_s):
+                while found is None:
+                    self._waiters[key] = loop.create_future()
+                    self._start_timer(loop)
+                    await self._waiters[key]
+                    found = attempt()
+        except TimeoutError:
+            pass
         finally:
-            del self._waiters[key]
+            self._waiters.pop(key, None)
+        return found
+
+    def _start_timer(self, loop: asyncio.AbstractEventLoop) -> None:
+        """Lets waiters look for holdings that have stalled meanwhile."""
+        if self._timer is None:
+            self._timer = loop.call_later(RETRY_INTERVAL_S, self._retry)
+
+    def _retry(self) -> None:
+        self._timer = None
+        self._wake()
+        if self._waiters:
+            self._start_timer(asyncio.get_running_loop())
 
     def _wake(self) -> None:
         if not self._waiters:
             return
-        for _, waiter in sorted(self._waiters.items()):
+        for key in heapq.nsmallest(WOKEN_AT_ONCE, self._waiters):
+            waiter = self._waiters[key]
             if not waiter.done():
                 waiter.set_result(None)
 
@@ -107,15 +172,14 @@
         """
         if self.try_grow(kind, count):
             return True
-        try:
-            async with asyncio.timeout(timeout_s):
-                while self._holding.is_open:
-                    await self._room.wait_for_change(self._holding.priority)
-                    if self.try_grow(kind, count):
-                        return True
-        except TimeoutError:
-            pass
-        return False
+
+        def try_grow() -> bool | None:
+            if not self._holding.is_open:
+                return False
+            return self.try_grow(kind, count) or None
+
+        rank = (True, self._holding.priority)
+        return bool(await self._room.wait(try_grow, rank, timeout_s))
 
     def shrink(self, kind: memory_account.Kind, count: int) -> None:
         """Gives memory back."""
--- a/src/sesamevale/policy/admission/memory_account.py
+++ b/src/sesamevale/policy/admission/memory_account.py
@@ -45,7 +45,7 @@
 # both sides.
 REQUEST_BYTES = 96 * 1024
 # Time without progress after which a holding gives way to others, in seconds.
-STALL_S = 2.0
+STALL_S = 1.5
 # Bytes that count as progress. A peer that sends or takes less in ``STALL_S``
 # holds memory for far longer than its link requires.
 PROGRESS_BYTES = 16 * 1024
@@ -54,6 +54,7 @@
 CALLER_SHARE = 5 / 8
 REQUEST_SHARE = 1 / 4
 SOCKETS_MIN = 32
+CROWDED_SHARE = 7 / 8
 
 
 class Kind(enum.StrEnum):
@@ -114,6 +115,11 @@
             requests_max=int(sockets * REQUEST_SHARE),
         )
 
+    @property
+    def crowded_connections(self) -> int:
+        """Connections from which on unused ones give way to new ones."""
+        return int(self.connections_max * CROWDED_SHARE)
+
     @property
     def large_bytes(self) -> int:
         """Memory that large bodies and answers may fill."""
@@ -264,13 +270,18 @@
         """Connections and requests that were turned away, by cause."""
         return self._turned_away
 
-    def try_connect(self) -> bool:
-        """Counts a connection; False if there is no room for it."""
+    def try_connect(self, *, replaces: bool = False) -> bool:
+        """Counts a connection; False if there is no room for it.
+
+        Args:
+            replaces: Whether another connection is being closed for it.
+        """
         held = self._held[Kind.CONNECTION]
-        if (
+        is_full = (
             held >= self._limits.connections_max * CONNECTION_BYTES
             or self._total + CONNECTION_BYTES > self._limits.capacity_bytes
-        ):
+        )
+        if is_full and not replaces:
             self._turned_away[Cause.CONNECTIONS] += 1
             return False
         self._add(Kind.CONNECTION, CONNECTION_BYTES)
@@ -296,11 +307,9 @@
         if self._request_count >= self._limits.requests_max:
             self._turn_away_one(priority, now)
             if self._request_count >= self._limits.requests_max:
-                self._turned_away[Cause.REQUESTS] += 1
                 return None
         holding = Holding(self, priority, turn_away, now)
         if not self._make_room(holding, REQUEST_BYTES, now):
-            self._turned_away[Cause.MEMORY] += 1
             return None
         self._request_count += 1
         self._add(Kind.REQUEST, REQUEST_BYTES)
@@ -308,7 +317,8 @@
 
     def count_refusal(self) -> None:
         """Counts a request that was refused since it found no room."""
-        self._turned_away[Cause.MEMORY] += 1
+        is_full = self._request_count >= self._limits.requests_max
+        self._turned_away[Cause.REQUESTS if is_full else Cause.MEMORY] += 1
 
     def _make_room(self, holding: Holding, count: int, now: float) -> bool:
         """Turns others away until bytes fit; False if they can't."""
