--- a/src/sesamevale/callers/gateway_server.py
+++ b/src/sesamevale/callers/gateway_server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import time
 from typing import TYPE_CHECKING
 
@@ -24,6 +25,8 @@
 # a look that has found fewer, the next one comes later by this time in seconds.
 SORT_YIELD_MIN = 16
 SORT_INTERVAL_S = 0.05
+# Most accepted connections that wait for room.
+UNPLACED_MAX = 32
 
 
 class GatewayServer(idle_timeout_server.IdleTimeoutServer):
@@ -57,6 +60,7 @@
         # Connections without a request, the one that expires first at the end.
         self._by_expiry: list[idle_timeout_server.Connection] = []
         self._sort_at = 0.0
+        self._unplaced: list[sockets.ByteStream] = []
         self._router = router
         self._entry_id = entry_id
         self._events = events
@@ -79,14 +83,38 @@
         )
 
     def _on_accepted(self, stream: sockets.ByteStream) -> None:
+        if self._try_place(stream):
+            return
+        if len(self._unplaced) >= UNPLACED_MAX:
+            self._refuse(stream)
+            return
+        # Others of the same burst can make room once they are served.
+        if not self._unplaced:
+            loop = asyncio.get_running_loop()
+            loop.call_later(SORT_INTERVAL_S, self._place_rest)
+        self._unplaced.append(stream)
+
+    def _place_rest(self) -> None:
+        """Serves the connections that wait for room, or aborts them."""
+        streams, self._unplaced = self._unplaced, []
+        for stream in streams:
+            if not self._try_place(stream):
+                self._refuse(stream)
+
+    def _refuse(self, stream: sockets.ByteStream) -> None:
+        self._room.account.count_refused_connection()
+        stream.abort()
+
+    def _try_place(self, stream: sockets.ByteStream) -> bool:
+        """Serves a connection; False if there is no room for it."""
         account = self._room.account
         has_room = False
         if self.open_connections >= account.limits.crowded_connections:
             has_room = self._abort_unused()
-        if account.try_connect(replaces=has_room):
-            super()._on_accepted(stream)
-        else:
-            stream.abort()
+        if not account.try_connect(replaces=has_room):
+            return False
+        super()._on_accepted(stream)
+        return True
 
     async def _serve(self, stream: sockets.ByteStream) -> None:
         try:
--- a/src/sesamevale/policy/admission/memory_account.py
+++ b/src/sesamevale/policy/admission/memory_account.py
@@ -282,7 +282,6 @@
             or self._total + CONNECTION_BYTES > self._limits.capacity_bytes
         )
         if is_full and not replaces:
-            self._turned_away[Cause.CONNECTIONS] += 1
             return False
         self._add(Kind.CONNECTION, CONNECTION_BYTES)
         return True
@@ -315,6 +314,10 @@
         self._add(Kind.REQUEST, REQUEST_BYTES)
         return holding
 
+    def count_refused_connection(self) -> None:
+        """Counts a connection that was closed since it found no room."""
+        self._turned_away[Cause.CONNECTIONS] += 1
+
     def count_refusal(self) -> None:
         """Counts a request that was refused since it found no room."""
         is_full = self._request_count >= self._limits.requests_max
