--- a/tests/policy/admission/test_memory_account.py
+++ b/tests/policy/admission/test_memory_account.py
@@ -121,6 +121,15 @@
     assert account.turned_away[memory_account.Cause.STALLED_READER] == 1
 
 
+# Load: bodies that fill the entry while upstreams run their requests.
+def test_a_small_request_finds_room_beside_large_ones():
+    account = memory.account()
+    served = memory.Request(account, phase=SERVED)
+    while served.holding.try_grow(BODY, MIB // 4, 0.0):
+        pass
+    assert memory.Request(account).holding is not None
+
+
 def test_a_request_that_was_turned_away_gets_no_more():
     account = memory.account()
     request = memory.Request(account, phase=READING, body=MIB)
--- a/tests/test_memory_mutants.py
+++ b/tests/test_memory_mutants.py
@@ -87,7 +87,10 @@
         forget_priorities,
         test_memory_account.test_a_body_gives_way_to_a_more_urgent_one,
     ),
-    (keep_no_room_for_small_requests, run_machine),
+    (
+        keep_no_room_for_small_requests,
+        test_memory_account.test_a_small_request_finds_room_beside_large_ones,
+    ),
     (
         give_out_all_memory,
         lambda: (
