Show that members are pinged as seeds in each period

Cause: each list of registered entries seeds the gossip with the address of every entry of the data centre. A seed is forgotten when the state of its member changes, so an address that is named again is pinged in each period: in a profile of 112 entries, one received 210 datagrams a second, and gossip took most of an idle entry's processor time.

Also names the moved methods in two mutants.

--- a/tests/policy/membership/test_membership_machine.py
+++ b/tests/policy/membership/test_membership_machine.py
@@ -235,3 +235,44 @@
     network.transmit("e9", other_view.tick(network.now))
     network.run(1.0)
     assert "e9" not in network.views["e1"].members
+
+
+# Guards against pings to every member in each period, since the list of the
+# registered entries names the addresses of members again and again.
+def test_the_address_of_a_member_is_not_pinged_as_a_seed():
+    network = Network(seed=3)
+    for name in NAMES:
+        network.start(name)
+    network.run(SETTLE_S)
+    view = network.views["e1"]
+    pings = []
+    transmit = network.transmit
+
+    def record(source: str, sends: list[membership_types.Send]) -> None:
+        for each in sends:
+            if source == "e1" and isinstance(
+                each.message, membership_types.Ping
+            ):
+                pings.append(each)
+        transmit(source, sends)
+
+    network.transmit = record
+    periods = 10
+    for _ in range(periods):
+        for name in NAMES:
+            view.seed(name, 7000)
+        network.run(TIMING.period_s)
+    assert len(pings) <= periods + 1
+
+
+def test_the_address_of_a_dead_member_is_pinged_as_a_seed():
+    network = Network(seed=3)
+    for name in NAMES:
+        network.start(name)
+    network.run(SETTLE_S)
+    network.views.pop("e2")
+    network.run(SETTLE_S)
+    view = network.views["e1"]
+    view.seed("e2", 7000)
+    sends = view.tick(network.now + TIMING.period_s)
+    assert "e2" in {each.host for each in sends}
--- a/tests/test_gateway_mutants.py
+++ b/tests/test_gateway_mutants.py
@@ -16,7 +16,7 @@
 from sesamevale.callers import gateway_exchange
 from sesamevale.entries import state_reader
 from sesamevale.forwarding import attempt_runner
-from sesamevale.forwarding import service_task
+from sesamevale.forwarding import request_flow
 from sesamevale.platform import store_client
 from sesamevale.policy.admission import drain_schedule
 from sesamevale.policy.admission import pipelining
@@ -259,21 +259,21 @@
 
 def leave_streams_open(monkeypatch) -> None:
     monkeypatch.setattr(
-        service_task.ServiceTask,
-        "_end_stream",
+        request_flow.RequestFlow,
+        "end_stream",
         lambda self, active_request, *, complete: None,
     )
 
 
 def set_no_timer_for_streams(monkeypatch) -> None:
-    original = service_task.ServiceTask._set_deadline_timer
+    original = request_flow.RequestFlow.set_deadline_timer
 
     def set_timer(self, active_request):
         if not active_request.is_streaming:
             original(self, active_request)
 
     monkeypatch.setattr(
-        service_task.ServiceTask, "_set_deadline_timer", set_timer
+        request_flow.RequestFlow, "set_deadline_timer", set_timer
     )
 
 
