--- a/src/sesamevale/policy/membership/membership.py
+++ b/src/sesamevale/policy/membership/membership.py
@@ -89,6 +89,8 @@
         self._rng = rng
         self._members: dict[str, membership_types.Member] = {own.entry_id: own}
         self._seeds: dict[tuple[str, int], None] = {}
+        # Last member that was known at an address.
+        self._holders = {(own.host, own.peer_port): own.entry_id}
         self._probes: dict[int, _Probe] = {}
         self._forwarded: dict[int, _ForwardedPing] = {}
         self._retransmits: dict[str, int] = {}
@@ -166,8 +168,14 @@
 
     def seed(self, host: str, port: int) -> None:
         """Adds an address that is pinged until its entry is a member."""
-        if (host, port) != (self._own.host, self._own.peer_port):
-            self._seeds[host, port] = None
+        address = host, port
+        holder = self._members.get(self._holders.get(address, ""))
+        if (
+            holder is None
+            or holder.status is membership_types.Status.DEAD
+            or (holder.host, holder.peer_port) != address
+        ):
+            self._seeds[address] = None
 
     def join(self) -> list[membership_types.Send]:
         """Announces that this entry can serve calls."""
@@ -293,7 +301,9 @@
         elif member.status is membership_types.Status.DEAD:
             self._dead_at[entry_id] = now
             self._revisions.pop(entry_id, None)
-        self._seeds.pop((member.host, member.peer_port), None)
+        address = member.host, member.peer_port
+        self._seeds.pop(address, None)
+        self._holders[address] = entry_id
 
     def _refute(self, update: membership_types.Member) -> None:
         own = self._own
@@ -364,7 +374,8 @@
         for entry_id, since in list(self._dead_at.items()):
             if since <= remove_before:
                 del self._dead_at[entry_id]
-                del self._members[entry_id]
+                member = self._members.pop(entry_id)
+                self._holders.pop((member.host, member.peer_port), None)
 
     def _probe_next(self, now: float) -> list[membership_types.Send]:
         subject = self._next_subject()
