Show that requests read behind others end without an answer

Cause: while an entry stops, a request that was read whole behind another is dropped when the answer before it closes the connection; the same in the product's own mode, for what arrives in the turn in which an answer closes, and for what arrives in the turn of the idle time-out. A caller whose request crosses the last answer learns of the end only half a second later.

--- a/tests/callers/test_pipelined_requests.py
+++ b/tests/callers/test_pipelined_requests.py
@@ -9,12 +9,14 @@
 import asyncio
 import contextlib
 import dataclasses
+import time
 
 import hypothesis
 from hypothesis import strategies as st
 
 from sesamevale import routes
 from sesamevale.callers import gateway_connection
+from sesamevale.policy.admission import drain_schedule
 from tests.builders import pipelined
 from tests.builders.pipelined import Sent
 from tests.standins import answer_reader
@@ -24,6 +26,9 @@
 SLOW_MS = 300
 # Tasks of other connections get turns until the gateway has read what was sent.
 SETTLE_S = 0.1
+# Time in which a caller must see the end of its connection after a request
+# that was not taken, in seconds.
+LOSS_SLACK_S = 0.2
 
 
 class Caller:
@@ -225,7 +230,8 @@
     entry.router.set_view(view)
 
 
-def test_an_entry_that_stops_answers_what_it_has_started():
+# Guards against requests that were read behind others and dropped by a stop.
+def test_an_entry_that_stops_answers_what_it_has_read():
     upstream = delaying_upstream.DelayingUpstream()
 
     async def scenario():
@@ -234,12 +240,131 @@
             await asyncio.sleep(SETTLE_S)
             stopping(entry)
             caller.send(Sent("late").data)
+            answers = await caller.answers(4)
+            assert [each[0] for each in answers] == [200, 200, 200, 503]
+            closing = ["connection" in each[1] for each in answers]
+            assert closing == [False, False, False, True]
+            assert await caller.answer() is None
+            assert "late" not in upstream.received_ids
+            assert entry.router.active_count == 0
+
+    run(scenario())
+
+
+# Guards against a charge that was read before a stop and never answered.
+def test_a_charge_that_was_read_before_a_stop_is_served_behind_a_read():
+    upstream = delaying_upstream.DelayingUpstream()
+
+    async def scenario():
+        async with calling(upstream) as (entry, caller):
+            sent = [
+                Sent("read", delay_ms=SLOW_MS),
+                Sent("paid", pipelined.UNSAFE),
+                Sent("behind"),
+            ]
+            caller.send(pipelined.data_of(sent))
+            await asyncio.sleep(SETTLE_S)
+            stopping(entry)
             answers = await caller.answers(3)
-            assert [each[0] for each in answers] == [200, 200, 200]
+            assert [each[0] for each in answers] == [200, 200, 503]
             closing = ["connection" in each[1] for each in answers]
             assert closing == [False, False, True]
             assert await caller.answer() is None
-            assert "late" not in upstream.received_ids
+            assert upstream.received_ids == ["read", "paid"]
+
+    run(scenario())
+
+
+# Guards against a charge that the end of a drain left without an answer.
+def test_the_end_of_a_drain_promises_a_charge_away_that_waits():
+    upstream = delaying_upstream.DelayingUpstream()
+
+    async def scenario():
+        async with calling(upstream) as (entry, caller):
+            sent = [
+                Sent("read", delay_ms=5000),
+                Sent("paid", pipelined.UNSAFE),
+            ]
+            caller.send(pipelined.data_of(sent))
+            await asyncio.sleep(SETTLE_S)
+            stopping(entry)
+            schedule = drain_schedule.DrainSchedule.plan(
+                time.monotonic(), 0.0, 0.0
+            )
+            entry.router.start_drain(schedule.ended())
+            entry.router.end_requests()
+            answers = await caller.answers(2)
+            assert [each[0] for each in answers] == [502, 503]
+            assert await caller.answer() is None
+            assert upstream.received_ids == ["read"]
+
+    run(scenario())
+
+
+# Guards against a request that arrives with the answer that closes the
+# connection and is dropped.
+def test_what_arrives_just_before_an_answer_that_closes_is_answered():
+    upstream = delaying_upstream.DelayingUpstream()
+
+    async def scenario():
+        async with calling(upstream) as (entry, caller):
+            caller.send(Sent("first", delay_ms=SLOW_MS).data)
+            await asyncio.sleep(SETTLE_S)
+            stopping(entry)
+            (connection,) = entry.server._connections
+            deliver = connection._close_after_oldest
+
+            def arrive_first():
+                if not upstream.received_ids[1:]:
+                    data = Sent("paid", pipelined.UNSAFE).data
+                    connection._stream.data_received(data)
+                return deliver()
+
+            connection._pipeline.requests[
+                0
+            ]._encoder._closes_connection = arrive_first
+            assert (await caller.answer())[0] == 200
+            answer = await caller.answer()
+            assert answer is not None, "a request was not answered"
+            assert "connection" in answer[1]
+
+    run(scenario())
+
+
+# Guards against an idle time-out that drops a request which has just arrived.
+def test_a_connection_that_times_out_answers_what_has_just_arrived():
+    upstream = delaying_upstream.DelayingUpstream()
+
+    async def scenario():
+        async with calling(upstream) as (entry, caller):
+            caller.send(Sent("first").data)
+            assert (await caller.answer())[0] == 200
+            (connection,) = entry.server._connections
+            connection._stream.data_received(
+                Sent("paid", pipelined.UNSAFE).data
+            )
+            connection.expire()
+            answer = await caller.answer()
+            assert answer is not None, "a request was not answered"
+            assert answer[0] == 200
+
+    run(scenario())
+
+
+# Guards against a request that crosses the last answer and whose caller learns
+# only after half a second that it was not taken.
+def test_the_end_of_a_connection_follows_its_last_answer_at_once():
+    upstream = delaying_upstream.DelayingUpstream()
+
+    async def scenario():
+        async with calling(upstream) as (entry, caller):
+            stopping(entry)
+            caller.send(Sent("last").data)
+            assert "connection" in (await caller.answer())[1]
+            caller.send(Sent("crossing", pipelined.UNSAFE).data)
+            async with asyncio.timeout(LOSS_SLACK_S):
+                assert await caller.answer() is None
+            assert upstream.received_ids == ["last"]
 
     run(scenario())
 
--- a/tests/test_gateway_mutants.py
+++ b/tests/test_gateway_mutants.py
@@ -476,7 +476,7 @@
     ),
     (
         close_before_started_requests,
-        test_pipelined_requests.test_an_entry_that_stops_answers_what_it_has_started,
+        test_pipelined_requests.test_an_entry_that_stops_answers_what_it_has_read,
     ),
     (share_nothing, lambda: run_machine(test_rate_shares.SharesMachine)),
     (count_no_requests, lambda: run_machine(test_rate_shares.SharesMachine)),
