Answer every request that was read before its connection closes

Cause: the class is a decision to end a connection that looks only at requests that were started. A request that was read whole and waits behind another, one whose bytes arrive in the turn in which an answer closes or the idle time-out expires, and calls read behind another in the product's own mode had no answer.

Change: an answer closes the connection only if nothing has been read behind it. A stopping entry serves what it had read before the stop and refuses, in order, what arrives behind others later. A time-out leaves a connection alone on which bytes wait. The last answer is followed by the end of the stream at once, so that a caller whose request crosses it knows early. Looked at and sound: malformed, too long and incomplete requests are the last ones of their connection; SIGHUP and a second SIGTERM end nothing. Left: requests behind a streamed answer (over 1 MiB) that its upstream breaks off, since nothing can follow it.

--- a/src/sesamevale/callers/caller_connection.py
+++ b/src/sesamevale/callers/caller_connection.py
@@ -293,11 +293,20 @@
                 b"%d" % self._directory_revision(),
             )
         )
-        if self._router.view.draining:
+        if self._router.view.draining and not self._has_read_another():
             headers.append((http1.HeaderName.CONNECTION, b"close"))
         response = h11.Response(status_code=head.status, headers=headers)
         return self._http.send(response) or b""
 
+    def _has_read_another(self) -> bool:
+        """Whether calls behind this one have been read.
+
+        They get no answer if the answer to this one closes the connection.
+        """
+        if self._body_task is None or self._body_task.done():
+            self._reader.skip_received_body()
+        return self._has_read_more
+
     def _send_whole(self, head: calls.AnswerHead, body: bytes) -> None:
         data = self._encode_head(head)
         data += self._http.send(h11.Data(data=body)) or b""
--- a/src/sesamevale/callers/gateway_connection.py
+++ b/src/sesamevale/callers/gateway_connection.py
@@ -84,6 +84,7 @@
         ] = messaging.Inbox()
         self._answered = asyncio.Event()
         self._read_task: asyncio.Task[None] | None = None
+        self._has_read_last = False
         self._timed_out = False
         self._awaits_first_until = (
             time.monotonic() + http_connection.FIRST_REQUEST_S
@@ -122,7 +123,8 @@
         after those before it.
         """
         if not self.is_reading or self._read_task is None:
-            self._stream.close()
+            if not self._has_read_more:
+                self._stream.close()
             return
         self._timed_out = True
         self._read_task.cancel()
@@ -131,10 +133,21 @@
         """Closes the connection unless it has or is about to have a request."""
         if time.monotonic() < self._awaits_first_until:
             return
-        is_busy = self._pipeline or self._reading is not None
-        if not (is_busy or self.is_reading or self._stream.has_unread):
+        if not (self._pipeline or self._has_read_more):
             self._stream.close()
 
+    @property
+    def _has_read_more(self) -> bool:
+        """Whether a request has been read, at least in part, but not started.
+
+        Nothing follows the last request, e.g. one that closes the connection.
+        """
+        return not self._has_read_last and (
+            self._reading is not None
+            or self.is_reading
+            or self._stream.has_unread
+        )
+
     async def _read_requests(self) -> None:
         """Reads requests and starts each when those before it allow it."""
         try:
@@ -144,6 +157,7 @@
             self._recorder.count("malformed_requests")
             self._refuse(Reason.BAD_REQUEST, error.error_status_hint)
         finally:
+            self._has_read_last = True
             self._inbox.put(None)
 
     async def _read_one(self) -> bool:
@@ -156,10 +170,13 @@
         body = await self._read_body()
         if body is None:
             return False
+        refusal = None
+        if self._pipeline.must_refuse(is_stopping=self._router.view.stopping):
+            refusal = outcomes.NotRun(Reason.STOPPING)
         if not await self._may_start(self._reading):
             self._recorder.count("requests_left_unread")
             return False
-        self._start(body)
+        self._start(body, refusal)
         return self._reader.http.their_state is h11.DONE
 
     def _new_exchange(
@@ -205,9 +222,6 @@
                 return False
             self._answered.clear()
             await self._answered.wait()
-        if self._router.view.stopping and self._pipeline:
-            self._pipeline.close()
-            return False
         return True
 
     async def _wait_until_answered(self) -> None:
@@ -223,13 +237,15 @@
         self._reading.refuse(outcomes.NotRun(reason), status)
         self._start(None)
 
-    def _start(self, body: bytes | None) -> None:
+    def _start(
+        self, body: bytes | None, refusal: outcomes.NotRun | None = None
+    ) -> None:
         """Starts the request that has been read, or takes its refusal."""
         exchange = self._reading
         assert exchange is not None
         self._reading = None
         if body is not None:
-            exchange.submit(body)
+            exchange.submit(body, refusal)
         self._pipeline.start(exchange)
         self._inbox.put(exchange)
 
@@ -254,7 +270,9 @@
     def _close_after_oldest(self) -> bool:
         """Whether the answer to the oldest request closes the connection."""
         is_last = self._router.view.stopping or self._pipeline.is_closed
-        return is_last and self._pipeline.close_behind_oldest()
+        return is_last and self._pipeline.close_behind_oldest(
+            has_read_more=self._has_read_more
+        )
 
     def _caller_lost(self) -> None:
         for exchange in self._pipeline.requests:
--- a/src/sesamevale/callers/gateway_exchange.py
+++ b/src/sesamevale/callers/gateway_exchange.py
@@ -121,8 +121,15 @@
         """Whether another request can follow on the connection."""
         return self._encoder.keeps_connection
 
-    def submit(self, body: bytes) -> None:
-        """Passes the request to the router, or refuses it."""
+    def submit(
+        self, body: bytes, refusal: outcomes.NotRun | None = None
+    ) -> None:
+        """Passes the request to the router, or refuses it.
+
+        Args:
+            body: The whole body.
+            refusal: Outcome for the caller if it is not to be passed on.
+        """
         self._body_bytes = len(body)
         if self._route is None:
             self._refused = self._unrouted()
@@ -137,7 +144,7 @@
         if self._context.stream.closed:
             self.caller_lost()
             return
-        refused = self._context.router.submit(request)
+        refused = refusal or self._context.router.submit(request)
         if refused is not None:
             request.answer.put(calls.AnswerFailed(refused))
 
--- a/src/sesamevale/callers/http_connection.py
+++ b/src/sesamevale/callers/http_connection.py
@@ -59,6 +59,13 @@
     def _http(self) -> h11.Connection:
         return self._reader.http
 
+    @property
+    def _has_read_more(self) -> bool:
+        """Whether bytes behind the current request have been read."""
+        return self._http.their_state is h11.DONE and bool(
+            self._http.trailing_data[0] or self._stream.has_unread
+        )
+
     async def run(self) -> None:
         """Serves requests until one side closes the connection."""
         try:
@@ -92,6 +99,8 @@
         """
         if self.is_reading:
             self._stream.write(framing.REQUEST_TIMEOUT_RESPONSE)
+        elif self._stream.has_unread:
+            return
         self._stream.close()
 
     def close_if_idle(self) -> None:
--- a/src/sesamevale/policy/admission/pipelining.py
+++ b/src/sesamevale/policy/admission/pipelining.py
@@ -47,6 +47,10 @@
     is started alone: if an answer before it closed the connection, its caller
     would send it again.
 
+    Each request that was read whole is answered or refused in its place,
+    whatever ends the connection: an answer closes it only if nothing has been
+    read behind it.
+
     Args:
         limits: Limits on the requests.
     """
@@ -69,6 +73,17 @@
         """Whether no further request is started on the connection."""
         return self._is_closed
 
+    def must_refuse(self, *, is_stopping: bool) -> bool:
+        """Whether a request that has just been read is refused in its place.
+
+        One that arrives behind others at an entry that stops would keep the
+        connection open.
+
+        Args:
+            is_stopping: Whether the entry stops.
+        """
+        return is_stopping and bool(self._started)
+
     def may_start(self, request: Request) -> bool:
         """Whether a request can be started beside those before it."""
         if self._is_closed:
@@ -91,17 +106,17 @@
         """Removes the oldest request, whose answer has been sent."""
         self._started.popleft()
 
-    def close(self) -> None:
-        """Starts no further request."""
-        self._is_closed = True
-
-    def close_behind_oldest(self) -> bool:
+    def close_behind_oldest(self, *, has_read_more: bool) -> bool:
         """Closes the pipeline unless requests are behind the oldest one.
 
         The answer to the oldest request may close the connection only if this
-        returns True, since the others have been started.
+        returns True, since the others would get no answer.
+
+        Args:
+            has_read_more: Whether a request that has not been started has been
+                read, whole or in part.
         """
-        if len(self._started) > 1:
+        if has_read_more or len(self._started) > 1:
             return False
         self._is_closed = True
         return True
--- a/src/sesamevale/sockets.py
+++ b/src/sesamevale/sockets.py
@@ -180,11 +180,15 @@
         """Discards what the peer still sends, so that it gets what was sent.
 
         Closing a socket with unread data resets the connection, and the peer
-        may lose bytes that it has not read yet (RFC 9112, section 9.6).
+        may lose bytes that it has not read yet (RFC 9112, section 9.6). The
+        peer sees the end of what was sent at once.
 
         Args:
             timeout_s: Longest time to wait for the peer to close, in seconds.
         """
+        transport = self._transport
+        if transport is not None and not self.closed:
+            transport.write_eof()
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(timeout_s):
                 while not self.closed:
--- a/tests/test_gateway_mutants.py
+++ b/tests/test_gateway_mutants.py
@@ -43,6 +43,7 @@
 from tests.platform import test_store_reader
 from tests.policy import test_routes
 from tests.policy.admission import test_drain_schedule
+from tests.policy.admission import test_pipelining_machine
 from tests.policy.admission import test_rate_shares
 from tests.policy.admission import test_retry_budget_machine
 from tests.policy.balancing import test_load_sampling
@@ -171,7 +172,28 @@
 
 def close_before_started_requests(monkeypatch) -> None:
     monkeypatch.setattr(
-        pipelining.Pipeline, "close_behind_oldest", lambda self: True
+        pipelining.Pipeline, "close_behind_oldest", lambda self, **read: True
+    )
+
+
+def drop_requests_that_were_read(monkeypatch) -> None:
+    monkeypatch.setattr(
+        gateway_connection.GatewayConnection, "_has_read_more", False
+    )
+
+
+def close_before_read_requests(monkeypatch) -> None:
+    original = pipelining.Pipeline.close_behind_oldest
+
+    def close(self, *, has_read_more):
+        return original(self, has_read_more=False)
+
+    monkeypatch.setattr(pipelining.Pipeline, "close_behind_oldest", close)
+
+
+def take_all_that_is_behind_others(monkeypatch) -> None:
+    monkeypatch.setattr(
+        pipelining.Pipeline, "must_refuse", lambda self, **state: False
     )
 
 
@@ -478,6 +500,22 @@
         close_before_started_requests,
         test_pipelined_requests.test_an_entry_that_stops_answers_what_it_has_read,
     ),
+    (
+        drop_requests_that_were_read,
+        test_pipelined_requests.test_a_charge_that_was_read_before_a_stop_is_served_behind_a_read,
+    ),
+    (
+        drop_requests_that_were_read,
+        test_pipelined_requests.test_a_connection_that_times_out_answers_what_has_just_arrived,
+    ),
+    (
+        close_before_read_requests,
+        lambda: run_machine(test_pipelining_machine.PipelineMachine),
+    ),
+    (
+        take_all_that_is_behind_others,
+        test_pipelined_requests.test_an_entry_that_stops_answers_what_it_has_read,
+    ),
     (share_nothing, lambda: run_machine(test_rate_shares.SharesMachine)),
     (count_no_requests, lambda: run_machine(test_rate_shares.SharesMachine)),
     (
