Show that a limit of 0 is taken for no limit

Cause: a Server-Limit of 0 is read as absent, so an upstream that takes nothing for now gets everything. Were it kept, nothing would sample an upstream while all of a service are closed, all entries would look again in the same moments, and all that waits would come at its end.

Change: tests of the border, the signals, the shares, the search and over sockets, red.

--- a/tests/forwarding/test_upstream_signals.py
+++ b/tests/forwarding/test_upstream_signals.py
@@ -87,6 +87,27 @@
     test_service_task.run(scenario)
 
 
+# Upstreams that took nothing for now got everything.
+def test_an_upstream_that_names_a_limit_of_zero_gets_nothing_until_it_ends():
+    nothing = ("server-limit", "0")
+
+    async def scenario():
+        one = test_service_task.upstream(ScriptedAnswer(headers=(nothing,)))
+        one.health_headers = (nothing,)
+        async with test_service_task.Harness(one) as harness:
+            await harness.submit(gateway.request())
+            for _ in range(4):
+                outcome = await harness.submit(gateway.request())
+                assert isinstance(outcome, outcomes.NotRun)
+                assert outcome.reason is outcomes.Reason.RATE_LIMITED
+            assert len(one.requests) == 1
+            one.health_headers = ()
+            await asyncio.sleep(rate_shares.RECHECK_INTERVAL_MIN_S + 0.1)
+            assert await harness.submit(gateway.request()) == (200, b"done")
+
+    test_service_task.run(scenario)
+
+
 # Upstreams got more requests than the limit that they had named.
 def test_a_retry_does_not_go_to_an_upstream_without_room():
     async def scenario():
--- a/tests/policy/admission/test_rate_shares.py
+++ b/tests/policy/admission/test_rate_shares.py
@@ -141,7 +141,7 @@
 
     @stateful.rule(
         number=strategies.integers(0, 1),
-        per_second=strategies.floats(0.2, LIMIT_MAX),
+        per_second=strategies.just(0.0) | strategies.floats(0.2, LIMIT_MAX),
     )
     def name_limit(self, number, per_second):
         self.fleet.logs[number].name_limit(per_second)
@@ -206,6 +206,41 @@
             assert not list(itertools.islice(log.limit_violations(), 3))
 
 
+def test_a_limit_of_zero_leaves_nobody_room():
+    fleet = limited_fleet.Fleet(5, 1)
+    fleet.logs[0].name_limit(0.0)
+    fleet.advance(0.1)
+    since = fleet.now
+    fleet.advance(8.0)
+    assert fleet.logs[0].count_since(since) == 0
+    for each in fleet.entries.values():
+        shares, record = each.shares, fleet.records[0]
+        assert shares.room_at(record, fleet.now) == float("inf")
+        assert shares.rate_of(record, fleet.now) == 0.0
+        assert shares.used_share(record, fleet.now) is None
+
+
+# Load: all entries learn of a limit of 0 in the same moment and look again
+# whether it still holds.
+def test_entries_look_again_one_after_the_other():
+    fleet = limited_fleet.Fleet(24, 1)
+    fleet.logs[0].name_limit(0.0)
+    for each in fleet.entries.values():
+        fleet.sample(each)
+    looks = []
+    for _ in range(int(12 / limited_fleet.STEP_S)):
+        fleet.advance(limited_fleet.STEP_S)
+        looks += [
+            fleet.now
+            for each in fleet.entries.values()
+            if each.shares.take_recheck(fleet.records[0], fleet.now)
+        ]
+    assert len(looks) >= 24
+    for start in looks:
+        close = [at for at in looks if start <= at < start + 0.2]
+        assert len(close) <= len(fleet.entries) // 4
+
+
 def test_limits_hold_while_entries_come_and_go():
     stateful.run_state_machine_as_test(
         SharesMachine, settings=hypothesis_settings.machine_settings(60, 25)
--- a/tests/policy/balancing/test_load_sampling.py
+++ b/tests/policy/balancing/test_load_sampling.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import math
 import random
 
 from sesamevale.policy.balancing import load_sampling
 from sesamevale.policy.balancing import upstream_search
 from sesamevale.policy.balancing import upstream_state
+from sesamevale.policy.signals import upstream_signals
 from tests.builders import gateway
 
 
@@ -196,6 +198,29 @@
     assert balancer.candidates["a"] is not before
 
 
+# Guards against upstreams that take nothing for now and are never used again,
+# since only requests and their samples tell that they take some.
+def test_upstreams_that_take_nothing_are_sampled_now_and_then():
+    records = [gateway.upstream("a"), gateway.upstream("b")]
+    balancer = new_balancer(*records)
+    for each in records:
+        balancer.signals.record_answer(
+            upstream_signals.instance_of(each),
+            (upstream_signals.RateLimit(0.0),),
+            0.0,
+        )
+    sampled = 0
+    for tick in range(200):
+        now = tick / 20
+        step = balancer.next_step(new_search(now, started=now), now)
+        if isinstance(step, upstream_search.Sample):
+            sampled += len(step.upstreams)
+        else:
+            assert isinstance(step, upstream_search.NoRoom)
+            assert step.after_s == math.inf
+    assert 2 <= sampled <= 2 * 10
+
+
 def test_no_candidates_remain_when_all_were_tried():
     balancer = new_balancer(gateway.upstream("a"))
     step = balancer.next_step(new_search(excluded=frozenset("a")), 0.0)
--- a/tests/policy/signals/test_upstream_signals.py
+++ b/tests/policy/signals/test_upstream_signals.py
@@ -104,3 +104,31 @@
     signals = book(upstream_signals.Pause(3.0))
     signals.record_request(INSTANCE, 3.1)
     assert signals.opens_at(INSTANCE, 4.0) == 4.0
+
+
+NOTHING = upstream_signals.RateLimit(0.0)
+
+
+# Guards against a limit of 0 that counts as no limit.
+def test_a_limit_of_zero_is_kept_until_it_ends():
+    signals = book(NOTHING)
+    assert signals.limit_of(INSTANCE) == NOTHING
+    changes = signals.record_answer(INSTANCE, (NOTHING,), 5.0)
+    assert not changes
+    changes = signals.record_answer(INSTANCE, (), 9.0)
+    assert [each.change for each in changes] == ["ended"]
+    assert signals.limit_of(INSTANCE) is None
+
+
+# Guards against all that waits going to an upstream that took nothing so far.
+def test_one_request_comes_first_after_a_limit_of_zero():
+    for end in ((), (upstream_signals.RateLimit(5.0),)):
+        signals = book(NOTHING)
+        signals.record_answer(INSTANCE, end, 1.0)
+        assert signals.opens_at(INSTANCE, 1.0) == 1.0
+        signals.record_request(INSTANCE, 1.0)
+        assert signals.opens_at(INSTANCE, 1.1) > 1.1
+        signals.record_answer(INSTANCE, end, 1.2)
+        assert signals.opens_at(INSTANCE, 1.2) == 1.2
+        signals.record_request(INSTANCE, 1.3)
+        assert signals.opens_at(INSTANCE, 1.3) == 1.3
