Keep a limit of 0 as a limit

Cause: zero was read as malformed, so an upstream that takes nothing for now got everything.

Change: 0 is a rate like any other. Nothing is sent; entries learn of its end from samples, also while all upstreams of a service are closed, and take turns in the first of them. One request comes first when the limit ends or rises, as after a pause. A Retry-After of 0 stays no pause. The test over sockets named the limit in its very first sample, before any request; it does so now after the first request, and asks for the same.

--- a/src/sesamevale/platform/header_fields.py
+++ b/src/sesamevale/platform/header_fields.py
@@ -61,25 +61,25 @@
         headers: Header fields, names in lower case.
     """
     signals: list[upstream_signals.Signal] = []
-    per_second = _read_positive_decimal(headers, LIMIT)
+    per_second = _read_decimal(headers, LIMIT)
     if per_second is not None:
         signals.append(upstream_signals.RateLimit(per_second))
     if [v for name, v in headers if name == LEAVING] == [LEAVING_VALUE]:
         signals.append(upstream_signals.Leaving())
-    pause_s = _read_positive_decimal(headers, RETRY_AFTER)
-    if status == UNAVAILABLE and pause_s is not None:
+    pause_s = _read_decimal(headers, RETRY_AFTER)
+    if status == UNAVAILABLE and pause_s:
         signals.append(upstream_signals.Pause(pause_s))
     return tuple(signals)
 
 
-def _read_positive_decimal(headers: calls.Headers, name: bytes) -> float | None:
+def _read_decimal(headers: calls.Headers, name: bytes) -> float | None:
     values = [value for key, value in headers if key == name]
     if len(values) != 1 or len(values[0]) > DECIMAL_LENGTH_MAX:
         return None
     if DECIMAL.fullmatch(values[0]) is None:
         return None
     number = float(values[0])
-    return number if 0.0 < number < math.inf else None
+    return number if number < math.inf else None
 
 
 DIALECT = http1.Dialect(
--- a/src/sesamevale/policy/admission/rate_shares.py
+++ b/src/sesamevale/policy/admission/rate_shares.py
@@ -50,7 +50,7 @@
     tokens: float
     refilled_at: float
     opens_at: float
-    rechecked_at: float
+    recheck_at: float
     rate: float = 0.0
     # What the rate was computed from.
     basis: tuple[float, int, bool] = (0.0, 0, False)
@@ -181,12 +181,28 @@
         if limit is None:
             return True
         bucket = self._refill(record, limit, now)
-        interval_s = RECHECK_INTERVAL_S * max(1, len(self._members))
-        if now - bucket.rechecked_at < max(interval_s, RECHECK_INTERVAL_MIN_S):
+        if now < bucket.recheck_at:
             return False
-        bucket.rechecked_at = now
+        bucket.recheck_at = now + self._recheck_interval_s
         return True
 
+    @property
+    def _recheck_interval_s(self) -> float:
+        interval_s = RECHECK_INTERVAL_S * len(self._members)
+        return max(interval_s, RECHECK_INTERVAL_MIN_S)
+
+    def _first_recheck_after_s(self) -> float:
+        """Returns when to recheck first, in seconds from now.
+
+        Entries learn of a limit at about the same time and recheck one after
+        the other.
+        """
+        if self._entry_id not in self._members:
+            return self._recheck_interval_s
+        turn = sorted(self._members).index(self._entry_id)
+        share = turn / len(self._members)
+        return RECHECK_INTERVAL_MIN_S + share * self._recheck_interval_s
+
     def _refill(
         self,
         record: routes.UpstreamRecord,
@@ -202,7 +218,7 @@
                 tokens=0.0,
                 refilled_at=now,
                 opens_at=self._changed_at + HANDOVER_S,
-                rechecked_at=now,
+                recheck_at=now + self._first_recheck_after_s(),
             )
         is_stale = now - self._read_at > STALE_S
         basis = (limit.per_second, self._version, is_stale)
--- a/src/sesamevale/policy/balancing/load_sampling.py
+++ b/src/sesamevale/policy/balancing/load_sampling.py
@@ -214,6 +214,10 @@
         ]
         if not staying:
             return upstream_search.NoCandidates()
+        reachable = [each for each in staying if not each.is_ejected(now)]
+        recheck = self._openings.find_recheck(reachable, now)
+        if recheck is not None and not recheck.is_fresh(now):
+            return upstream_search.Sample((recheck,))
         room_at = self._openings.room_after(staying, search.ahead, now)
         may_wait = self.can_meet_objective(search, room_at) or (
             room_at - search.started < SLOT_WAIT_SHARE * search.objective_s
--- a/src/sesamevale/policy/signals/upstream_signals.py
+++ b/src/sesamevale/policy/signals/upstream_signals.py
@@ -32,8 +32,8 @@
 # Time after an upstream has announced that it leaves in which it is still used
 # if no other one can be. Upstreams serve for longer than this.
 LEAVING_GRACE_S = 1.0
-# Longest time to wait for the answer to the first request after a pause before
-# others are sent.
+# Longest time to wait for the answer to the first request after a pause, or
+# after a limit of 0, before others are sent.
 TRIAL_S = 0.5
 
 
@@ -68,7 +68,7 @@
     It holds until an answer no longer names it.
 
     Attributes:
-        per_second: Requests a second; positive.
+        per_second: Requests a second; with 0, it takes none for now.
     """
 
     per_second: float
@@ -275,6 +275,7 @@
     if state.limit is None:
         return []
     ended = SignalChange("limit", "ended", state.limit.per_second)
+    state.awaits_trial |= state.limit.per_second == 0.0
     state.limit = None
     return [ended]
 
@@ -295,6 +296,8 @@
         state.limit_since = now
     if previous == signal:
         return []
+    if previous is not None:
+        state.awaits_trial |= previous.per_second == 0.0
     change = "began" if previous is None else "changed"
     return [SignalChange("limit", change, signal.per_second)]
 
--- a/tests/forwarding/test_upstream_signals.py
+++ b/tests/forwarding/test_upstream_signals.py
@@ -93,9 +93,9 @@
 
     async def scenario():
         one = test_service_task.upstream(ScriptedAnswer(headers=(nothing,)))
-        one.health_headers = (nothing,)
         async with test_service_task.Harness(one) as harness:
             await harness.submit(gateway.request())
+            one.health_headers = (nothing,)
             for _ in range(4):
                 outcome = await harness.submit(gateway.request())
                 assert isinstance(outcome, outcomes.NotRun)
--- a/tests/test_gateway_mutants.py
+++ b/tests/test_gateway_mutants.py
@@ -17,6 +17,7 @@
 from sesamevale.entries import state_reader
 from sesamevale.forwarding import attempt_runner
 from sesamevale.forwarding import service_task
+from sesamevale.platform import header_fields
 from sesamevale.platform import store_client
 from sesamevale.policy.admission import drain_schedule
 from sesamevale.policy.admission import pipelining
@@ -40,6 +41,9 @@
 from tests.forwarding import test_answer_channel
 from tests.forwarding import test_endless_answers
 from tests.forwarding import test_service_task
+from tests.forwarding import (
+    test_upstream_signals as test_upstream_signals_over_sockets,
+)
 from tests.platform import test_store_reader
 from tests.policy import test_routes
 from tests.policy.admission import test_drain_schedule
@@ -382,6 +386,33 @@
     monkeypatch.setattr(upstream_signals, "RETENTION_S", 0.0)
 
 
+def read_zero_as_no_limit(monkeypatch) -> None:
+    original = header_fields._read_decimal
+
+    def read(headers, name):
+        return original(headers, name) or None
+
+    monkeypatch.setattr(header_fields, "_read_decimal", read)
+
+
+def recheck_all_at_once(monkeypatch) -> None:
+    monkeypatch.setattr(
+        rate_shares.RateShares, "_first_recheck_after_s", lambda self: 1.0
+    )
+
+
+def never_recheck_closed_services(monkeypatch) -> None:
+    monkeypatch.setattr(
+        upstream_openings.Openings, "find_recheck", lambda *_: None
+    )
+
+
+def send_all_after_a_limit_of_zero(monkeypatch) -> None:
+    monkeypatch.setattr(
+        upstream_signals.UpstreamSignals, "record_request", lambda *_: None
+    )
+
+
 def forget_who_leaves(monkeypatch) -> None:
     original = upstream_signals.UpstreamSignals.record_answer
 
@@ -530,6 +561,22 @@
         never_lift_limits,
         test_rate_shares.test_the_end_of_a_limit_gives_room_at_once,
     ),
+    (
+        read_zero_as_no_limit,
+        test_upstream_signals_over_sockets.test_an_upstream_that_names_a_limit_of_zero_gets_nothing_until_it_ends,
+    ),
+    (
+        recheck_all_at_once,
+        test_rate_shares.test_entries_look_again_one_after_the_other,
+    ),
+    (
+        never_recheck_closed_services,
+        test_load_sampling.test_upstreams_that_take_nothing_are_sampled_now_and_then,
+    ),
+    (
+        send_all_after_a_limit_of_zero,
+        test_upstream_signals.test_one_request_comes_first_after_a_limit_of_zero,
+    ),
     (
         forget_who_leaves,
         test_upstream_signals.test_an_upstream_that_leaves_stays_closed_whatever_it_says_later,
