--- a/tests/policy/signals/test_discovered_upstreams.py
+++ b/tests/policy/signals/test_discovered_upstreams.py
@@ -59,6 +59,15 @@
     assert usable_names(upstreams) == ["u-1"]
 
 
+# Guards against taking a gap between two reads for an outage of the store:
+# upstreams that had left were used after a cut of this entry alone.
+def test_an_entry_that_was_cut_off_drops_what_is_missing_from_its_first_read():
+    upstreams = discovered_upstreams.DiscoveredUpstreams()
+    upstreams.record_read([gateway.upstream()], 0.0)
+    upstreams.record_read([], 10.0)
+    assert usable_names(upstreams) == []
+
+
 def test_lapsed_upstreams_are_kept_right_after_an_outage():
     upstreams = discovered_upstreams.DiscoveredUpstreams()
     upstreams.record_read([gateway.upstream()], 0.0)
--- a/tests/policy/test_routes.py
+++ b/tests/policy/test_routes.py
@@ -89,6 +89,14 @@
     assert known.same_data_center == known.other_data_centers == ()
 
 
+# Guards against taking a gap between two reads for an outage of the store.
+def test_an_entry_that_was_cut_off_forgets_entries_that_are_gone():
+    known = registered_peers.RegisteredPeers("e-1", "here")
+    known.record_read([peer("e-3", "there")], 0.0)
+    known.record_read([], 9.0)
+    assert known.other_data_centers == ()
+
+
 def test_registrations_that_lapsed_in_an_outage_are_kept_temporarily():
     known = registered_peers.RegisteredPeers("e-1", "here")
     known.record_read([peer("e-3", "there")], 0.0)
