Tell an absence of the entry from one of the store, and end the grace by a timer

Cause: any gap of more than 2 s between two reads was taken for an outage of the store, also if only this entry had been cut off or the reader of its data centre had died; missing upstreams were kept for 2.2 s from the first read after it, and then until the next read.

Change: a view of the store with an age and a state of its own. The store's revision, which rises with each heartbeat, tells whether the store stood still over the gap; it travels with the contents between entries. Grace follows only an absence of the store, is bounded by the last call that failed, and ends by a timer.

--- a/src/sesamevale/entries/state_reader.py
+++ b/src/sesamevale/entries/state_reader.py
@@ -17,6 +17,7 @@
 from sesamevale.operators import admin_server
 from sesamevale.policy.membership import read_scheduling
 from sesamevale.policy.membership import shared_state
+from sesamevale.policy.membership import store_view
 
 if TYPE_CHECKING:
     from sesamevale import metrics
@@ -86,6 +87,9 @@
         self._failures = 0
         self._has_configuration = False
         self._store_unreachable = False
+        self._view = store_view.StoreView()
+        self._reported_view = self._view.summary(0.0)
+        self._grace_timer: asyncio.TimerHandle | None = None
         handler = state_exchange.make_handler(self._state, time.monotonic)
         self._server = admin_server.AdminServer(
             host, port, {state_exchange.PATH: handler}
@@ -102,6 +106,8 @@
 
     async def __aexit__(self, *exc_info: object) -> None:
         await super().__aexit__(*exc_info)
+        if self._grace_timer is not None:
+            self._grace_timer.cancel()
         await self._server.__aexit__(*exc_info)
 
     async def _run(self) -> None:
@@ -128,6 +134,8 @@
         found = await self._store_reader.read()
         if isinstance(found, StoreUnavailable):
             self._failures += 1
+            self._view.record_failure(started_at)
+            self._report_view()
             self._report_reachability(True, found.reason)
             if not self._has_configuration:
                 await self._fetch_from_seeds()
@@ -184,9 +192,16 @@
     ) -> None:
         if not self._state.record_read(contents, read_at):
             return
+        self._update_view(contents, read_at)
+        grace_until = self._view.grace_until
+        if time.monotonic() >= grace_until:
+            # The message of the end of the grace goes ahead of this one.
+            grace_until = float("-inf")
         gateway = self._gateway
         gateway.send(
-            gateway_messages.UpstreamsRead(contents.upstreams, read_at)
+            gateway_messages.UpstreamsRead(
+                contents.upstreams, read_at, grace_until
+            )
         )
         if contents.configuration is not None:
             self._has_configuration = True
@@ -195,7 +210,39 @@
                     contents.configuration, read_at
                 )
             )
-        gateway.send(gateway_messages.PeersRead(contents.peers, read_at))
+        gateway.send(
+            gateway_messages.PeersRead(contents.peers, read_at, grace_until)
+        )
+
+    def _update_view(
+        self, contents: shared_state.StoreContents, read_at: float
+    ) -> None:
+        """Records a read in the view and sets the timer for a new grace."""
+        before = self._view.grace_until
+        self._view.record_read(
+            read_at,
+            contents.era,
+            contents.store_revision,
+            frozenset(each.upstream_id for each in contents.upstreams),
+        )
+        self._report_view()
+        if self._view.grace_until == before:
+            return
+        if self._grace_timer is not None:
+            self._grace_timer.cancel()
+        self._grace_timer = asyncio.get_running_loop().call_later(
+            max(0.0, self._view.grace_until - time.monotonic()), self._end_grace
+        )
+
+    def _end_grace(self) -> None:
+        self._gateway.send(gateway_messages.GraceEnded())
+        self._report_view()
+
+    def _report_view(self) -> None:
+        view = self._view.summary(time.monotonic())
+        if view != self._reported_view:
+            self._reported_view = view
+            self._gateway.send(gateway_messages.StoreViewChanged(view))
 
     def _report_reachability(self, unreachable: bool, reason: str) -> None:
         if unreachable != self._store_unreachable:
--- a/src/sesamevale/gateway.py
+++ b/src/sesamevale/gateway.py
@@ -291,16 +291,7 @@
 
     def _update_members(self) -> None:
         """Updates the entries that callers may be sent to."""
-        alive = [
-            registered_peers.Peer(
-                each.entry_id,
-                each.data_center,
-                each.host,
-                each.caller_port,
-                each.peer_port,
-            )
-            for each in self._gossip.view.usable
-        ]
+        alive = map(registered_peers.Peer.of, self._gossip.view.usable)
         members = (*alive, *self._peers.other_data_centers)
         self._apply_entry_count()
         if members == self._router.view.members:
@@ -347,7 +338,9 @@
 
 @_receive.register
 def _(message: gateway_messages.UpstreamsRead, gateway: Gateway) -> None:
-    changes = gateway._upstreams.record_read(message.upstreams, message.read_at)
+    changes = gateway._upstreams.record_read(
+        message.upstreams, message.read_at, message.grace_until
+    )
     gateway._apply_upstreams()
     if gateway._router.view.upstreams_loaded:
         gateway._log_changes(changes)
@@ -360,7 +353,9 @@
 
 @_receive.register
 def _(message: gateway_messages.PeersRead, gateway: Gateway) -> None:
-    gateway._peers.record_read(message.peers, message.read_at)
+    gateway._peers.record_read(
+        message.peers, message.read_at, message.grace_until
+    )
     for peer in gateway._peers.same_data_center:
         gateway._gossip.send(gossip.Seed(peer.host, peer.entry_port))
     gateway._apply_registered_entries()
@@ -377,6 +372,23 @@
     )
 
 
+@_receive.register
+def _(message: gateway_messages.GraceEnded, gateway: Gateway) -> None:
+    gateway._log_changes(gateway._upstreams.drop_missing(time.monotonic()))
+    gateway._peers.drop_missing()
+    gateway._apply_upstreams()
+    gateway._apply_registered_entries()
+    gateway._update_members()
+
+
+@_receive.register
+def _(message: gateway_messages.StoreViewChanged, gateway: Gateway) -> None:
+    view = message.view
+    gateway._events.state(
+        "store_view", state=view.contact.value, absent=view.absent.value
+    )
+
+
 @_receive.register
 def _(message: gateway_messages.MembersChanged, gateway: Gateway) -> None:
     gateway._update_members()
--- a/src/sesamevale/gateway_messages.py
+++ b/src/sesamevale/gateway_messages.py
@@ -13,15 +13,18 @@
     from sesamevale.policy.admission import drain_schedule
     from sesamevale.policy.admission import retry_budget
     from sesamevale.policy.membership import registered_peers as peers
+    from sesamevale.policy.membership import store_view
 
 __all__ = [
     "ConfigurationRead",
     "GatewaySettings",
+    "GraceEnded",
     "MembersChanged",
     "Message",
     "PeersRead",
     "Stopping",
     "StoreReachabilityChanged",
+    "StoreViewChanged",
     "UpstreamIdMismatch",
     "UpstreamsRead",
 ]
@@ -94,10 +97,13 @@
     Attributes:
         upstreams: The upstreams.
         read_at: When the read was sent, in monotonic seconds.
+        grace_until: Until when missing upstreams may be used, in monotonic
+            seconds.
     """
 
     upstreams: tuple[routes.UpstreamRecord, ...]
     read_at: float
+    grace_until: float = float("-inf")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -107,10 +113,29 @@
     Attributes:
         peers: The entries, including this one.
         read_at: When the read was sent, in monotonic seconds.
+        grace_until: Until when missing entries are kept, in monotonic
+            seconds.
     """
 
     peers: tuple[peers.Peer, ...]
     read_at: float
+    grace_until: float = float("-inf")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GraceEnded:
+    """What is missing since an outage of the store is gone."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreViewChanged:
+    """The view of the store changed its state.
+
+    Attributes:
+        view: The view now.
+    """
+
+    view: store_view.Summary
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -157,6 +182,8 @@
     ConfigurationRead
     | UpstreamsRead
     | PeersRead
+    | GraceEnded
+    | StoreViewChanged
     | StoreReachabilityChanged
     | MembersChanged
     | UpstreamIdMismatch
--- a/src/sesamevale/platform/models.py
+++ b/src/sesamevale/platform/models.py
@@ -75,6 +75,7 @@
 
     items: list[Item]
     more: bool = pydantic.Field(alias="hasMore")
+    revision: int = pydantic.Field(alias="currentRev", default=0)
 
 
 class Conflict(_Model):
--- a/src/sesamevale/platform/store_client.py
+++ b/src/sesamevale/platform/store_client.py
@@ -22,7 +22,13 @@
     from sesamevale import metrics
     from sesamevale import settings as checked_settings
 
-__all__ = ["CallFailure", "LeaseLost", "StoreClient", "Unchanged"]
+__all__ = [
+    "CallFailure",
+    "Contents",
+    "LeaseLost",
+    "StoreClient",
+    "Unchanged",
+]
 
 Model = TypeVar("Model", bound=pydantic.BaseModel)
 
@@ -63,6 +69,19 @@
     """A key still has the known revision."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Contents:
+    """Items of one read.
+
+    Attributes:
+        items: The items by key.
+        revision: Revision of the store before the read; items may be newer.
+    """
+
+    items: list[models.Item]
+    revision: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Reply:
     status: int
@@ -102,15 +121,14 @@
         await super().__aexit__(*exc_info)
         self._close()
 
-    async def read_all(
-        self, after: str = ""
-    ) -> list[models.Item] | CallFailure:
+    async def read_all(self, after: str = "") -> Contents | CallFailure:
         """Reads all keys page by page, with reads that are never stale.
 
         Args:
             after: Key after which the read starts; empty for all keys.
         """
         items: list[models.Item] = []
+        revision = 0
         while True:
             query = {"prefix": ""} | ({"after": after} if after else {})
             reply = await self._call("GET", "/api/kv-range", query)
@@ -118,8 +136,9 @@
             if isinstance(page, CallFailure):
                 return page
             items += page.items
+            revision = revision or page.revision
             if not page.more or not page.items:
-                return items
+                return Contents(items, revision)
             after = page.items[-1].key
 
     async def read_if_changed(
--- a/src/sesamevale/platform/store_reader.py
+++ b/src/sesamevale/platform/store_reader.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 from typing import TYPE_CHECKING
 
 from sesamevale.entries import state_reader
@@ -48,13 +49,17 @@
         found = await self._read_items()
         if isinstance(found, store_client.CallFailure):
             return state_reader.StoreUnavailable(found.reason)
-        decoded = self._decoder.decode(found)
+        decoded = self._decoder.decode(found.items)
         if decoded.rejected != self._rejected:
             self._rejected = decoded.rejected
             self._events.state("store_values_rejected", keys=decoded.rejected)
-        return decoded.contents
+        return dataclasses.replace(
+            decoded.contents, store_revision=found.revision
+        )
 
-    async def _read_items(self) -> list[models.Item] | store_client.CallFailure:
+    async def _read_items(
+        self,
+    ) -> store_client.Contents | store_client.CallFailure:
         if self._large_config is None:
             return await self._read_all()
         config = await self._client.read_if_changed(self._large_config)
@@ -66,17 +71,17 @@
         else:
             config = self._large_config
         rest = await self._client.read_all(after=decoding.CONFIG_KEY)
-        return (
-            rest
-            if isinstance(rest, store_client.CallFailure)
-            else [config, *rest]
-        )
+        if isinstance(rest, store_client.CallFailure):
+            return rest
+        return dataclasses.replace(rest, items=[config, *rest.items])
 
-    async def _read_all(self) -> list[models.Item] | store_client.CallFailure:
+    async def _read_all(
+        self,
+    ) -> store_client.Contents | store_client.CallFailure:
         found = await self._client.read_all()
         if isinstance(found, store_client.CallFailure):
             return found
-        large = (each for each in found if _is_large_config(each))
+        large = (each for each in found.items if _is_large_config(each))
         self._large_config = next(large, None)
         return found
 
--- a/src/sesamevale/policy/membership/registered_peers.py
+++ b/src/sesamevale/policy/membership/registered_peers.py
@@ -10,11 +10,11 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
-from sesamevale.policy.signals import discovered_upstreams
-
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from sesamevale.policy.membership import membership_types
+
 __all__ = ["Peer", "RegisteredPeers"]
 
 
@@ -36,6 +36,17 @@
     caller_port: int
     entry_port: int
 
+    @classmethod
+    def of(cls, member: membership_types.Member) -> Peer:
+        """Returns the addresses of a member."""
+        return cls(
+            member.entry_id,
+            member.data_center,
+            member.host,
+            member.caller_port,
+            member.peer_port,
+        )
+
 
 class RegisteredPeers:
     """Registered entries, kept through outages of the store.
@@ -50,7 +61,7 @@
         self._data_center = data_center
         self._known: dict[str, Peer] = {}
         self._last_read: float | None = None
-        self._grace_until = float("-inf")
+        self._missing: frozenset[str] = frozenset()
 
     @property
     def last_read(self) -> float | None:
@@ -81,18 +92,30 @@
             if each.data_center != self._data_center
         )
 
-    def record_read(self, found: Iterable[Peer], now: float) -> None:
+    def record_read(
+        self,
+        found: Iterable[Peer],
+        now: float,
+        grace_until: float = float("-inf"),
+    ) -> None:
         """Applies a complete read of the registrations.
 
         Args:
             found: All entries that are registered.
             now: When the read was sent, in monotonic seconds.
+            grace_until: Until when missing entries are kept; they are dropped
+                by ``drop_missing``.
         """
-        last = self._last_read
-        if last is not None and now - last > discovered_upstreams.OUTAGE_GAP_S:
-            self._grace_until = now + discovered_upstreams.RETURN_GRACE_S
         self._last_read = now
         registered = {each.entry_id: each for each in found}
-        if now < self._grace_until:
+        self._missing = frozenset()
+        if now < grace_until:
+            self._missing = frozenset(self._known.keys() - registered.keys())
             registered = self._known | registered
         self._known = registered
+
+    def drop_missing(self) -> None:
+        """Drops the entries that were kept although they are missing."""
+        for entry_id in self._missing:
+            del self._known[entry_id]
+        self._missing = frozenset()
--- a/src/sesamevale/policy/membership/shared_state.py
+++ b/src/sesamevale/policy/membership/shared_state.py
@@ -25,6 +25,7 @@
         evacuated: Data centres whose upstreams are to get nothing more.
         era: Number of the store's history; it rises when the store comes back
             older than it was. 0 if the store does not say.
+        store_revision: Revision of the store.
     """
 
     configuration: routes.Configuration | None
@@ -32,6 +33,7 @@
     peers: tuple[registered_peers.Peer, ...]
     evacuated: frozenset[str] = frozenset()
     era: int = 0
+    store_revision: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -50,6 +52,7 @@
         evacuated: Data centres whose upstreams are to get nothing more, if
             they have changed.
         era: Number of the store's history.
+        store_revision: Revision of the store.
     """
 
     epoch: int
@@ -62,6 +65,7 @@
     peers: tuple[registered_peers.Peer, ...] | None
     evacuated: frozenset[str] | None = None
     era: int = 0
+    store_revision: int = 0
 
 
 class SharedState:
@@ -79,6 +83,7 @@
         self._peers: tuple[int, tuple[registered_peers.Peer, ...]] = (0, ())
         self._evacuated: tuple[int, frozenset[str]] = (0, frozenset())
         self._era = 0
+        self._store_revision = 0
         self._upstreams: dict[str, tuple[int, routes.UpstreamRecord]] = {}
         self._removed: dict[str, int] = {}
 
@@ -106,6 +111,7 @@
         if contents.evacuated != self._evacuated[1]:
             self._evacuated = (revision, contents.evacuated)
         self._era = contents.era
+        self._store_revision = contents.store_revision
         found = {each.upstream_id: each for each in contents.upstreams}
         for name in self._upstreams.keys() - found.keys():
             del self._upstreams[name]
@@ -149,6 +155,7 @@
             peers=peers if peers_at > after else None,
             evacuated=evacuated if evacuated_at > after else None,
             era=self._era,
+            store_revision=self._store_revision,
         )
 
 
@@ -203,6 +210,7 @@
             self._peers,
             self._evacuated,
             update.era,
+            update.store_revision,
         )
 
 
--- a/src/sesamevale/policy/signals/discovered_upstreams.py
+++ b/src/sesamevale/policy/signals/discovered_upstreams.py
@@ -12,11 +12,6 @@
 
 __all__ = ["DiscoveredUpstreams", "UpstreamChange"]
 
-# A longer gap between two reads is an outage of the store, in which
-# heartbeats may have been missed.
-OUTAGE_GAP_S = 2.0
-# Records that lapsed in an outage are back within about two seconds.
-RETURN_GRACE_S = 2.2
 # Longer than the delay of any heartbeat of an upstream that has stopped.
 DEPARTED_RETENTION_S = 60.0
 
@@ -40,6 +35,7 @@
 class _TrackedUpstream:
     record: routes.UpstreamRecord
     fenced: bool
+    is_missing: bool = False
     departed_at: float | None = None
 
 
@@ -48,15 +44,14 @@
 
     An upstream that was read as draining is fenced, which means that it gets
     no requests until a read shows that it has started again. One that is
-    missing from a read is unusable at once, unless the read is among the first
-    after an outage of the store, in which records may have lapsed because
-    heartbeats were missed.
+    missing from a read is unusable at once, except for a time after an outage
+    of the store, in which records may have lapsed because heartbeats were
+    missed.
     """
 
     def __init__(self) -> None:
         self._known: dict[str, _TrackedUpstream] = {}
         self._last_read: float | None = None
-        self._grace_until = float("-inf")
         self._by_service: dict[str, tuple[routes.UpstreamRecord, ...]] = {}
 
     @property
@@ -69,19 +64,19 @@
         return self._by_service.get(service, ())
 
     def record_read(
-        self, records: Iterable[routes.UpstreamRecord], now: float
+        self,
+        records: Iterable[routes.UpstreamRecord],
+        now: float,
+        grace_until: float = float("-inf"),
     ) -> list[UpstreamChange]:
         """Applies a complete read of the discovery and returns the changes.
 
         Args:
             records: All records that could be decoded.
             now: When the read was sent, in monotonic seconds.
+            grace_until: Until when missing upstreams may be used; they are
+                dropped by ``drop_missing``.
         """
-        after_outage = (
-            self._last_read is not None and now - self._last_read > OUTAGE_GAP_S
-        )
-        if after_outage:
-            self._grace_until = now + RETURN_GRACE_S
         self._last_read = now
         changes: list[UpstreamChange] = []
         seen = set()
@@ -89,7 +84,24 @@
             seen.add(record.upstream_id)
             self._apply_record(record, changes)
         for upstream_id in self._known.keys() - seen:
-            self._record_missing(upstream_id, now, changes)
+            known = self._known[upstream_id]
+            if now < grace_until and not known.fenced:
+                known.is_missing = True
+            else:
+                self._record_missing(upstream_id, now, changes)
+        self._rebuild_index()
+        return changes
+
+    def drop_missing(self, now: float) -> list[UpstreamChange]:
+        """Drops the upstreams that were kept although they are missing.
+
+        Args:
+            now: Monotonic time in seconds.
+        """
+        changes: list[UpstreamChange] = []
+        for upstream_id, known in list(self._known.items()):
+            if known.is_missing:
+                self._record_missing(upstream_id, now, changes)
         self._rebuild_index()
         return changes
 
@@ -106,6 +118,8 @@
         self, record: routes.UpstreamRecord, changes: list[UpstreamChange]
     ) -> None:
         known = self._known.get(record.upstream_id)
+        if known is not None:
+            known.is_missing = False
         if known is None or _is_new_start(record, known):
             self._known[record.upstream_id] = _TrackedUpstream(
                 record, record.draining
@@ -136,12 +150,11 @@
         self, upstream_id: str, now: float, changes: list[UpstreamChange]
     ) -> None:
         known = self._known[upstream_id]
+        known.is_missing = False
         if known.departed_at is not None:
             if now - known.departed_at > DEPARTED_RETENTION_S:
                 del self._known[upstream_id]
             return
-        if now < self._grace_until and not known.fenced:
-            return
         known.departed_at = now
         changes.append(
             UpstreamChange(upstream_id, known.record.service, "gone")
--- /dev/null
+++ b/tests/entries/test_store_absence.py
@@ -0,0 +1,127 @@
+"""State readers after an absence of the store, or of the entry."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import time
+
+from sesamevale import gateway_messages
+from sesamevale import metrics
+from sesamevale.entries import state_reader
+from sesamevale.policy.membership import read_scheduling
+from sesamevale.policy.membership import shared_state
+from sesamevale.policy.membership import store_view
+from tests.builders import gateway
+
+TIMING = read_scheduling.ReadTiming(bound_s=1.0)
+CHANGES_PER_S = 40.0
+
+
+class FakeStore:
+    """Store whose revision rises with time unless it stands still."""
+
+    def __init__(self):
+        self.is_reachable = True
+        self.names = ["u-1", "u-2"]
+        self.era = 1
+        self._stopped_at = None
+        self._stopped_s = 0.0
+
+    def stop(self):
+        self.is_reachable = False
+        self._stopped_at = time.monotonic()
+
+    def go_on(self):
+        self.is_reachable = True
+        self._stopped_s += time.monotonic() - self._stopped_at
+        self._stopped_at = None
+
+    async def read(self):
+        if not self.is_reachable:
+            return state_reader.StoreUnavailable("away")
+        now = time.monotonic() - self._stopped_s
+        return shared_state.StoreContents(
+            gateway.configuration(),
+            tuple(gateway.upstream(each) for each in self.names),
+            (),
+            era=self.era,
+            store_revision=int(CHANGES_PER_S * now),
+        )
+
+
+class FakeGateway:
+    """Records what a state reader sends, with the time."""
+
+    entry_id = "a"
+
+    def __init__(self):
+        self.data_center_entries: dict[str, tuple[str, int]] = {}
+        self.messages: list[tuple[float, object]] = []
+
+    def send(self, message):
+        self.messages.append((time.monotonic(), message))
+
+    def of_type(self, kind):
+        return [each for _, each in self.messages if isinstance(each, kind)]
+
+
+@contextlib.asynccontextmanager
+async def open_reader(store):
+    fake_gateway = FakeGateway()
+    reader = state_reader.StateReader(
+        store,
+        fake_gateway,
+        TIMING,
+        1,
+        "127.0.0.1",
+        0,
+        metrics.MetricsRecorder(),
+    )
+    async with reader:
+        yield fake_gateway
+
+
+def run(scenario):
+    asyncio.run(asyncio.wait_for(scenario(), 20))
+
+
+def test_the_grace_after_an_outage_ends_by_a_timer():
+    async def scenario():
+        store = FakeStore()
+        async with open_reader(store) as fake_gateway:
+            await asyncio.sleep(3.5)
+            store.stop()
+            await asyncio.sleep(3.0)
+            store.names = ["u-1"]
+            store.go_on()
+            await asyncio.sleep(1.0)
+            last_read = fake_gateway.of_type(gateway_messages.UpstreamsRead)[-1]
+            assert last_read.grace_until > time.monotonic()
+            # Without further reads.
+            store.is_reachable = False
+            await asyncio.sleep(last_read.grace_until - time.monotonic() + 0.1)
+            assert fake_gateway.of_type(gateway_messages.GraceEnded)
+            views = fake_gateway.of_type(gateway_messages.StoreViewChanged)
+            assert store_view.Absent.STORE in [
+                each.view.absent for each in views
+            ]
+
+    run(scenario)
+
+
+def test_an_entry_that_was_cut_off_knows_that_it_was_away():
+    async def scenario():
+        store = FakeStore()
+        async with open_reader(store) as fake_gateway:
+            await asyncio.sleep(3.5)
+            store.is_reachable = False
+            await asyncio.sleep(3.0)
+            store.is_reachable = True
+            await asyncio.sleep(1.0)
+            last_read = fake_gateway.of_type(gateway_messages.UpstreamsRead)[-1]
+            assert last_read.grace_until == float("-inf")
+            view = fake_gateway.of_type(gateway_messages.StoreViewChanged)[-1]
+            assert view.view.absent is store_view.Absent.ENTRY
+
+    run(scenario)
