--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -210,6 +210,32 @@
     run(scenario)
 
 
+# Guards against a write that is executed late and binds the registration to a
+# lease that nobody renews: it was lost for good with the end of that lease.
+def test_a_registration_that_is_executed_late_stays_under_a_renewed_lease(
+    monkeypatch,
+):
+    monkeypatch.setattr(registration, "RETRY_INTERVAL_S", 0.05)
+    monkeypatch.setattr(registration, "RENEW_INTERVAL_S", 0.1)
+
+    async def scenario():
+        async with open_store_case() as case:
+            case.store.faults.extend(["ok", "late"])
+            key = "sesamevale/entries/e-1"
+            task = registration.RegistrationTask(
+                case.client, own_registration(), case.gateway, case.gateway
+            )
+            async with task:
+                await until(lambda: key in case.store.items)
+                await asyncio.sleep(case.store.late_s + 0.2)
+                case.store.calls.clear()
+                await until(lambda: len(case.store.calls) >= 3)
+                lease = case.store.items[key]["lease"]
+                assert f"POST /api/kv-keep/{lease}" in case.store.calls
+
+    run(scenario)
+
+
 def test_a_store_that_is_away_is_asked_less_and_less_often(monkeypatch):
     """Each entry asked it twice a second, and each call has its price."""
     monkeypatch.setattr(registration, "RETRY_INTERVAL_S", 0.05)
--- a/tests/standins/platform_store.py
+++ b/tests/standins/platform_store.py
@@ -8,6 +8,7 @@
 ``reset``: The connection is aborted, without effect.
 ``silent``: No effect and no answer for 60 s.
 ``lost``: The call takes effect but gets no answer for 60 s.
+``late``: The call takes effect after ``late_s`` but gets no answer for 60 s.
 ``slow``: The call is answered after ``SLOW_S``.
 ``garbled``: The answer's JSON is cut in half.
 
@@ -40,6 +41,7 @@
         status 400.
       sent_bytes: Bytes of all bodies sent.
       bytes_per_s: Rate at which bodies are sent; 0 sends them at once.
+      late_s: Seconds after which a call with the fault ``late`` is executed.
     """
 
     def __init__(self, page_size=500):
@@ -54,6 +56,7 @@
         self.rejects_empty_transactions = False
         self.sent_bytes = 0
         self.bytes_per_s = 0.0
+        self.late_s = 1.0
         self._next_lease = 100
 
     def put(self, item: dict) -> None:
@@ -93,6 +96,11 @@
             await asyncio.sleep(60)
         if fault == "slow":
             await asyncio.sleep(SLOW_S)
+        if fault == "late":
+            asyncio.get_running_loop().call_later(
+                self.late_s, self._handle, fault, request, target, body
+            )
+            await asyncio.sleep(60)
         status, content = self._handle(fault, request, target, body)
         if fault == "lost":
             await asyncio.sleep(60)
@@ -159,12 +167,12 @@
         if self.rejects_empty_transactions and not content["writes"]:
             return 400, {}
         conditions = content["precondition"]
-        current = [self.items[each["key"]] for each in conditions]
+        found = [self.items.get(each["key"]) for each in conditions]
         if any(
-            item["revision"] != each["revision"]
-            for item, each in zip(current, conditions, strict=True)
+            (item["revision"] if item else 0) != each["revision"]
+            for item, each in zip(found, conditions, strict=True)
         ):
-            return 412, {"items": current}
+            return 412, {"items": [each for each in found if each]}
         for each in content["writes"]:
             if each["lease"] and each["lease"] not in self.leases:
                 return 404, {}
