Check the own registration against each read, and write it on condition

Cause: a registration was an action: if the answer to its write was lost, another lease was requested and the key written again, both without a condition. The first write, executed late, bound the key to a lease that nobody renewed; with its end the key went, and nobody looked. Entries of other data centres then counted themselves alone and each took the whole fixed part of the retry budget.

Change: a policy that compares each read, by whichever entry, with what is meant to be there (lease, incarnation, era) and mends it; writes are conditional on the key's revision and retried under the same lease. An entry that the others may not count divides the budget by twice as many.

--- a/src/sesamevale/entries/state_reader.py
+++ b/src/sesamevale/entries/state_reader.py
@@ -20,6 +20,8 @@
 from sesamevale.policy.membership import store_view
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from sesamevale import metrics
 
 __all__ = ["StateReader", "StoreReader", "StoreUnavailable"]
@@ -90,6 +92,9 @@
         self._view = store_view.StoreView()
         self._reported_view = self._view.summary(0.0)
         self._grace_timer: asyncio.TimerHandle | None = None
+        self._listeners: list[
+            Callable[[shared_state.StoreContents, float], None]
+        ] = []
         handler = state_exchange.make_handler(self._state, time.monotonic)
         self._server = admin_server.AdminServer(
             host, port, {state_exchange.PATH: handler}
@@ -100,6 +105,12 @@
         """TCP port for other entries."""
         return self._server.port
 
+    def on_read(
+        self, listener: Callable[[shared_state.StoreContents, float], None]
+    ) -> None:
+        """Adds a listener for what is read and when the read was sent."""
+        self._listeners.append(listener)
+
     async def __aenter__(self) -> Self:
         await self._server.__aenter__()
         return await super().__aenter__()
@@ -213,6 +224,8 @@
         gateway.send(
             gateway_messages.PeersRead(contents.peers, read_at, grace_until)
         )
+        for listener in self._listeners:
+            listener(contents, read_at)
 
     def _update_view(
         self, contents: shared_state.StoreContents, read_at: float
--- a/src/sesamevale/gateway.py
+++ b/src/sesamevale/gateway.py
@@ -27,6 +27,7 @@
 from sesamevale.policy.admission import retry_budget
 from sesamevale.policy.balancing import load_sampling
 from sesamevale.policy.configuration import active_configuration
+from sesamevale.policy.membership import entry_count
 from sesamevale.policy.membership import membership
 from sesamevale.policy.membership import membership_types
 from sesamevale.policy.membership import registered_peers
@@ -74,6 +75,7 @@
         self._peers = registered_peers.RegisteredPeers(
             settings.entry_id, settings.data_center
         )
+        self._is_registration_old = False
         self._own_member = membership_types.Member(
             entry_id=settings.entry_id,
             incarnation=incarnations.new(self._rng),
@@ -263,8 +265,11 @@
             task.send(messages.SetUpstreams(records))
 
     def _apply_entry_count(self) -> None:
-        same_data_center = self._gossip.view.reachable
-        count = len(same_data_center) + len(self._peers.other_data_centers)
+        count = entry_count.sharing(
+            len(self._gossip.view.reachable),
+            len(self._peers.other_data_centers),
+            self._is_registration_old or not self._peers.is_registered,
+        )
         for task in self._router.tasks.values():
             task.send(messages.SetEntryCount(count))
 
@@ -384,6 +389,8 @@
 @_receive.register
 def _(message: gateway_messages.StoreViewChanged, gateway: Gateway) -> None:
     view = message.view
+    gateway._is_registration_old = view.registration_doubtful
+    gateway._apply_entry_count()
     gateway._events.state(
         "store_view", state=view.contact.value, absent=view.absent.value
     )
--- a/src/sesamevale/platform/daemon.py
+++ b/src/sesamevale/platform/daemon.py
@@ -125,9 +125,16 @@
         host=deployment.host,
         caller_port=deployment.callers.port,
         entry_port=deployment.entry_ports[0],
+        incarnation=gateway.incarnation,
     )
-    await stack.enter_async_context(
-        registration.RegistrationTask(client, own_registration, gateway, events)
+    task = registration.RegistrationTask(
+        client, own_registration, gateway, events
+    )
+    await stack.enter_async_context(task)
+    reader.on_read(
+        lambda contents, read_at: task.send(
+            registration.StoreRead(contents, read_at)
+        )
     )
     return gateway
 
--- a/src/sesamevale/platform/decoding.py
+++ b/src/sesamevale/platform/decoding.py
@@ -11,6 +11,7 @@
 
 from sesamevale import routes
 from sesamevale.platform import models
+from sesamevale.policy.membership import own_registration
 from sesamevale.policy.membership import registered_peers
 from sesamevale.policy.membership import shared_state
 
@@ -22,6 +23,7 @@
     "REGISTRATION_PREFIX",
     "Decoder",
     "Decoded",
+    "decode_record",
     "encode_value",
 ]
 
@@ -111,7 +113,8 @@
                 models.Heartbeat.model_validate_json(content),
             )
         if item.key.startswith(REGISTRATION_PREFIX):
-            return _peer(models.Registration.model_validate_json(content))
+            found = models.Registration.model_validate_json(content)
+            return _peer(found, item)
     except pydantic.ValidationError as error:
         first = error.errors()[0]
         place = ".".join(str(each) for each in first["loc"])
@@ -121,13 +124,27 @@
     return None
 
 
-def _peer(found: models.Registration) -> registered_peers.Peer:
+def decode_record(item: models.Item) -> own_registration.Record:
+    """Returns what the key of an entry holds, whatever its value."""
+    decoded = _decode(item)
+    if isinstance(decoded, registered_peers.Peer) and decoded.record:
+        return decoded.record
+    return own_registration.Record(lease=item.lease, revision=item.revision)
+
+
+def _peer(
+    found: models.Registration, item: models.Item
+) -> registered_peers.Peer:
+    record = own_registration.Record(
+        found.incarnation, item.lease, item.revision, found.era
+    )
     return registered_peers.Peer(
         found.entry_id,
         found.data_center,
         found.host,
         found.caller_port,
         found.entry_port,
+        record,
     )
 
 
--- a/src/sesamevale/platform/models.py
+++ b/src/sesamevale/platform/models.py
@@ -17,6 +17,7 @@
     "Page",
     "PublishedConfig",
     "Registration",
+    "Written",
     "UPSTREAM_ID",
 ]
 
@@ -65,6 +66,7 @@
     key: str
     value: str
     revision: int
+    lease: int = 0
 
 
 class Page(_Model):
@@ -87,6 +89,12 @@
     items: list[Item]
 
 
+class Written(_Model):
+    """Answer to a transaction that took effect."""
+
+    revision: int
+
+
 class LeaseGranted(_Model):
     """Answer to a request for a lease, or for its renewal."""
 
@@ -185,10 +193,16 @@
 
 
 class Registration(_Model):
-    """Addresses that an entry registers for the other entries."""
+    """Addresses that an entry registers for the other entries.
+
+    ``incarnation`` is that of the process, ``era`` that of the store when it
+    was written; 0 in registrations that do not say.
+    """
 
     entry_id: Text
     data_center: Text
     host: Text
     caller_port: Port
     entry_port: Port
+    incarnation: Count = 0
+    era: Count = 0
--- a/src/sesamevale/platform/registration.py
+++ b/src/sesamevale/platform/registration.py
@@ -1,10 +1,12 @@
-"""Task that registers this entry in the store for the other entries."""
+"""Task that keeps this entry registered in the store for the other entries."""
 
 from __future__ import annotations
 
 import asyncio
 import contextlib
+import dataclasses
 import functools
+import math
 import random
 import time
 from typing import TYPE_CHECKING
@@ -14,12 +16,16 @@
 from sesamevale.platform import models
 from sesamevale.platform import store_client
 from sesamevale.policy.membership import backoff
+from sesamevale.policy.membership import own_registration as policy
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
+
     from sesamevale import event_log
     from sesamevale import gateway as gateways
+    from sesamevale.policy.membership import shared_state
 
-__all__ = ["RegistrationTask"]
+__all__ = ["ReadinessChanged", "RegistrationTask", "StoreRead"]
 
 # Bounds how long callers in other data centres are still sent to an entry
 # after it has ended.
@@ -32,7 +38,28 @@
 RETRY_INTERVAL_MAX_S = 4.0
 
 
-class RegistrationTask(messaging.BackgroundTask):
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReadinessChanged:
+    """The gateway became ready or is ready no more."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreRead:
+    """The store was read, by this entry or by another one.
+
+    Attributes:
+        contents: What was read.
+        read_at: When the read was sent, in monotonic seconds.
+    """
+
+    contents: shared_state.StoreContents
+    read_at: float
+
+
+Message = ReadinessChanged | StoreRead
+
+
+class RegistrationTask(messaging.Actor[Message]):
     """Registers this entry while callers may be sent to it.
 
     Args:
@@ -51,80 +78,156 @@
     ) -> None:
         super().__init__("registration")
         self._client = client
+        self._registration = own_registration
         self._key = decoding.REGISTRATION_PREFIX + own_registration.entry_id
-        self._value = decoding.encode_value(own_registration)
         self._gateway = gateway
         self._events = events
-        self._lease = 0
-        self._readiness_changed = asyncio.Event()
-        self._backoff = backoff.Backoff(
-            RETRY_INTERVAL_S, RETRY_INTERVAL_MAX_S, random.Random()
+        self._policy = policy.OwnRegistration(
+            own_registration.incarnation,
+            RENEW_INTERVAL_S,
+            backoff.Backoff(
+                RETRY_INTERVAL_S, RETRY_INTERVAL_MAX_S, random.Random()
+            ),
         )
 
+    def receive(self, message: Message) -> None:
+        """Implements ``messaging.Actor``."""
+        _receive(message, self)
+
     async def _run(self) -> None:
-        self._gateway.on_readiness_changed(self._readiness_changed.set)
-        due_at = 0.0
+        self._gateway.on_readiness_changed(
+            lambda: self.send(ReadinessChanged())
+        )
+        self.send(ReadinessChanged())
         while True:
-            self._readiness_changed.clear()
-            now = time.monotonic()
-            if self._gateway.is_ready and now >= due_at:
-                due_at = now + _next_delay_s(
-                    await self._register_or_renew(), self
-                )
-            elif self._lease and not self._gateway.is_ready:
-                await self._client.revoke_lease(self._lease)
-                self._lease = 0
-            await self._wait_until(due_at)
-
-    async def _wait_until(self, due_at: float) -> None:
-        """Waits for the next call, or for a change of the readiness."""
-        left_s = None
-        if self._gateway.is_ready:
-            left_s = max(0.0, due_at - time.monotonic())
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(left_s):
-                await self._readiness_changed.wait()
-
-    async def _register_or_renew(self) -> object:
-        if self._lease == 0:
-            return await self._register()
-        return await self._client.renew_lease(self._lease)
-
-    async def _register(self) -> object:
-        """Writes the registration under a new lease."""
-        granted = await self._client.grant_lease(LEASE_TTL_MS)
-        if isinstance(granted, store_client.CallFailure):
-            return granted
-        written = await self._client.write(
-            self._key, self._value, granted.lease
+            while self._inbox:
+                self.receive(self._inbox.get_nowait())
+            step = self._policy.next_step(time.monotonic())
+            result = await _run_step(step, self)
+            if result is None:
+                continue
+            with self._logged_changes():
+                now = time.monotonic()
+                self._policy.record_result(result, now)
+                self._policy.record_era(self._client.era, now)
+
+    @contextlib.contextmanager
+    def _logged_changes(self) -> Iterator[None]:
+        """Logs how the registration has changed when the context ends."""
+        was_there, was_taken = self._policy.is_there, self._policy.is_taken
+        yield
+        if self._policy.is_taken and not was_taken:
+            self._events.state("registration_taken", key=self._key)
+        elif self._policy.is_there and not was_there:
+            self._events.state("registered", key=self._key)
+        elif was_there and not self._policy.is_there:
+            self._events.state("registration_lost", key=self._key)
+
+    def _encode(self, era: int) -> str:
+        return decoding.encode_value(
+            self._registration.model_copy(update={"era": era})
+        )
+
+
+@functools.singledispatch
+def _receive(message: Message, task: RegistrationTask) -> None:
+    raise TypeError(f"no handler for {type(message).__name__}")
+
+
+@_receive.register
+def _(message: ReadinessChanged, task: RegistrationTask) -> None:
+    task._policy.set_wanted(task._gateway.is_ready)
+
+
+@_receive.register
+def _(message: StoreRead, task: RegistrationTask) -> None:
+    contents = message.contents
+    entry_id = task._registration.entry_id
+    found = (each for each in contents.peers if each.entry_id == entry_id)
+    peer = next(found, None)
+    with task._logged_changes():
+        task._policy.record_read(
+            None if peer is None else peer.record,
+            contents.era,
+            message.read_at,
+            time.monotonic(),
         )
-        if written is not None:
-            return written
-        self._lease = granted.lease
-        self._events.state("registered", key=self._key)
-        return granted
 
 
 @functools.singledispatch
-def _next_delay_s(result: object, task: RegistrationTask) -> float:
-    """Handles the result of a call; returns the seconds until the next one."""
-    raise TypeError(f"no handler for {type(result).__name__}")
+async def _run_step(
+    step: policy.Step, task: RegistrationTask
+) -> policy.Result | None:
+    """Runs a step; returns the result of its call, if it is one."""
+    raise TypeError(f"no handler for {type(step).__name__}")
+
+
+@_run_step.register
+async def _(step: policy.Wait, task: RegistrationTask) -> None:
+    timeout_s = None if step.seconds == math.inf else step.seconds
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(timeout_s):
+            task._inbox.put_back(await task._inbox.get())
+
+
+@_run_step.register
+async def _(step: policy.Grant, task: RegistrationTask) -> policy.Result:
+    return _result_of(await task._client.grant_lease(LEASE_TTL_MS), task)
+
+
+@_run_step.register
+async def _(step: policy.Write, task: RegistrationTask) -> policy.Result:
+    written = await task._client.write(
+        task._key, task._encode(step.era), step.lease, step.revision
+    )
+    return _result_of(written, task)
+
+
+@_run_step.register
+async def _(step: policy.Renew, task: RegistrationTask) -> policy.Result:
+    renewed = await task._client.renew_lease(step.lease)
+    if isinstance(renewed, models.LeaseGranted):
+        return policy.Renewed()
+    return _result_of(renewed, task)
+
+
+@_run_step.register
+async def _(step: policy.Revoke, task: RegistrationTask) -> policy.Result:
+    await task._client.revoke_lease(step.lease)
+    return policy.Revoked()
+
+
+@functools.singledispatch
+def _result_of(answer: object, task: RegistrationTask) -> policy.Result:
+    raise TypeError(f"no handler for {type(answer).__name__}")
+
+
+@_result_of.register
+def _(answer: models.LeaseGranted, task: RegistrationTask) -> policy.Result:
+    return policy.Granted(answer.lease)
+
+
+@_result_of.register
+def _(answer: models.Written, task: RegistrationTask) -> policy.Result:
+    return policy.Written(answer.revision)
 
 
-@_next_delay_s.register
-def _(result: models.LeaseGranted, task: RegistrationTask) -> float:
-    task._backoff.reset()
-    return RENEW_INTERVAL_S
+@_result_of.register
+def _(answer: models.Conflict, task: RegistrationTask) -> policy.Result:
+    item = next((each for each in answer.items if each.key == task._key), None)
+    if item is None:
+        return policy.Conflict(None)
+    return policy.Conflict(decoding.decode_record(item))
 
 
-@_next_delay_s.register
-def _(result: store_client.LeaseLost, task: RegistrationTask) -> float:
-    task._lease = 0
-    task._events.state("registration_lost", key=task._key)
-    return task._backoff.next_delay_s()
+@_result_of.register
+def _(answer: store_client.LeaseLost, task: RegistrationTask) -> policy.Result:
+    return policy.LeaseEnded()
 
 
-@_next_delay_s.register
-def _(result: store_client.CallFailure, task: RegistrationTask) -> float:
-    task._events.state("registration_failed", why=result.reason)
-    return task._backoff.next_delay_s()
+@_result_of.register
+def _(
+    answer: store_client.CallFailure, task: RegistrationTask
+) -> policy.Result:
+    task._events.state("registration_failed", why=answer.reason)
+    return policy.Failed()
--- a/src/sesamevale/platform/store_client.py
+++ b/src/sesamevale/platform/store_client.py
@@ -116,6 +116,12 @@
         self._stream: sockets.ByteStream | None = None
         self._http = h11.Connection(h11.CLIENT)
         self._read_timeout_s = READ_TIMEOUT_S
+        self._era = 0
+
+    @property
+    def era(self) -> int:
+        """Latest era that the store has named; 0 if it has named none."""
+        return self._era
 
     async def __aexit__(self, *exc_info: object) -> None:
         await super().__aexit__(*exc_info)
@@ -191,30 +197,27 @@
         return reply if isinstance(reply, CallFailure) else None
 
     async def write(
-        self, key: str, value: str, lease: int
-    ) -> LeaseLost | CallFailure | None:
-        """Writes one key without a condition.
+        self, key: str, value: str, lease: int, revision: int
+    ) -> models.Written | models.Conflict | LeaseLost | CallFailure:
+        """Writes one key if it has a revision.
 
         Args:
             key: The key.
             value: The value in base64.
             lease: Lease with whose end the key is removed.
+            revision: Revision that the key must have; 0 if it must not exist.
         """
         body = {
-            "precondition": [],
+            "precondition": [{"key": key, "revision": revision}],
             "writes": [{"key": key, "value": value, "lease": lease}],
             "remove": [],
         }
         reply = await self._call("POST", "/api/kv-txn", body=body)
-        if isinstance(reply, CallFailure):
-            return reply
-        if reply.status == NOT_FOUND:
+        if isinstance(reply, _Reply) and reply.status == NOT_FOUND:
             return LeaseLost()
-        if reply.status != OK:
-            return CallFailure(
-                f"unexpected status {reply.status}", outcome_unknown=False
-            )
-        return None
+        if isinstance(reply, _Reply) and reply.status == CONFLICT:
+            return _parse_reply(reply, models.Conflict, expected=CONFLICT)
+        return _parse_reply(reply, models.Written)
 
     async def _call(
         self,
--- a/src/sesamevale/policy/membership/registered_peers.py
+++ b/src/sesamevale/policy/membership/registered_peers.py
@@ -10,6 +10,8 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
+from sesamevale.policy.membership import own_registration
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
@@ -28,6 +30,7 @@
         host: IP address.
         caller_port: TCP port for callers.
         entry_port: UDP port for other entries.
+        record: What the store holds for it; None if it is not from there.
     """
 
     entry_id: str
@@ -35,6 +38,7 @@
     host: str
     caller_port: int
     entry_port: int
+    record: own_registration.Record | None = None
 
     @classmethod
     def of(cls, member: membership_types.Member) -> Peer:
@@ -62,12 +66,18 @@
         self._known: dict[str, Peer] = {}
         self._last_read: float | None = None
         self._missing: frozenset[str] = frozenset()
+        self._is_registered = False
 
     @property
     def last_read(self) -> float | None:
         """Monotonic time of the last read in seconds; None before it."""
         return self._last_read
 
+    @property
+    def is_registered(self) -> bool:
+        """Whether the last read showed this entry."""
+        return self._is_registered
+
     @property
     def registered(self) -> tuple[Peer, ...]:
         """All registered entries, this one included."""
@@ -107,7 +117,11 @@
                 by ``drop_missing``.
         """
         self._last_read = now
-        registered = {each.entry_id: each for each in found}
+        registered = {
+            each.entry_id: dataclasses.replace(each, record=None)
+            for each in found
+        }
+        self._is_registered = self._entry_id in registered
         self._missing = frozenset()
         if now < grace_until:
             self._missing = frozenset(self._known.keys() - registered.keys())
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -5,12 +5,14 @@
 import asyncio
 import contextlib
 import dataclasses
+import time
 
 import pytest
 
 from sesamevale import metrics
 from sesamevale import settings as checked_settings
 from sesamevale.entries import state_reader
+from sesamevale.platform import decoding
 from sesamevale.platform import models
 from sesamevale.platform import registration
 from sesamevale.platform import store_client
@@ -57,6 +59,10 @@
     client: store_client.StoreClient
     gateway: FakeGateway
 
+    @property
+    def log(self):
+        return self.gateway.messages
+
 
 @contextlib.asynccontextmanager
 async def open_store_case(**options):
@@ -236,6 +242,70 @@
     run(scenario)
 
 
+def test_a_late_write_does_not_replace_a_later_registration():
+    async def scenario():
+        async with open_store_case() as case:
+            case.store.late_s = 2.0
+            case.store.faults.extend(["ok", "late"])
+            key = "sesamevale/entries/e-1"
+            task = registration.RegistrationTask(
+                case.client, own_registration(), case.gateway, case.gateway
+            )
+            async with task:
+                await until(lambda: key in case.store.items)
+                written = case.store.items[key]
+                await asyncio.sleep(case.store.late_s + 0.2)
+                assert case.store.items[key] == written
+
+    run(scenario)
+
+
+def contents_of(store, era=0):
+    """Returns what a read of the store shows, for the registration's task."""
+    items = [models.Item.model_validate(each) for each in store.items.values()]
+    contents = decoding.Decoder().decode(items).contents
+    return registration.StoreRead(
+        dataclasses.replace(contents, era=era), time.monotonic()
+    )
+
+
+# Guards against a registration that was written once and never looked at.
+@pytest.mark.parametrize("fault", ["missing", "other lease", "older start"])
+def test_a_registration_that_a_read_shows_to_be_wrong_is_mended(
+    monkeypatch, fault
+):
+    monkeypatch.setattr(registration, "RETRY_INTERVAL_S", 0.05)
+
+    async def scenario():
+        async with open_store_case() as case:
+            key = "sesamevale/entries/e-1"
+            own = own_registration().model_copy(update={"incarnation": 5})
+            task = registration.RegistrationTask(
+                case.client, own, case.gateway, case.gateway
+            )
+            async with task:
+                await until(lambda: ("registered", {"key": key}) in case.log)
+                right = case.store.items[key]
+                if fault == "missing":
+                    case.store.remove(key)
+                elif fault == "other lease":
+                    case.store.put(right | {"lease": 77})
+                else:
+                    older = own.model_copy(update={"incarnation": 4})
+                    value = decoding.encode_value(older)
+                    case.store.put(right | {"value": value})
+                task.send(contents_of(case.store))
+                await until(
+                    lambda: (
+                        (case.store.items.get(key) or {}).get("lease")
+                        == right["lease"]
+                        and case.store.items[key]["value"] == right["value"]
+                    )
+                )
+
+    run(scenario)
+
+
 def test_a_store_that_is_away_is_asked_less_and_less_often(monkeypatch):
     """Each entry asked it twice a second, and each call has its price."""
     monkeypatch.setattr(registration, "RETRY_INTERVAL_S", 0.05)
--- a/tests/test_store_mutants.py
+++ b/tests/test_store_mutants.py
@@ -2,11 +2,21 @@
 
 from __future__ import annotations
 
+import math
+
 import pytest
+from hypothesis import stateful
 
 from sesamevale.entries import state_reader
+from sesamevale.platform import store_client
+from sesamevale.policy.membership import entry_count
+from sesamevale.policy.membership import own_registration
 from sesamevale.policy.membership import store_view
+from tests.builders import hypothesis_settings
 from tests.entries import test_store_absence
+from tests.platform import test_store
+from tests.policy.membership import test_entry_count
+from tests.policy.membership import test_own_registration_machine
 from tests.policy.membership import test_store_view
 
 
@@ -33,7 +43,89 @@
     )
 
 
+def run_registration_machine() -> None:
+    settings = hypothesis_settings.machine_settings(200, 40)
+    stateful.run_state_machine_as_test(
+        test_own_registration_machine.RegistrationMachine, settings=settings
+    )
+
+
+def never_look_at_the_own_registration(monkeypatch) -> None:
+    monkeypatch.setattr(
+        own_registration.OwnRegistration,
+        "record_read",
+        lambda self, found, era, read_at, now: self.record_era(era, now),
+    )
+
+
+def write_over_later_processes(monkeypatch) -> None:
+    original = own_registration.OwnRegistration._compare
+
+    def compare(self, found):
+        original(self, found)
+        self._is_taken = False
+
+    monkeypatch.setattr(own_registration.OwnRegistration, "_compare", compare)
+
+
+def keep_leases_of_earlier_eras(monkeypatch) -> None:
+    def record_era(self, era, now):
+        self._era = max(era, self._era)
+
+    monkeypatch.setattr(
+        own_registration.OwnRegistration, "record_era", record_era
+    )
+
+
+def judge_by_reads_before_the_last_change(monkeypatch) -> None:
+    original = own_registration.OwnRegistration.record_read
+
+    def record_read(self, found, era, read_at, now):
+        self._changed_at = -math.inf
+        original(self, found, era, read_at, now)
+
+    monkeypatch.setattr(
+        own_registration.OwnRegistration, "record_read", record_read
+    )
+
+
+def write_without_condition(monkeypatch) -> None:
+    original = store_client.StoreClient._call
+
+    async def call(self, method, path, query=None, body=None):
+        if body and body.get("writes"):
+            body = body | {"precondition": []}
+        return await original(self, method, path, query, body)
+
+    monkeypatch.setattr(store_client.StoreClient, "_call", call)
+
+
+def divide_as_if_everybody_counted(monkeypatch) -> None:
+    monkeypatch.setattr(entry_count, "DOUBT_FACTOR", 1)
+
+
 MUTANTS = [
+    (never_look_at_the_own_registration, run_registration_machine),
+    (
+        write_over_later_processes,
+        test_own_registration_machine.test_a_later_process_of_the_entry_is_left_alone,
+    ),
+    (
+        keep_leases_of_earlier_eras,
+        test_own_registration_machine.test_a_lease_is_not_kept_over_a_change_of_the_era,
+    ),
+    (
+        judge_by_reads_before_the_last_change,
+        test_own_registration_machine.test_a_read_from_before_a_write_is_no_evidence,
+    ),
+    (
+        write_without_condition,
+        test_store.test_a_late_write_does_not_replace_a_later_registration,
+    ),
+    (
+        divide_as_if_everybody_counted,
+        test_entry_count.test_the_shares_of_all_entries_stay_within_the_budget,
+    ),
     (
         take_any_gap_for_an_outage,
         test_store_view.test_an_entry_that_was_cut_off_gives_no_time,
