--- a/src/sesamevale/entries/state_reader.py
+++ b/src/sesamevale/entries/state_reader.py
@@ -17,8 +17,11 @@
 from sesamevale.operators import admin_server
 from sesamevale.policy.membership import read_scheduling
 from sesamevale.policy.membership import shared_state
+from sesamevale.policy.membership import store_view
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from sesamevale import metrics
 
 __all__ = ["StateReader", "StoreReader", "StoreUnavailable"]
@@ -86,6 +89,12 @@
         self._failures = 0
         self._has_configuration = False
         self._store_unreachable = False
+        self._view = store_view.StoreView()
+        self._reported_view = self._view.summary(0.0)
+        self._grace_timer: asyncio.TimerHandle | None = None
+        self._listeners: list[
+            Callable[[shared_state.StoreContents, float], None]
+        ] = []
         handler = state_exchange.make_handler(self._state, time.monotonic)
         self._server = admin_server.AdminServer(
             host, port, {state_exchange.PATH: handler}
@@ -96,12 +105,20 @@
         """TCP port for other entries."""
         return self._server.port
 
+    def on_read(
+        self, listener: Callable[[shared_state.StoreContents, float], None]
+    ) -> None:
+        """Adds a listener for what is read and when the read was sent."""
+        self._listeners.append(listener)
+
     async def __aenter__(self) -> Self:
         await self._server.__aenter__()
         return await super().__aenter__()
 
     async def __aexit__(self, *exc_info: object) -> None:
         await super().__aexit__(*exc_info)
+        if self._grace_timer is not None:
+            self._grace_timer.cancel()
         await self._server.__aexit__(*exc_info)
 
     async def _run(self) -> None:
@@ -128,6 +145,8 @@
         found = await self._store_reader.read()
         if isinstance(found, StoreUnavailable):
             self._failures += 1
+            self._view.record_failure(started_at)
+            self._report_view()
             self._report_reachability(True, found.reason)
             if not self._has_configuration:
                 await self._fetch_from_seeds()
@@ -184,9 +203,16 @@
     ) -> None:
         if not self._state.record_read(contents, read_at):
             return
+        self._update_view(contents, read_at)
+        grace_until = self._view.grace_until
+        if time.monotonic() >= grace_until:
+            # The message of the end of the grace goes ahead of this one.
+            grace_until = float("-inf")
         gateway = self._gateway
         gateway.send(
-            gateway_messages.UpstreamsRead(contents.upstreams, read_at)
+            gateway_messages.UpstreamsRead(
+                contents.upstreams, read_at, grace_until
+            )
         )
         if contents.configuration is not None:
             self._has_configuration = True
@@ -195,7 +221,41 @@
                     contents.configuration, read_at
                 )
             )
-        gateway.send(gateway_messages.PeersRead(contents.peers, read_at))
+        gateway.send(
+            gateway_messages.PeersRead(contents.peers, read_at, grace_until)
+        )
+        for listener in self._listeners:
+            listener(contents, read_at)
+
+    def _update_view(
+        self, contents: shared_state.StoreContents, read_at: float
+    ) -> None:
+        """Records a read in the view and sets the timer for a new grace."""
+        before = self._view.grace_until
+        self._view.record_read(
+            read_at,
+            contents.era,
+            contents.store_revision,
+            frozenset(each.upstream_id for each in contents.upstreams),
+        )
+        self._report_view()
+        if self._view.grace_until == before:
+            return
+        if self._grace_timer is not None:
+            self._grace_timer.cancel()
+        self._grace_timer = asyncio.get_running_loop().call_later(
+            max(0.0, self._view.grace_until - time.monotonic()), self._end_grace
+        )
+
+    def _end_grace(self) -> None:
+        self._gateway.send(gateway_messages.GraceEnded())
+        self._report_view()
+
+    def _report_view(self) -> None:
+        view = self._view.summary(time.monotonic())
+        if view != self._reported_view:
+            self._reported_view = view
+            self._gateway.send(gateway_messages.StoreViewChanged(view))
 
     def _report_reachability(self, unreachable: bool, reason: str) -> None:
         if unreachable != self._store_unreachable:
