--- a/src/sesamevale/callers/gateway_exchange.py
+++ b/src/sesamevale/callers/gateway_exchange.py
@@ -136,8 +136,17 @@
         self._claim = claim
         self._encoder.set_claim(claim)
 
-    def submit(self, body: bodies.RequestBody) -> None:
-        """Passes the request to the router, or refuses it."""
+    def submit(
+        self,
+        body: bodies.RequestBody,
+        refusal: outcomes.NotRun | None = None,
+    ) -> None:
+        """Passes the request to the router, or refuses it.
+
+        Args:
+            body: The whole body.
+            refusal: Outcome for the caller if it is not to be passed on.
+        """
         self._body_bytes = len(body)
         if self._route is None:
             self._refused = self._unrouted()
@@ -153,7 +162,7 @@
         if self._context.stream.closed:
             self.caller_lost()
             return
-        refused = self._context.router.submit(request)
+        refused = refusal or self._context.router.submit(request)
         if refused is not None:
             request.answer.put(calls.AnswerFailed(refused))
 
