--- a/src/sesamevale/callers/body_reader.py
+++ b/src/sesamevale/callers/body_reader.py
@@ -49,6 +49,7 @@
         self._body = bodies.RequestBody()
         self._held_bytes = INCLUDED_BYTES
         self._progress_bytes = 0
+        self._is_waiting = False
 
     def release(self) -> None:
         """Gives the memory of the body back."""
@@ -67,19 +68,22 @@
         declared = self._reader.declared_length
         if declared is not None and declared > self._limit_bytes:
             return Reason.TOO_LARGE
-        self._claim.enter(Phase.READING)
         with self._reader.reading_body():
             if declared is not None and not await self._hold(declared):
                 return Reason.MEMORY
             result = await self._read_parts()
-        self._claim.enter(Phase.SERVED)
+        self._wait_for_caller(is_waiting=False)
         return result
 
     async def _read_parts(self) -> bodies.RequestBody | Reason | None:
         body = self._body
         event_count = 0
         while True:
-            event = await self._reader.next_body_event()
+            event = self._reader.received_body_event()
+            if event is h11.NEED_DATA:
+                self._wait_for_caller(is_waiting=True)
+                await self._reader.receive_body()
+                continue
             if isinstance(event, h11.EndOfMessage):
                 return body
             if not isinstance(event, h11.Data):
@@ -100,6 +104,7 @@
         missing = length - self._held_bytes
         if missing <= 0:
             return True
+        self._wait_for_caller(is_waiting=True)
         if self._reader.declared_length is None:
             missing = max(missing, bodies.SEGMENT_BYTES)
         timeout_s = memory_room.ROOM_TIMEOUT_S
@@ -108,6 +113,12 @@
         self._held_bytes += missing
         return True
 
+    def _wait_for_caller(self, *, is_waiting: bool) -> None:
+        """Notes whether the request waits for its caller or for room."""
+        if is_waiting != self._is_waiting:
+            self._is_waiting = is_waiting
+            self._claim.enter(Phase.READING if is_waiting else Phase.SERVED)
+
     def _note_progress(self, count: int) -> None:
         self._progress_bytes += count
         if self._progress_bytes >= memory_account.PROGRESS_BYTES:
--- a/src/sesamevale/callers/gateway_connection.py
+++ b/src/sesamevale/callers/gateway_connection.py
@@ -220,7 +220,10 @@
             h11.RemoteProtocolError: The body is malformed or ends early.
         """
         assert self._reading is not None
-        claim = await self._open_claim(self._reading.priority)
+        priority = self._reading.priority
+        claim = self._room.try_open_claim(priority, self._turn_away)
+        if claim is None:
+            claim = await self._wait_for_claim(priority)
         if claim is None:
             self._refuse(Reason.MEMORY)
             return None
@@ -237,7 +240,7 @@
             return None
         return found
 
-    async def _open_claim(self, priority: int) -> memory_room.Claim | None:
+    async def _wait_for_claim(self, priority: int) -> memory_room.Claim | None:
         self._waits_for_room = True
         try:
             return await self._room.open_claim(priority, self._turn_away)
@@ -298,7 +301,8 @@
             return False
         try:
             await exchange.deliver()
-            await exchange.flush(self._limits.idle_timeout_s)
+            if self._stream.has_unsent:
+                await exchange.flush(self._limits.idle_timeout_s)
         except h11.LocalProtocolError:
             self._stream.abort()
             return False
--- a/src/sesamevale/callers/request_reader.py
+++ b/src/sesamevale/callers/request_reader.py
@@ -111,12 +111,28 @@
             event = self._http.next_event()
             if event is not h11.NEED_DATA:
                 return event
-            if self._http.they_are_waiting_for_100_continue:
-                proceed = h11.InformationalResponse(
-                    status_code=100, headers=[], reason=b"Continue"
-                )
-                self._stream.write(self._http.send(proceed) or b"")
-            self._http.receive_data(await self._stream.read())
+            await self.receive_body()
+
+    def received_body_event(self) -> object:
+        """Returns the next event of h11 without waiting for it.
+
+        Raises:
+            h11.RemoteProtocolError: The body is malformed.
+        """
+        return self._http.next_event()
+
+    async def receive_body(self) -> None:
+        """Reads more bytes of a body; asks for one that is held back.
+
+        Raises:
+            h11.RemoteProtocolError: The body ends early.
+        """
+        if self._http.they_are_waiting_for_100_continue:
+            proceed = h11.InformationalResponse(
+                status_code=100, headers=[], reason=b"Continue"
+            )
+            self._stream.write(self._http.send(proceed) or b"")
+        self._http.receive_data(await self._stream.read())
 
     def skip_received_body(self) -> None:
         """Discards the received part of a body that was not read."""
--- a/src/sesamevale/memory_room.py
+++ b/src/sesamevale/memory_room.py
@@ -50,24 +50,29 @@
         """Account of the memory."""
         return self._account
 
-    async def open_claim(
+    def try_open_claim(
         self,
         priority: int,
         turn_away: Callable[[memory_account.Cause], None],
     ) -> Claim | None:
-        """Admits a request; None if there is no room for it in time."""
+        """Admits a request; None if there is no room for it now."""
         holding = self._account.open(priority, turn_away, time.monotonic())
-        if holding is not None:
-            return Claim(self, holding)
-
-        def try_open() -> memory_account.Holding | None:
-            return self._account.open(priority, turn_away, time.monotonic())
+        return None if holding is None else Claim(self, holding)
 
-        found = await self.wait(try_open, (False, priority), ROOM_TIMEOUT_S)
+    async def open_claim(
+        self,
+        priority: int,
+        turn_away: Callable[[memory_account.Cause], None],
+    ) -> Claim | None:
+        """Admits a request once there is room; None without room in time."""
+        found = await self.wait(
+            lambda: self.try_open_claim(priority, turn_away),
+            (False, priority),
+            ROOM_TIMEOUT_S,
+        )
         if found is None:
             self._account.count_refusal()
-            return None
-        return Claim(self, found)
+        return found
 
     async def wait(
         self,
--- a/src/sesamevale/sockets.py
+++ b/src/sesamevale/sockets.py
@@ -122,7 +122,11 @@
 
     def buffer_updated(self, nbytes: int) -> None:
         """Implements ``asyncio.BufferedProtocol``."""
-        self._received += _read_buffer[:nbytes]
+        self.data_received(_read_buffer[:nbytes])
+
+    def data_received(self, data: bytes | memoryview) -> None:
+        """Takes bytes that have arrived; the reader is woken."""
+        self._received += data
         if len(self._received) > READ_HIGH_WATER_BYTES and self._transport:
             self._paused = True
             self._transport.pause_reading()
