--- a/src/sesamevale/callers/gateway_connection.py
+++ b/src/sesamevale/callers/gateway_connection.py
@@ -249,6 +249,7 @@
 
     def _turn_away(self, cause: memory_account.Cause) -> None:
         """Gives up the request that is read or answered, to free memory."""
+        self._context.events.decision("turned_away", cause=str(cause))
         if cause is memory_account.Cause.STALLED_READER:
             self._stream.abort()
             return
--- a/src/sesamevale/operators/gateway_pages.py
+++ b/src/sesamevale/operators/gateway_pages.py
@@ -136,7 +136,7 @@
     ]
     turned_away = [
         metrics.MetricSample(
-            "sesamevale_turned_away_total",
+            "sesamevale_turned_away",
             "Connections and requests without room",
             {"cause": str(cause)},
             count,
--- a/tests/test_memory_mutants.py
+++ b/tests/test_memory_mutants.py
@@ -2,11 +2,17 @@
 
 from __future__ import annotations
 
+import sys
+
 import pytest
 from hypothesis import stateful
 
+from sesamevale import bodies
+from sesamevale.callers import body_reader
 from sesamevale.policy.admission import memory_account
+from tests import test_bodies
 from tests.builders import hypothesis_settings
+from tests.callers import test_body_reader
 from tests.policy.admission import test_memory_account
 
 Account = memory_account.MemoryAccount
@@ -68,7 +74,28 @@
     monkeypatch.setattr(memory_account, "CALLER_SHARE", 1.0)
 
 
+def read_bodies_without_giving_turns(monkeypatch) -> None:
+    monkeypatch.setattr(body_reader, "EVENTS_PER_TURN", sys.maxsize)
+
+
+def hold_bodies_without_a_claim(monkeypatch) -> None:
+    monkeypatch.setattr(body_reader, "INCLUDED_BYTES", sys.maxsize)
+
+
+def keep_released_bodies(monkeypatch) -> None:
+    monkeypatch.setattr(bodies.RequestBody, "release", lambda self: None)
+
+
 MUTANTS = [
+    (
+        read_bodies_without_giving_turns,
+        test_body_reader.test_tiny_chunks_leave_turns_to_other_tasks,
+    ),
+    (
+        hold_bodies_without_a_claim,
+        test_body_reader.test_a_body_without_room_is_refused_before_it_is_read,
+    ),
+    (keep_released_bodies, test_bodies.test_a_released_body_holds_nothing),
     (admit_whatever_comes, run_machine),
     (keep_what_ended, run_machine),
     (
