Write long answers in pieces as callers take them

A caller that read nothing held its connection until something else closed it.

Change: parts are written in pieces of 64 KiB with back-pressure and are kept nowhere else; a caller that takes less than 16 KiB in the idle time-out is cut off.

--- a/src/sesamevale/callers/answer_encoder.py
+++ b/src/sesamevale/callers/answer_encoder.py
@@ -2,6 +2,10 @@
 
 from __future__ import annotations
 
+import asyncio
+import contextlib
+import math
+import time
 from typing import TYPE_CHECKING
 
 import h11
@@ -18,11 +22,13 @@
     from sesamevale import outcomes
     from sesamevale import sockets
 
-__all__ = ["AnswerEncoder"]
+__all__ = ["AnswerEncoder", "PIECE_BYTES"]
 
 NO_BODY_STATUSES = (204, 304)
-# Longer bodies are written by themselves, since joining them copies them.
-JOINED_BYTES_MAX = 64 * 1024
+# Interval in which progress is looked for while a caller takes an answer.
+PROGRESS_CHECK_S = 0.5
+# Longer bodies are written in pieces of this size.
+PIECE_BYTES = 64 * 1024
 
 
 class AnswerEncoder:
@@ -49,7 +55,10 @@
         self._closes_connection = closes_connection
         self._status = 0
         self._claim: memory_room.Claim | None = None
+        self._stall_timeout_s = math.inf
         self._is_behind = False
+        self._taken_bytes = 0
+        self._progress_at = 0.0
 
     @property
     def status(self) -> int:
@@ -62,9 +71,18 @@
         done = {h11.CLIENT: h11.DONE, h11.SERVER: h11.DONE}
         return self._http.states == done
 
-    def set_claim(self, claim: memory_room.Claim) -> None:
-        """Sets the memory that the request holds until its answer is sent."""
+    def set_claim(
+        self, claim: memory_room.Claim, stall_timeout_s: float
+    ) -> None:
+        """Sets what the request holds until its answer is taken.
+
+        Args:
+            claim: Memory of the request.
+            stall_timeout_s: Time without progress, in seconds, after which
+                the caller is cut off.
+        """
         self._claim = claim
+        self._stall_timeout_s = stall_timeout_s
 
     def send_failure(
         self,
@@ -106,29 +124,39 @@
             length = (http1.HeaderName.CONTENT_LENGTH, b"%d" % len(body))
             headers = (*headers, length)
         data = self._encode_head(head.status, headers)
-        if method == b"HEAD":
-            body = b""
-        if len(body) > JOINED_BYTES_MAX:
-            self._stream.write(data)
-            self._write_data(body)
-            data = b""
-        elif body:
+        if body and method != b"HEAD":
             data += self._http.send(h11.Data(data=body)) or b""
         data += self._http.send(h11.EndOfMessage()) or b""
         self._stream.write(data)
 
+    async def send_long(
+        self, head: calls.AnswerHead, body: calls.AnswerData
+    ) -> None:
+        """Sends a complete answer no faster than the caller takes it.
+
+        Args:
+            head: Status and header fields.
+            body: The whole body, which must not be empty.
+
+        Raises:
+            h11.LocalProtocolError: The answer cannot be encoded.
+        """
+        name = http1.HeaderName.CONTENT_LENGTH
+        headers = (*head.headers, (name, b"%d" % len(body.data)))
+        self._stream.write(self._encode_head(head.status, headers))
+        await self._write_data(body.data)
+        self._stream.write(self._http.send(h11.EndOfMessage()) or b"")
+
     async def send_stream(
         self,
         head: calls.AnswerHead,
-        received: bytes,
         answer: calls.AnswerChannel,
     ) -> calls.AnswerEnd | calls.AnswerFailed:
         """Sends a long answer as it arrives.
 
         Args:
             head: Status and header fields.
-            received: First part of the body.
-            answer: Channel with the rest.
+            answer: Channel with the body.
 
         Returns:
             The last message of the channel. If the answer failed, the
@@ -138,13 +166,12 @@
             h11.LocalProtocolError: The answer cannot be encoded.
         """
         self._stream.write(self._encode_head(head.status, head.headers))
-        data = received
         while True:
-            self._write_data(data)
-            await self.drain(len(data))
             message = await answer.get()
             if isinstance(message, calls.AnswerData):
-                data = message.data
+                await self._write_data(message.data)
+                # The part is not kept while the next one is waited for.
+                del message
             elif isinstance(message, calls.AnswerEnd):
                 end = self._http.send(h11.EndOfMessage()) or b""
                 self._stream.write(end)
@@ -154,49 +181,61 @@
                 self._stream.abort()
                 return message
 
-    async def drain(self, count: int) -> None:
+    async def _drain(self) -> None:
         """Waits while the write buffer is over its limit.
 
-        Args:
-            count: Bytes written since the last call.
+        A caller that takes too little of it is cut off.
         """
-        self.note_unsent()
-        await self._stream.drain()
-        if self._is_behind and self._claim is not None:
+        self._note_unsent()
+        while self._stream.is_write_paused and not self._stream.is_lost:
+            before = self._stream.unsent_bytes
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(PROGRESS_CHECK_S):
+                    await self._stream.drain()
+            self._note_taken(before - self._stream.unsent_bytes)
+
+    async def flush(self) -> None:
+        """Waits until the caller has taken the answer or is cut off."""
+        stream = self._stream
+        self._note_unsent()
+        while stream.has_unsent and not stream.is_lost:
+            before = stream.unsent_bytes
+            await stream.flush(PROGRESS_CHECK_S)
+            self._note_taken(before - stream.unsent_bytes)
+
+    def _note_taken(self, count: int) -> None:
+        """Notes progress, or cuts a caller off that makes none."""
+        now = time.monotonic()
+        self._taken_bytes += count
+        if self._taken_bytes >= memory_account.PROGRESS_BYTES:
+            self._taken_bytes = 0
+            self._progress_at = now
+        elif now - self._progress_at > self._stall_timeout_s:
+            self._stream.abort()
+        if self._claim is not None:
             self._claim.add_progress(count)
 
-    async def flush(self, timeout_s: float) -> None:
-        """Waits until the write buffer is empty or the connection is lost.
-
-        Args:
-            timeout_s: Time without progress, in seconds, after which the
-                connection is aborted.
-        """
-        stream = self._stream
-        while stream.has_unsent and not stream.closed:
-            self.note_unsent()
-            taken = await stream.wait_until_taken(
-                memory_account.PROGRESS_BYTES, timeout_s
-            )
-            if not taken:
-                stream.abort()
-            elif self._claim is not None:
-                self._claim.add_progress(taken)
-
-    def note_unsent(self) -> None:
+    def _note_unsent(self) -> None:
         """Notes whether the request waits for its caller to read."""
         is_behind = self._stream.has_unsent
-        if is_behind == self._is_behind or self._claim is None:
+        if is_behind == self._is_behind:
             return
         self._is_behind = is_behind
+        self._taken_bytes = 0
+        self._progress_at = time.monotonic()
         phase = memory_account.Phase
-        self._claim.enter(phase.ANSWERING if is_behind else phase.SERVED)
-
-    def _write_data(self, data: bytes) -> None:
-        """Writes a part of the body without joining it to its framing."""
-        event = h11.Data(data=data)
-        for part in self._http.send_with_data_passthrough(event) or ():
-            self._stream.write(part)
+        if self._claim is not None:
+            self._claim.enter(phase.ANSWERING if is_behind else phase.SERVED)
+
+    async def _write_data(self, data: bytes) -> None:
+        """Writes a part of the body in pieces, as the caller takes them."""
+        rest = memoryview(data)
+        while rest:
+            piece, rest = rest[:PIECE_BYTES], rest[PIECE_BYTES:]
+            event = h11.Data(data=piece)  # type: ignore[arg-type]
+            for part in self._http.send_with_data_passthrough(event) or ():
+                self._stream.write(part)
+            await self._drain()
 
     def _encode_head(self, status: int, headers: calls.Headers) -> bytes:
         self._status = status
--- a/src/sesamevale/callers/gateway_connection.py
+++ b/src/sesamevale/callers/gateway_connection.py
@@ -227,7 +227,7 @@
         if claim is None:
             self._refuse(Reason.MEMORY)
             return None
-        self._reading.set_claim(claim)
+        self._reading.set_claim(claim, self._limits.idle_timeout_s)
         if self._reader.http.they_are_waiting_for_100_continue:
             await self._wait_until_answered()
         self._body_reader = body_reader.BodyReader(
@@ -303,7 +303,7 @@
         try:
             await exchange.deliver()
             if self._stream.has_unsent:
-                await exchange.flush(self._limits.idle_timeout_s)
+                await exchange.flush()
         except h11.LocalProtocolError:
             self._stream.abort()
             return False
--- a/src/sesamevale/callers/gateway_exchange.py
+++ b/src/sesamevale/callers/gateway_exchange.py
@@ -131,10 +131,18 @@
         """Whether another request can follow on the connection."""
         return self._encoder.keeps_connection
 
-    def set_claim(self, claim: memory_room.Claim) -> None:
-        """Hands over the memory of the request, which ends with it."""
+    def set_claim(
+        self, claim: memory_room.Claim, stall_timeout_s: float
+    ) -> None:
+        """Hands over the memory of the request, which ends with it.
+
+        Args:
+            claim: The memory.
+            stall_timeout_s: Time without progress, in seconds, after which a
+                caller that does not take its answer is cut off.
+        """
         self._claim = claim
-        self._encoder.set_claim(claim)
+        self._encoder.set_claim(claim, stall_timeout_s)
 
     def submit(
         self,
@@ -211,14 +219,9 @@
         finally:
             self._record(result)
 
-    async def flush(self, timeout_s: float) -> None:
-        """Waits until the caller has taken the answer.
-
-        Args:
-            timeout_s: Time without progress, in seconds, after which the
-                connection is aborted.
-        """
-        await self._encoder.flush(timeout_s)
+    async def flush(self) -> None:
+        """Waits until the caller has taken the answer or is cut off."""
+        await self._encoder.flush()
 
     def end(self) -> None:
         """Counts the request as ended."""
@@ -309,23 +312,43 @@
         if isinstance(first, calls.AnswerFailed):
             return self._end_without_answer(request, first.outcome)
         assert isinstance(first, calls.AnswerHead)
-        body = b""
+        body: calls.AnswerData | None = None
         message = await request.answer.get()
-        while isinstance(message, calls.AnswerData):
-            body = body + message.data if body else message.data
-            if not request.answer.has_message():
-                break
-            message = await request.answer.get()
+        if isinstance(message, calls.AnswerData):
+            body = message
+            if request.answer.has_message():
+                message = await request.answer.get()
         if isinstance(message, calls.AnswerFailed):
             return self._end_without_answer(request, message.outcome)
         if isinstance(message, calls.AnswerEnd):
-            self._encoder.send_whole(first, body, request.method)
+            await self._send_whole(first, body, request.method)
             return _answered(first.status)
-        last = await self._encoder.send_stream(first, body, request.answer)
+        if message is not body:
+            assert isinstance(message, calls.AnswerData)
+            request.answer.put_back(message)
+        if body is not None:
+            request.answer.put_back(body)
+        # The first part is not kept while the rest is sent.
+        del body, message
+        last = await self._encoder.send_stream(first, request.answer)
         if isinstance(last, calls.AnswerFailed):
             return _Result("unknown", str(last.outcome.reason), 0)
         return _answered(first.status)
 
+    async def _send_whole(
+        self,
+        head: calls.AnswerHead,
+        body: calls.AnswerData | None,
+        method: bytes,
+    ) -> None:
+        """Sends a complete answer, at once unless it is long."""
+        data = b"" if body is None else body.data
+        if len(data) <= answer_encoder.PIECE_BYTES or method == b"HEAD":
+            self._encoder.send_whole(head, data, method)
+        else:
+            assert body is not None
+            await self._encoder.send_long(head, body)
+
     def _end_without_answer(
         self,
         request: requests.Request,
--- a/src/sesamevale/calls.py
+++ b/src/sesamevale/calls.py
@@ -173,6 +173,11 @@
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(None)
 
+    def put_back(self, message: AnswerData) -> None:
+        """Makes a part that was taken the next one again."""
+        self._messages.appendleft(message)
+        self._bytes += len(message.data) + PART_OVERHEAD_BYTES
+
     def continue_with(self, other: AnswerChannel) -> None:
         """Reads from another channel once this one is empty.
 
--- a/src/sesamevale/sockets.py
+++ b/src/sesamevale/sockets.py
@@ -86,6 +86,16 @@
             return 0
         return self._transport.get_write_buffer_size()
 
+    @property
+    def is_lost(self) -> bool:
+        """Whether nothing can be sent any more."""
+        return self._lost
+
+    @property
+    def is_write_paused(self) -> bool:
+        """Whether the write buffer is over its limit."""
+        return self._write_paused
+
     @property
     def peer_host(self) -> str:
         """IP address of the peer; empty if there is no connection."""
@@ -199,25 +209,6 @@
         while self.has_unsent and not self._lost and loop.time() < deadline:
             await asyncio.sleep(FLUSH_POLL_INTERVAL_S)
 
-    async def wait_until_taken(self, count: int, timeout_s: float) -> int:
-        """Waits until the peer has taken some of the write buffer.
-
-        Args:
-            count: Bytes to wait for, or the rest of the buffer if it is less.
-            timeout_s: Longest time to wait, in seconds.
-
-        Returns:
-            The number of bytes taken; 0 if they were too few in time.
-        """
-        loop = asyncio.get_running_loop()
-        deadline = loop.time() + timeout_s
-        first = self.unsent_bytes
-        while self.unsent_bytes > max(0, first - count) and not self._lost:
-            if loop.time() >= deadline:
-                return 0
-            await asyncio.sleep(FLUSH_POLL_INTERVAL_S)
-        return first - self.unsent_bytes
-
     async def linger(self, timeout_s: float) -> None:
         """Discards what the peer still sends, so that it gets what was sent.
 
--- a/src/sesamevale/upstreams/http_link.py
+++ b/src/sesamevale/upstreams/http_link.py
@@ -575,8 +575,11 @@
     request.upstream_seconds += time.monotonic() - started
     link._exchanging = False
     message.report(result)
-    if isinstance(result, forwarding.Answered) and result.rest is not None:
-        message.stream_ended(await link._stream_rest(result.rest))
+    rest = result.rest if isinstance(result, forwarding.Answered) else None
+    # The first part of the answer is not kept while the rest is streamed.
+    del result
+    if rest is not None:
+        message.stream_ended(await link._stream_rest(rest))
 
 
 @_perform.register
