Collect answers in mappings that return to the system

Cause: 70 answers of 1 MB that grow side by side in bytearrays left holes in the heap: 192 MB at the peak where 89 MB were given out.

--- a/src/sesamevale/bodies.py
+++ b/src/sesamevale/bodies.py
@@ -1,10 +1,10 @@
-"""Bodies of requests, held once and freed when the request has ended."""
+"""Bodies that grow while they are read, and are freed at a known time."""
 
 from __future__ import annotations
 
 import mmap
 
-__all__ = ["RequestBody", "SEGMENT_BYTES"]
+__all__ = ["BodyBuffer", "SEGMENT_BYTES"]
 
 # A body up to this size is held in one piece.
 SMALL_BYTES = 64 * 1024
@@ -13,7 +13,7 @@
 SEGMENT_BYTES = 256 * 1024
 
 
-class RequestBody:
+class BodyBuffer:
     """A body that is appended to, read in parts, and released.
 
     Args:
@@ -65,6 +65,12 @@
             found[-1] = found[-1][: self._used]
         return found
 
+    def to_bytes(self) -> bytes:
+        """Returns a copy in one piece."""
+        if not self._segments:
+            return bytes(self._first)
+        return b"".join(self.parts())
+
     def release(self) -> None:
         """Gives the memory back once nobody reads the parts any more."""
         self._is_released = True
--- a/src/sesamevale/callers/body_reader.py
+++ b/src/sesamevale/callers/body_reader.py
@@ -46,7 +46,7 @@
         self._reader = reader
         self._claim = claim
         self._limit_bytes = limit_bytes
-        self._body = bodies.RequestBody()
+        self._body = bodies.BodyBuffer()
         self._held_bytes = INCLUDED_BYTES
         self._progress_bytes = 0
         self._is_waiting = False
@@ -55,7 +55,7 @@
         """Gives the memory of the body back."""
         self._body.release()
 
-    async def read(self) -> bodies.RequestBody | Reason | None:
+    async def read(self) -> bodies.BodyBuffer | Reason | None:
         """Reads the whole body.
 
         Returns:
@@ -75,7 +75,7 @@
         self._wait_for_caller(is_waiting=False)
         return result
 
-    async def _read_parts(self) -> bodies.RequestBody | Reason | None:
+    async def _read_parts(self) -> bodies.BodyBuffer | Reason | None:
         body = self._body
         event_count = 0
         while True:
--- a/src/sesamevale/callers/gateway_connection.py
+++ b/src/sesamevale/callers/gateway_connection.py
@@ -210,7 +210,7 @@
             self._context, self._reader.http, head
         )
 
-    async def _read_body(self) -> bodies.RequestBody | None:
+    async def _read_body(self) -> bodies.BodyBuffer | None:
         """Reads the whole body, or refuses the request.
 
         Returns:
@@ -283,7 +283,7 @@
 
     def _start(
         self,
-        body: bodies.RequestBody | None,
+        body: bodies.BodyBuffer | None,
         refusal: outcomes.NotRun | None = None,
     ) -> None:
         """Starts the request that has been read, or takes its refusal."""
--- a/src/sesamevale/callers/gateway_exchange.py
+++ b/src/sesamevale/callers/gateway_exchange.py
@@ -146,7 +146,7 @@
 
     def submit(
         self,
-        body: bodies.RequestBody,
+        body: bodies.BodyBuffer,
         refusal: outcomes.NotRun | None = None,
     ) -> None:
         """Passes the request to the router, or refuses it.
@@ -255,7 +255,7 @@
         return outcomes.NotRun(reason, UNROUTED_RETRY_AFTER_MS)
 
     def _new_request(
-        self, route: routes.Route, body: bodies.RequestBody
+        self, route: routes.Route, body: bodies.BodyBuffer
     ) -> requests.Request:
         assert self._head is not None
         router = self._context.router
--- a/src/sesamevale/forwarding/requests.py
+++ b/src/sesamevale/forwarding/requests.py
@@ -50,7 +50,7 @@
     method: bytes
     target: bytes
     headers: calls.Headers
-    body: bodies.RequestBody | None
+    body: bodies.BodyBuffer | None
     arrived: float
     deadline: float
     caller_deadline: float
--- a/src/sesamevale/upstreams/http_link.py
+++ b/src/sesamevale/upstreams/http_link.py
@@ -12,6 +12,7 @@
 
 import h11
 
+from sesamevale import bodies
 from sesamevale import calls
 from sesamevale import http1
 from sesamevale import messaging
@@ -23,7 +24,6 @@
 from sesamevale.upstreams import link_messages
 
 if TYPE_CHECKING:
-    from sesamevale import bodies
     from sesamevale import memory_room
     from sesamevale import routes
     from sesamevale.forwarding import requests
@@ -222,7 +222,7 @@
         self,
         stream: sockets.ByteStream,
         head: h11.Request,
-        body: bodies.RequestBody | None,
+        body: bodies.BodyBuffer | None,
     ) -> None:
         """Writes a request.
 
@@ -515,13 +515,13 @@
 
     async def _read_body(self, parts_max: float = math.inf) -> bytes | None:
         """Reads the body, or its first part if it is long; None if cut."""
-        body = bytearray()
+        body = bodies.BodyBuffer()
         part_count = 0
         held_bytes = INCLUDED_BYTES
         while len(body) <= BUFFERED_ANSWER_BYTES and part_count < parts_max:
             event = await self._next_event()
             if isinstance(event, h11.Data):
-                body += event.data
+                body.append(event.data)
                 part_count += 1
                 if len(body) > held_bytes:
                     if not self._may_hold(HOLD_STEP_BYTES):
@@ -531,7 +531,7 @@
                 break
             else:
                 return None
-        return bytes(body)
+        return body.to_bytes()
 
     async def _next_event(self) -> object:
         assert self._stream is not None
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -13,7 +13,7 @@
 @hypothesis.settings(max_examples=50, deadline=None, database=None)
 @hypothesis.given(LENGTHS)
 def test_the_parts_of_a_body_are_the_bytes_in_order(lengths):
-    body = bodies.RequestBody()
+    body = bodies.BodyBuffer()
     sent = b""
     for number, length in enumerate(lengths):
         data = bytes((number + 1,)) * length
@@ -24,7 +24,7 @@
 
 
 def test_a_released_body_holds_nothing():
-    body = bodies.RequestBody()
+    body = bodies.BodyBuffer()
     body.append(bytes(2 * bodies.SEGMENT_BYTES))
     body.release()
     body.append(bytes(2 * bodies.SEGMENT_BYTES))
@@ -34,7 +34,7 @@
 
 # A part that is being sent stays readable while its request ends.
 def test_parts_outlive_the_release():
-    body = bodies.RequestBody()
+    body = bodies.BodyBuffer()
     body.append(b"x" * bodies.SEGMENT_BYTES)
     (part,) = body.parts()
     body.release()
--- a/tests/test_memory_mutants.py
+++ b/tests/test_memory_mutants.py
@@ -83,7 +83,7 @@
 
 
 def keep_released_bodies(monkeypatch) -> None:
-    monkeypatch.setattr(bodies.RequestBody, "release", lambda self: None)
+    monkeypatch.setattr(bodies.BodyBuffer, "release", lambda self: None)
 
 
 MUTANTS = [
