--- a/src/sesamevale/callers/gateway_connection.py
+++ b/src/sesamevale/callers/gateway_connection.py
@@ -101,8 +101,8 @@
 
     @property
     def is_reading(self) -> bool:
-        """Whether a request has been received in part."""
-        return self._reader.is_reading
+        """Whether a request has been received in part or waits for room."""
+        return self._reader.is_reading or self._waits_for_room
 
     @property
     def expires_at(self) -> float:
--- a/src/sesamevale/callers/gateway_server.py
+++ b/src/sesamevale/callers/gateway_server.py
@@ -11,7 +11,7 @@
 from sesamevale import routes
 from sesamevale.callers import gateway_connection
 from sesamevale.callers import idle_timeout_server
-from sesamevale.policy.admission import memory_account
+from sesamevale.policy.admission import memory_limits
 
 if TYPE_CHECKING:
     from sesamevale import event_log
@@ -54,7 +54,7 @@
     ) -> None:
         super().__init__(host, port, recorder)
         if room is None:
-            usual = memory_account.MemoryLimits.plan(resources.Machine())
+            usual = memory_limits.MemoryLimits.plan(resources.Machine())
             room = memory_room.MemoryRoom(usual)
         self._room = room
         # Connections without a request, the one that expires first at the end.
--- a/src/sesamevale/gateway.py
+++ b/src/sesamevale/gateway.py
@@ -24,7 +24,7 @@
 from sesamevale.operators import admin_server
 from sesamevale.operators import gateway_pages
 from sesamevale.policy.admission import drain_schedule
-from sesamevale.policy.admission import memory_account
+from sesamevale.policy.admission import memory_limits
 from sesamevale.policy.admission import rate_shares
 from sesamevale.policy.admission import retry_budget
 from sesamevale.policy.balancing import load_sampling
@@ -89,7 +89,7 @@
             peer_port=settings.entry_port,
         )
         self._room = memory_room.MemoryRoom(
-            memory_account.MemoryLimits.plan(settings.machine)
+            memory_limits.MemoryLimits.plan(settings.machine)
         )
         self._server = gateway_server.GatewayServer(
             settings.callers.host,
--- a/src/sesamevale/memory_room.py
+++ b/src/sesamevale/memory_room.py
@@ -10,6 +10,7 @@
 from typing import TypeVar
 
 from sesamevale.policy.admission import memory_account
+from sesamevale.policy.admission import memory_limits
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -39,7 +40,7 @@
         limits: Limits of the entry.
     """
 
-    def __init__(self, limits: memory_account.MemoryLimits) -> None:
+    def __init__(self, limits: memory_limits.MemoryLimits) -> None:
         self._account = memory_account.MemoryAccount(limits, self._wake)
         self._numbers = itertools.count()
         self._waiters: dict[tuple[bool, int, int], asyncio.Future[None]] = {}
@@ -78,7 +79,7 @@
         self,
         attempt: Callable[[], Result | None],
         rank: tuple[bool, int],
-        timeout_s: float,
+        timeout_s: float | None,
     ) -> Result | None:
         """Waits for room until an attempt succeeds.
 
@@ -86,7 +87,8 @@
             attempt: Returns None while there is no room.
             rank: Whether the attempt is for a large body or answer, and its
                 priority.
-            timeout_s: Longest time to wait, in seconds.
+            timeout_s: Longest time to wait, in seconds; None if it is not
+                limited.
 
         Returns:
             The result of the attempt; None without room in time.
@@ -163,14 +165,15 @@
         return self._holding.try_grow(kind, count, time.monotonic())
 
     async def grow(
-        self, kind: memory_account.Kind, count: int, timeout_s: float
+        self, kind: memory_account.Kind, count: int, timeout_s: float | None
     ) -> bool:
         """Takes more memory; waits for room.
 
         Args:
             kind: What for.
             count: Bytes.
-            timeout_s: Longest time to wait, in seconds.
+            timeout_s: Longest time to wait, in seconds; None if it is not
+                limited.
 
         Returns:
             Whether there was room in time.
--- a/src/sesamevale/policy/admission/memory_account.py
+++ b/src/sesamevale/policy/admission/memory_account.py
@@ -12,49 +12,28 @@
 from __future__ import annotations
 
 import collections
-import dataclasses
 import enum
 from typing import TYPE_CHECKING
 
+from sesamevale.policy.admission import memory_limits
+
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Mapping
 
-    from sesamevale import resources
-
 __all__ = [
     "Cause",
     "Holding",
     "Kind",
     "MemoryAccount",
-    "MemoryLimits",
     "Phase",
 ]
 
-MIB = 1024 * 1024
-# Memory that a process takes without load, with its view of a large fleet.
-PROCESS_BYTES = 64 * MIB
-# Share of the rest that is given out; what is left covers fragmentation and
-# objects that wait for the garbage collector.
-GIVEN_OUT_SHARE = 0.75
-# Share of the capacity that only requests without a large body or answer use.
-SMALL_SHARE = 1 / 8
-# Memory of a connection and of a head that is received in part.
-CONNECTION_BYTES = 32 * 1024
-# Memory of a request, its small body and answer, and the socket buffers on
-# both sides.
-REQUEST_BYTES = 96 * 1024
 # Time without progress after which a holding gives way to others, in seconds.
 STALL_S = 1.5
 # Bytes that count as progress. A peer that sends or takes less in ``STALL_S``
 # holds memory for far longer than its link requires.
 PROGRESS_BYTES = 16 * 1024
-# Descriptors that are left for files, listeners and links to other processes.
-OTHER_DESCRIPTORS = 220
-CALLER_SHARE = 5 / 8
-REQUEST_SHARE = 1 / 4
-SOCKETS_MIN = 32
-CROWDED_SHARE = 7 / 8
 
 
 class Kind(enum.StrEnum):
@@ -85,47 +64,6 @@
     STALLED_READER = "stalled_reader"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class MemoryLimits:
-    """What callers may take of an entry.
-
-    Attributes:
-        capacity_bytes: Memory that is given out.
-        connections_max: Most connections of callers.
-        requests_max: Most requests at a time.
-    """
-
-    capacity_bytes: int
-    connections_max: int
-    requests_max: int
-
-    @classmethod
-    def plan(cls, machine: resources.Machine) -> MemoryLimits:
-        """Returns the limits of an entry that has a machine to itself."""
-        usable = max(
-            machine.memory_bytes - PROCESS_BYTES, machine.memory_bytes // 4
-        )
-        capacity = int(usable * GIVEN_OUT_SHARE)
-        sockets = max(SOCKETS_MIN, machine.descriptors_max - OTHER_DESCRIPTORS)
-        return cls(
-            capacity_bytes=capacity,
-            connections_max=min(
-                int(sockets * CALLER_SHARE), capacity // 2 // CONNECTION_BYTES
-            ),
-            requests_max=int(sockets * REQUEST_SHARE),
-        )
-
-    @property
-    def crowded_connections(self) -> int:
-        """Connections from which on unused ones give way to new ones."""
-        return int(self.connections_max * CROWDED_SHARE)
-
-    @property
-    def large_bytes(self) -> int:
-        """Memory that large bodies and answers may fill."""
-        return int(self.capacity_bytes * (1 - SMALL_SHARE))
-
-
 class Holding:
     """Memory that one request holds.
 
@@ -142,10 +80,10 @@
         "_bytes",
         "_is_open",
         "_phase",
+        "_priority",
         "_progress",
         "_progress_at",
-        "priority",
-        "turn_away",
+        "_turn_away",
     )
 
     def __init__(
@@ -155,15 +93,20 @@
         turn_away: Callable[[Cause], None],
         now: float,
     ) -> None:
-        self.priority = priority
-        self.turn_away = turn_away
         self._account = account
-        self._bytes = {Kind.REQUEST: REQUEST_BYTES}
+        self._priority = priority
+        self._turn_away = turn_away
+        self._bytes = {Kind.REQUEST: memory_limits.REQUEST_BYTES}
         self._phase = Phase.SERVED
         self._progress = 0
         self._progress_at = now
         self._is_open = True
 
+    @property
+    def priority(self) -> int:
+        """Priority of the request; 0 is the most urgent."""
+        return self._priority
+
     @property
     def held_bytes(self) -> int:
         """Bytes that are held."""
@@ -238,7 +181,7 @@
 
     def __init__(
         self,
-        limits: MemoryLimits,
+        limits: memory_limits.MemoryLimits,
         on_freed: Callable[[], None] = lambda: None,
     ) -> None:
         self._limits = limits
@@ -251,7 +194,7 @@
         self._waiting: set[Holding] = set()
 
     @property
-    def limits(self) -> MemoryLimits:
+    def limits(self) -> memory_limits.MemoryLimits:
         """Limits of the entry."""
         return self._limits
 
@@ -278,17 +221,19 @@
         """
         held = self._held[Kind.CONNECTION]
         is_full = (
-            held >= self._limits.connections_max * CONNECTION_BYTES
-            or self._total + CONNECTION_BYTES > self._limits.capacity_bytes
+            held
+            >= self._limits.connections_max * memory_limits.CONNECTION_BYTES
+            or self._total + memory_limits.CONNECTION_BYTES
+            > self._limits.capacity_bytes
         )
         if is_full and not replaces:
             return False
-        self._add(Kind.CONNECTION, CONNECTION_BYTES)
+        self._add(Kind.CONNECTION, memory_limits.CONNECTION_BYTES)
         return True
 
     def disconnect(self) -> None:
         """Counts the end of a connection."""
-        self._give_back(Kind.CONNECTION, CONNECTION_BYTES)
+        self._give_back(Kind.CONNECTION, memory_limits.CONNECTION_BYTES)
 
     def open(
         self, priority: int, turn_away: Callable[[Cause], None], now: float
@@ -308,10 +253,10 @@
             if self._request_count >= self._limits.requests_max:
                 return None
         holding = Holding(self, priority, turn_away, now)
-        if not self._make_room(holding, REQUEST_BYTES, now):
+        if not self._make_room(holding, memory_limits.REQUEST_BYTES, now):
             return None
         self._request_count += 1
-        self._add(Kind.REQUEST, REQUEST_BYTES)
+        self._add(Kind.REQUEST, memory_limits.REQUEST_BYTES)
         return holding
 
     def count_refused_connection(self) -> None:
@@ -325,7 +270,10 @@
 
     def _make_room(self, holding: Holding, count: int, now: float) -> bool:
         """Turns others away until bytes fit; False if they can't."""
-        is_large = count > REQUEST_BYTES or holding.held_bytes > REQUEST_BYTES
+        is_large = (
+            count > memory_limits.REQUEST_BYTES
+            or holding.held_bytes > memory_limits.REQUEST_BYTES
+        )
         limit = self._limits.capacity_bytes
         if is_large:
             limit = self._limits.large_bytes
@@ -378,7 +326,7 @@
                 cause = Cause.STALLED_BODY
         self._turned_away[cause] += 1
         holding.close()
-        holding.turn_away(cause)
+        holding._turn_away(cause)
 
     def _note_phase(self, holding: Holding) -> None:
         if holding.phase is Phase.SERVED or not holding.is_open:
--- a/src/sesamevale/upstreams/http_link.py
+++ b/src/sesamevale/upstreams/http_link.py
@@ -379,7 +379,7 @@
         complete = False
         try:
             if self._claim is not None and not await self._claim.grow(
-                memory_account.Kind.ANSWER, STREAM_BYTES, math.inf
+                memory_account.Kind.ANSWER, STREAM_BYTES, None
             ):
                 return False
             event = await self._next_event()
--- a/tests/builders/memory.py
+++ b/tests/builders/memory.py
@@ -4,6 +4,7 @@
 
 from sesamevale import resources
 from sesamevale.policy.admission import memory_account
+from sesamevale.policy.admission import memory_limits
 
 MIB = 1024 * 1024
 
@@ -18,7 +19,7 @@
         "connections_max": 20,
         "requests_max": 12,
     }
-    limits = memory_account.MemoryLimits(**(values | changes))
+    limits = memory_limits.MemoryLimits(**(values | changes))
     return memory_account.MemoryAccount(limits)
 
 
--- a/tests/callers/test_body_reader.py
+++ b/tests/callers/test_body_reader.py
@@ -9,6 +9,7 @@
 from sesamevale import outcomes
 from sesamevale.callers import body_reader
 from sesamevale.policy.admission import memory_account
+from sesamevale.policy.admission import memory_limits
 from tests.builders import memory
 from tests.standins import body_source
 
@@ -18,7 +19,7 @@
 
 
 def new_claim() -> memory_room.Claim:
-    limits = memory_account.MemoryLimits.plan(memory.machine())
+    limits = memory_limits.MemoryLimits.plan(memory.machine())
     return memory_room.MemoryRoom(limits).try_open_claim(1, lambda cause: None)
 
 
@@ -65,7 +66,7 @@
 
 def test_a_chunked_body_holds_no_more_than_was_taken_for_it():
     source = body_source.BodySource([bytes(200_000)] * 20)
-    limits = memory_account.MemoryLimits.plan(memory.machine())
+    limits = memory_limits.MemoryLimits.plan(memory.machine())
     room = memory_room.MemoryRoom(limits)
     body = read(source, room.try_open_claim(1, lambda cause: None))
     held = room.account.held_by_kind[memory_account.Kind.BODY]
--- a/tests/policy/admission/test_memory_account.py
+++ b/tests/policy/admission/test_memory_account.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies
 
 from sesamevale.policy.admission import memory_account
+from sesamevale.policy.admission import memory_limits
 from tests.builders import hypothesis_settings
 from tests.builders import memory
 
@@ -24,19 +25,19 @@
 
 @pytest.mark.parametrize("memory_mb", [200, 552, 690])
 def test_a_machine_has_room_for_the_longest_body_beside_its_process(memory_mb):
-    limits = memory_account.MemoryLimits.plan(memory.machine(memory_mb))
+    limits = memory_limits.MemoryLimits.plan(memory.machine(memory_mb))
     account = memory_account.MemoryAccount(limits)
     memory.Request(account, phase=READING, body=LONGEST_BODY_BYTES)
-    process_bytes = memory_account.PROCESS_BYTES
+    process_bytes = memory_limits.PROCESS_BYTES
     assert limits.capacity_bytes <= memory_mb * MIB - process_bytes
 
 
 @pytest.mark.parametrize("descriptors_max", [300, 500, 10_250])
 def test_connections_and_requests_stay_within_the_descriptors(descriptors_max):
     machine = memory.machine(690, descriptors_max)
-    limits = memory_account.MemoryLimits.plan(machine)
+    limits = memory_limits.MemoryLimits.plan(machine)
     sockets = limits.connections_max + limits.requests_max
-    assert sockets <= descriptors_max - memory_account.OTHER_DESCRIPTORS
+    assert sockets <= descriptors_max - memory_limits.OTHER_DESCRIPTORS
 
 
 # Load: bodies of legal size whose senders stop short of the end.
@@ -182,13 +183,13 @@
         # A small request is refused only where small ones fill the entry.
         limits = self.account.limits
         small_bytes = (
-            count * memory_account.REQUEST_BYTES
-            + self.connections * memory_account.CONNECTION_BYTES
+            count * memory_limits.REQUEST_BYTES
+            + self.connections * memory_limits.CONNECTION_BYTES
         )
         reserve = limits.capacity_bytes * SMALL_SHARE
         assert (
             count >= limits.requests_max
-            or small_bytes + memory_account.REQUEST_BYTES > reserve
+            or small_bytes + memory_limits.REQUEST_BYTES > reserve
         )
 
     @stateful.precondition(lambda self: self.open_requests)
@@ -224,7 +225,7 @@
 
     @stateful.invariant()
     def counts_what_is_held(self):
-        held = self.connections * memory_account.CONNECTION_BYTES
+        held = self.connections * memory_limits.CONNECTION_BYTES
         held += sum(each.holding.held_bytes for each in self.open_requests)
         assert self.account.held_bytes == held
         assert sum(self.account.held_by_kind.values()) == held
--- a/tests/test_memory_mutants.py
+++ b/tests/test_memory_mutants.py
@@ -10,6 +10,7 @@
 from sesamevale import bodies
 from sesamevale.callers import body_reader
 from sesamevale.policy.admission import memory_account
+from sesamevale.policy.admission import memory_limits
 from tests import test_bodies
 from tests.builders import hypothesis_settings
 from tests.callers import test_body_reader
@@ -63,15 +64,15 @@
 
 
 def keep_no_room_for_small_requests(monkeypatch) -> None:
-    monkeypatch.setattr(memory_account, "SMALL_SHARE", 0.0)
+    monkeypatch.setattr(memory_limits, "SMALL_SHARE", 0.0)
 
 
 def give_out_all_memory(monkeypatch) -> None:
-    monkeypatch.setattr(memory_account, "GIVEN_OUT_SHARE", 2.0)
+    monkeypatch.setattr(memory_limits, "GIVEN_OUT_SHARE", 2.0)
 
 
 def use_all_descriptors_for_callers(monkeypatch) -> None:
-    monkeypatch.setattr(memory_account, "CALLER_SHARE", 1.0)
+    monkeypatch.setattr(memory_limits, "CALLER_SHARE", 1.0)
 
 
 def read_bodies_without_giving_turns(monkeypatch) -> None:
