--- a/tests/platform/test_store_reader.py
+++ b/tests/platform/test_store_reader.py
@@ -144,3 +144,34 @@
             assert contents.configuration.version == 8
 
     run(scenario)
+
+
+# Guards against a cache by revision alone: a store that comes back older gives
+# its revisions out again.
+def test_a_large_configuration_with_a_revision_given_out_again_is_read():
+    async def scenario():
+        async with open_reader(large_config("r7")) as (store, reader):
+            store.era = 3
+            copy = store.copy()
+            put_config(store, large_config("r8"))
+            assert (await reader.read()).configuration.version == 8
+            store.restore(copy)
+            put_config(store, large_config("r9"))
+            found = await reader.read()
+            assert (found.era, found.configuration.version) == (4, 9)
+
+    run(scenario)
+
+
+def test_values_with_a_revision_given_out_again_are_decoded_again():
+    async def scenario():
+        async with open_reader(store_items.config("r7")) as (store, reader):
+            store.era = 3
+            copy = store.copy()
+            put_heartbeat(store, slots=6)
+            assert (await reader.read()).upstreams[0].slots == 6
+            store.restore(copy)
+            put_heartbeat(store, slots=8)
+            assert (await reader.read()).upstreams[0].slots == 8
+
+    run(scenario)
--- a/tests/policy/membership/test_shared_state_machine.py
+++ b/tests/policy/membership/test_shared_state_machine.py
@@ -13,9 +13,9 @@
 PEER = registered_peers.Peer("e-2", "there", "10.0.0.2", 80, 90)
 
 
-def contents(*upstreams, version=1, peers=()):
+def contents(*upstreams, version=1, peers=(), era=0):
     return shared_state.StoreContents(
-        gateway.configuration(version), tuple(upstreams), tuple(peers)
+        gateway.configuration(version), tuple(upstreams), tuple(peers), era=era
     )
 
 
@@ -30,6 +30,24 @@
     assert state.changes_since(0, 0, 6.0).configuration.version == 2
 
 
+# Guards against judging by time alone: the store may come back older.
+def test_a_read_of_an_earlier_era_that_arrives_late_is_ignored():
+    state = shared_state.SharedState(1)
+    assert state.record_read(contents(era=4), 5.0)
+    assert not state.record_read(contents(era=3), 6.0)
+    assert state.record_read(contents(era=5), 4.9)
+    assert state.changes_since(0, 0, 6.0).era == 5
+
+
+def test_a_configuration_does_not_go_back_with_the_store():
+    state = shared_state.SharedState(1)
+    state.record_read(contents(version=7, era=4), 5.0)
+    state.record_read(contents(version=6, era=5), 6.0)
+    assert state.changes_since(0, 0, 6.0).configuration.version == 7
+    state.record_read(contents(version=8, era=5), 7.0)
+    assert state.changes_since(0, 0, 7.0).configuration.version == 8
+
+
 def test_heartbeats_alone_are_not_passed_on():
     state = shared_state.SharedState(1)
     state.record_read(contents(gateway.upstream(sequence=1)), 1.0)
--- a/tests/policy/signals/test_discovered_upstreams.py
+++ b/tests/policy/signals/test_discovered_upstreams.py
@@ -89,6 +89,36 @@
     assert usable_names(upstreams) == ["u-1"]
 
 
+# Guards against an upstream that had left and is in the copy from which the
+# store comes back. Entries that do not read the store know its sequence only
+# from its last change.
+def test_an_upstream_that_left_does_not_come_back_with_the_store():
+    upstreams = discovered_upstreams.DiscoveredUpstreams()
+    upstreams.record_read([gateway.upstream(sequence=5)], 0.0, era=1)
+    upstreams.record_read([], 1.0, era=1)
+    upstreams.record_read([gateway.upstream(sequence=9)], 2.0, 4.2, era=2)
+    assert usable_names(upstreams) == []
+    upstreams.record_read([gateway.upstream(sequence=9)], 5.0, 4.2, era=2)
+    assert usable_names(upstreams) == []
+
+
+def test_an_upstream_that_lapsed_before_a_restore_is_used_again_later():
+    upstreams = discovered_upstreams.DiscoveredUpstreams()
+    upstreams.record_read([gateway.upstream(sequence=5)], 0.0, era=1)
+    upstreams.record_read([], 1.0, era=1)
+    upstreams.record_read([gateway.upstream(sequence=9)], 2.0, era=2)
+    upstreams.record_read([gateway.upstream(sequence=30)], 20.0, era=2)
+    assert usable_names(upstreams) == ["u-1"]
+
+
+def test_another_start_is_used_after_a_restore():
+    upstreams = discovered_upstreams.DiscoveredUpstreams()
+    upstreams.record_read([gateway.upstream(sequence=5)], 0.0, era=1)
+    upstreams.record_read([], 1.0, era=1)
+    upstreams.record_read([gateway.upstream(started_ms=2000)], 2.0, era=2)
+    assert usable_names(upstreams) == ["u-1"]
+
+
 def test_a_drain_that_was_seen_holds_through_an_outage():
     upstreams = discovered_upstreams.DiscoveredUpstreams()
     upstreams.record_read([gateway.upstream(draining=True)], 0.0)
--- a/tests/policy/test_routes.py
+++ b/tests/policy/test_routes.py
@@ -11,6 +11,7 @@
 from sesamevale.policy.configuration import active_configuration
 from sesamevale.policy.configuration import route_matching
 from sesamevale.policy.configuration import splits
+from sesamevale.policy.membership import own_registration
 from sesamevale.policy.membership import registered_peers
 from tests.builders import gateway
 
@@ -76,8 +77,9 @@
         assert active.version == highest
 
 
-def peer(name, data_center="here"):
-    return registered_peers.Peer(name, data_center, "127.0.0.1", 80, 90)
+def peer(name, data_center="here", era=0):
+    record = own_registration.Record(era=era)
+    return registered_peers.Peer(name, data_center, "127.0.0.1", 80, 90, record)
 
 
 def test_registered_entries_are_grouped_by_data_center():
@@ -97,6 +99,20 @@
     assert known.other_data_centers == ()
 
 
+# Guards against entries that have ended and are in the copy from which the
+# store comes back.
+def test_registrations_of_an_earlier_era_do_not_count():
+    known = registered_peers.RegisteredPeers("e-1", "here")
+    known.record_read([peer("e-3", "there", era=4)], 0.0, era=4)
+    ended = peer("e-4", "there", era=4)
+    known.record_read([peer("e-3", "there", era=4), ended], 1.0, 3.2, era=5)
+    assert [each.entry_id for each in known.other_data_centers] == ["e-3"]
+    known.record_read([peer("e-3", "there", era=5), ended], 4.0, 3.2, era=5)
+    assert [each.entry_id for each in known.other_data_centers] == ["e-3"]
+    known.record_read([peer("e-3", "there", era=4), ended], 5.0, 3.2, era=5)
+    assert known.other_data_centers == ()
+
+
 def test_registrations_that_lapsed_in_an_outage_are_kept_temporarily():
     known = registered_peers.RegisteredPeers("e-1", "here")
     known.record_read([peer("e-3", "there")], 0.0)
--- a/tests/standins/platform_store.py
+++ b/tests/standins/platform_store.py
@@ -13,12 +13,16 @@
 ``garbled``: The answer's JSON is cut in half.
 
 ``standing_fault`` applies to every call while it is set.
+
+The store can come back from a copy: ``copy`` takes one, and ``restore`` goes
+back to it. Revisions and leases are then given out again, and the era rises.
 """
 
 from __future__ import annotations
 
 import asyncio
 import collections
+import dataclasses
 import json
 import urllib.parse
 
@@ -31,6 +35,16 @@
 SLOW_STEP_S = 0.05
 
 
+@dataclasses.dataclass(frozen=True)
+class Copy:
+    """Copy of a store's contents, from which it can come back."""
+
+    items: dict[str, dict]
+    leases: frozenset[int]
+    revision: int
+    next_lease: int
+
+
 class PlatformStore(loopback_server.LoopbackServer):
     """Items and leases in memory.
 
@@ -41,6 +55,7 @@
         status 400.
       sent_bytes: Bytes of all bodies sent.
       bytes_per_s: Rate at which bodies are sent; 0 sends them at once.
+      era: Value of the header field ``Store-Era``; 0 for none.
       late_s: Seconds after which a call with the fault ``late`` is executed.
     """
 
@@ -56,6 +71,7 @@
         self.rejects_empty_transactions = False
         self.sent_bytes = 0
         self.bytes_per_s = 0.0
+        self.era = 0
         self.late_s = 1.0
         self._next_lease = 100
 
@@ -67,6 +83,21 @@
         self.revision += 1
         self.items.pop(key, None)
 
+    def copy(self) -> Copy:
+        return Copy(
+            dict(self.items),
+            frozenset(self.leases),
+            self.revision,
+            self._next_lease,
+        )
+
+    def restore(self, copy: Copy) -> None:
+        self.items = dict(copy.items)
+        self.leases = set(copy.leases)
+        self.revision = copy.revision
+        self._next_lease = copy.next_lease
+        self.era += 1
+
     def expire_lease(self, lease: int) -> None:
         self.leases.discard(lease)
         for key, item in list(self.items.items()):
@@ -107,9 +138,10 @@
         data = json.dumps(content).encode()
         if fault == "garbled":
             data = data[: len(data) // 2]
-        response = h11.Response(
-            status_code=status, headers=[("content-length", str(len(data)))]
-        )
+        headers = [("content-length", str(len(data)))]
+        if self.era:
+            headers.append(("Store-Era", str(self.era)))
+        response = h11.Response(status_code=status, headers=headers)
         writer.write(http.send(response))
         await self._send_body(http, writer, data)
         writer.write(http.send(h11.EndOfMessage()))
@@ -135,6 +167,10 @@
         content = json.loads(body) if body else {}
         if path == "/api/kv-range":
             return 200, self._range(parameters)
+        if path == "/api/kv-watch" and (
+            int(parameters["after"]) > self.revision
+        ):
+            return 410, {}
         if path == "/api/kv-lease":
             self._next_lease += 1
             self.leases.add(self._next_lease)
