Let the era and the time of a read together say what is newer

Cause: a store that comes back from a copy gives its revisions and leases out again. Decoded values and a large configuration were kept by revision alone, reads ordered by time alone; upstreams and entries that had ended were in use again from the copy, and the own lease could be another's.

Change: the era, read from each answer, travels with the contents. Caches, leases and registrations go by it; registrations name the era in which they were written. Upstreams gone before it stay out for 10 s or until a new start, missing ones are kept for the grace, evacuations hold for it, and an older configuration is not passed on. The stand-in plays drills.

--- a/src/sesamevale/entries/state_reader.py
+++ b/src/sesamevale/entries/state_reader.py
@@ -91,6 +91,7 @@
         self._store_unreachable = False
         self._view = store_view.StoreView()
         self._reported_view = self._view.summary(0.0)
+        self._evacuated: frozenset[str] = frozenset()
         self._grace_timer: asyncio.TimerHandle | None = None
         self._listeners: list[
             Callable[[shared_state.StoreContents, float], None]
@@ -201,17 +202,24 @@
     def _publish(
         self, contents: shared_state.StoreContents, read_at: float
     ) -> None:
-        if not self._state.record_read(contents, read_at):
+        if not self._state.is_newer(contents, read_at):
             return
         self._update_view(contents, read_at)
         grace_until = self._view.grace_until
         if time.monotonic() >= grace_until:
             # The message of the end of the grace goes ahead of this one.
             grace_until = float("-inf")
+        elif read_at < grace_until:
+            # The operator's order may be in what the store lost.
+            contents = dataclasses.replace(
+                contents, evacuated=contents.evacuated | self._evacuated
+            )
+        self._evacuated = contents.evacuated
+        self._state.record_read(contents, read_at)
         gateway = self._gateway
         gateway.send(
             gateway_messages.UpstreamsRead(
-                contents.upstreams, read_at, grace_until
+                contents.upstreams, read_at, grace_until, contents.era
             )
         )
         if contents.configuration is not None:
@@ -222,7 +230,9 @@
                 )
             )
         gateway.send(
-            gateway_messages.PeersRead(contents.peers, read_at, grace_until)
+            gateway_messages.PeersRead(
+                contents.peers, read_at, grace_until, contents.era
+            )
         )
         for listener in self._listeners:
             listener(contents, read_at)
--- a/src/sesamevale/gateway.py
+++ b/src/sesamevale/gateway.py
@@ -344,7 +344,7 @@
 @_receive.register
 def _(message: gateway_messages.UpstreamsRead, gateway: Gateway) -> None:
     changes = gateway._upstreams.record_read(
-        message.upstreams, message.read_at, message.grace_until
+        message.upstreams, message.read_at, message.grace_until, message.era
     )
     gateway._apply_upstreams()
     if gateway._router.view.upstreams_loaded:
@@ -359,7 +359,7 @@
 @_receive.register
 def _(message: gateway_messages.PeersRead, gateway: Gateway) -> None:
     gateway._peers.record_read(
-        message.peers, message.read_at, message.grace_until
+        message.peers, message.read_at, message.grace_until, message.era
     )
     for peer in gateway._peers.same_data_center:
         gateway._gossip.send(gossip.Seed(peer.host, peer.entry_port))
@@ -392,7 +392,10 @@
     gateway._is_registration_old = view.registration_doubtful
     gateway._apply_entry_count()
     gateway._events.state(
-        "store_view", state=view.contact.value, absent=view.absent.value
+        "store_view",
+        state=view.contact.value,
+        absent=view.absent.value,
+        era=view.era,
     )
 
 
--- a/src/sesamevale/gateway_messages.py
+++ b/src/sesamevale/gateway_messages.py
@@ -99,11 +99,13 @@
         read_at: When the read was sent, in monotonic seconds.
         grace_until: Until when missing upstreams may be used, in monotonic
             seconds.
+        era: Era of the store; 0 if it names none.
     """
 
     upstreams: tuple[routes.UpstreamRecord, ...]
     read_at: float
     grace_until: float = float("-inf")
+    era: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -115,11 +117,13 @@
         read_at: When the read was sent, in monotonic seconds.
         grace_until: Until when missing entries are kept, in monotonic
             seconds.
+        era: Era of the store; 0 if it names none.
     """
 
     peers: tuple[peers.Peer, ...]
     read_at: float
     grace_until: float = float("-inf")
+    era: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/sesamevale/platform/decoding.py
+++ b/src/sesamevale/platform/decoding.py
@@ -54,13 +54,25 @@
 
 
 class Decoder:
-    """Decodes items; caches each result until the item's revision changes."""
+    """Decodes items; caches each result until the item's revision changes.
+
+    Revisions are given out again in each era of the store.
+    """
 
     def __init__(self) -> None:
+        self._era = 0
         self._decoded: dict[str, tuple[int, object]] = {}
 
-    def decode(self, items: Iterable[models.Item]) -> Decoded:
-        """Decodes the items of one complete read."""
+    def decode(self, items: Iterable[models.Item], era: int = 0) -> Decoded:
+        """Decodes the items of one complete read.
+
+        Args:
+            items: The items.
+            era: Era of the store at the read; 0 if it names none.
+        """
+        if era != self._era:
+            self._era = era
+            self._decoded = {}
         decoded: dict[str, tuple[int, object]] = {}
         for item in items:
             cached = self._decoded.get(item.key)
@@ -89,6 +101,7 @@
                 for each in values
                 if isinstance(each, registered_peers.Peer)
             ),
+            era=era,
         )
         rejected = {
             key: value
--- a/src/sesamevale/platform/store_client.py
+++ b/src/sesamevale/platform/store_client.py
@@ -41,6 +41,7 @@
 # Timeout for a whole call; enough for a megabyte on a slow link.
 CALL_TIMEOUT_S = 2.0
 CONNECT_TIMEOUT_S = 0.5
+ERA_FIELD = b"store-era"
 OK = 200
 NOT_FOUND = 404
 CONFLICT = 412
@@ -76,10 +77,12 @@
     Attributes:
         items: The items by key.
         revision: Revision of the store before the read; items may be newer.
+        era: Era of the store; 0 if it names none.
     """
 
     items: list[models.Item]
     revision: int
+    era: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -135,16 +138,20 @@
         """
         items: list[models.Item] = []
         revision = 0
+        era = self._era
         while True:
             query = {"prefix": ""} | ({"after": after} if after else {})
             reply = await self._call("GET", "/api/kv-range", query)
             page = _parse_reply(reply, models.Page)
             if isinstance(page, CallFailure):
                 return page
+            if self._era != era and items:
+                return CallFailure("the store came back", outcome_unknown=False)
+            era = self._era
             items += page.items
             revision = revision or page.revision
             if not page.more or not page.items:
-                return Contents(items, revision)
+                return Contents(items, revision, era)
             after = page.items[-1].key
 
     async def read_if_changed(
@@ -289,7 +296,7 @@
         return await self._read(stream)
 
     async def _read(self, stream: sockets.ByteStream) -> _Reply | CallFailure:
-        status = 0
+        status, era = 0, 0
         body = bytearray()
         while True:
             event = self._http.next_event()
@@ -302,6 +309,7 @@
                 self._http.receive_data(data)
             elif isinstance(event, h11.Response):
                 status = event.status_code
+                era = _era(event)
             elif isinstance(event, h11.Data):
                 body += event.data
             elif isinstance(event, h11.EndOfMessage):
@@ -315,6 +323,10 @@
             self._http.start_next_cycle()
         else:
             self._close()
+        # An answer without an era says nothing of it.
+        if 0 < era < self._era:
+            return CallFailure("answer of an earlier era", outcome_unknown=True)
+        self._era = max(era, self._era)
         return _Reply(status, bytes(body))
 
     def _close(self) -> None:
@@ -324,6 +336,12 @@
         self._http = h11.Connection(h11.CLIENT)
 
 
+def _era(response: h11.Response) -> int:
+    """Returns the era that an answer names; 0 if it names none."""
+    value = dict(response.headers).get(ERA_FIELD, b"")
+    return int(value) if value.isdigit() and len(value) < 16 else 0
+
+
 def _parse_reply(
     reply: _Reply | CallFailure, model: type[Model], expected: int = OK
 ) -> Model | CallFailure:
--- a/src/sesamevale/platform/store_reader.py
+++ b/src/sesamevale/platform/store_reader.py
@@ -26,7 +26,8 @@
 
     Reads are linearizable, so a drain or a version that the store has
     acknowledged is in the next read even if the store loses its history. A
-    large configuration is left out of a read if its revision is unchanged.
+    large configuration is left out of a read if its revision is unchanged in
+    the same era of the store.
 
     Args:
         client: Client of the store.
@@ -41,6 +42,7 @@
         self._decoder = decoding.Decoder()
         self._rejected: dict[str, str] = {}
         self._large_config: models.Item | None = None
+        self._large_config_era = 0
 
     async def read(
         self,
@@ -49,7 +51,7 @@
         found = await self._read_items()
         if isinstance(found, store_client.CallFailure):
             return state_reader.StoreUnavailable(found.reason)
-        decoded = self._decoder.decode(found.items)
+        decoded = self._decoder.decode(found.items, found.era)
         if decoded.rejected != self._rejected:
             self._rejected = decoded.rejected
             self._events.state("store_values_rejected", keys=decoded.rejected)
@@ -60,9 +62,12 @@
     async def _read_items(
         self,
     ) -> store_client.Contents | store_client.CallFailure:
-        if self._large_config is None:
+        era = self._client.era
+        if self._large_config is None or era != self._large_config_era:
             return await self._read_all()
         config = await self._client.read_if_changed(self._large_config)
+        if self._client.era != era:
+            return await self._read_all()
         if isinstance(config, store_client.CallFailure):
             # Falls back to reading all keys unless the answer was lost.
             return config if config.outcome_unknown else await self._read_all()
@@ -73,6 +78,8 @@
         rest = await self._client.read_all(after=decoding.CONFIG_KEY)
         if isinstance(rest, store_client.CallFailure):
             return rest
+        if rest.era != era:
+            return await self._read_all()
         return dataclasses.replace(rest, items=[config, *rest.items])
 
     async def _read_all(
@@ -83,6 +90,7 @@
             return found
         large = (each for each in found.items if _is_large_config(each))
         self._large_config = next(large, None)
+        self._large_config_era = found.era
         return found
 
 
--- a/src/sesamevale/policy/membership/registered_peers.py
+++ b/src/sesamevale/policy/membership/registered_peers.py
@@ -107,6 +107,7 @@
         found: Iterable[Peer],
         now: float,
         grace_until: float = float("-inf"),
+        era: int = 0,
     ) -> None:
         """Applies a complete read of the registrations.
 
@@ -115,11 +116,14 @@
             now: When the read was sent, in monotonic seconds.
             grace_until: Until when missing entries are kept; they are dropped
                 by ``drop_missing``.
+            era: Era of the store; what was written in an earlier one may be
+                of an entry that has ended, and counts as missing.
         """
         self._last_read = now
         registered = {
             each.entry_id: dataclasses.replace(each, record=None)
             for each in found
+            if _is_of_era(each.record, era)
         }
         self._is_registered = self._entry_id in registered
         self._missing = frozenset()
@@ -133,3 +137,8 @@
         for entry_id in self._missing:
             del self._known[entry_id]
         self._missing = frozenset()
+
+
+def _is_of_era(record: own_registration.Record | None, era: int) -> bool:
+    """Whether a registration was written in an era, or does not say when."""
+    return record is None or record.era == 0 or record.era >= era
--- a/src/sesamevale/policy/membership/shared_state.py
+++ b/src/sesamevale/policy/membership/shared_state.py
@@ -10,6 +10,7 @@
 
 from sesamevale import routes
 from sesamevale.policy.membership import registered_peers
+from sesamevale.policy.membership import store_view
 
 __all__ = ["Mirror", "SharedState", "StoreContents", "Update"]
 
@@ -83,6 +84,8 @@
         self._peers: tuple[int, tuple[registered_peers.Peer, ...]] = (0, ())
         self._evacuated: tuple[int, frozenset[str]] = (0, frozenset())
         self._era = 0
+        # Version of the configuration at the last change of the era.
+        self._lowest_version = 0
         self._store_revision = 0
         self._upstreams: dict[str, tuple[int, routes.UpstreamRecord]] = {}
         self._removed: dict[str, int] = {}
@@ -92,6 +95,12 @@
         """When the newest read of the store was sent; None before it."""
         return self._read_at
 
+    def is_newer(self, contents: StoreContents, read_at: float) -> bool:
+        """Whether a read is newer than the newest known one."""
+        return store_view.is_newer(
+            contents.era, read_at, self._era, self._read_at
+        )
+
     def record_read(self, contents: StoreContents, read_at: float) -> bool:
         """Records a read; False if it is not newer than the last one.
 
@@ -99,18 +108,18 @@
             contents: Result of the read, made here or by another entry.
             read_at: When the read was sent, in monotonic seconds.
         """
-        if self._read_at is not None and read_at <= self._read_at:
+        if not self.is_newer(contents, read_at):
             return False
         self._read_at = read_at
         self._revision += 1
         revision = self._revision
-        if contents.configuration != self._configuration[1]:
+        self._record_era(contents.era)
+        if self._replaces_configuration(contents.configuration):
             self._configuration = (revision, contents.configuration)
         if contents.peers != self._peers[1]:
             self._peers = (revision, contents.peers)
         if contents.evacuated != self._evacuated[1]:
             self._evacuated = (revision, contents.evacuated)
-        self._era = contents.era
         self._store_revision = contents.store_revision
         found = {each.upstream_id: each for each in contents.upstreams}
         for name in self._upstreams.keys() - found.keys():
@@ -123,6 +132,21 @@
                 self._upstreams[name] = (revision, record)
         return True
 
+    def _record_era(self, era: int) -> None:
+        known = self._configuration[1]
+        if era > self._era and known is not None:
+            self._lowest_version = known.version
+        self._era = max(era, self._era)
+
+    def _replaces_configuration(
+        self, found: routes.Configuration | None
+    ) -> bool:
+        """Whether a configuration is another, not lost with an era."""
+        version = 0 if found is None else found.version
+        return version >= self._lowest_version and (
+            found != self._configuration[1]
+        )
+
     def changes_since(
         self, epoch: int, revision: int, now: float
     ) -> Update | None:
--- a/src/sesamevale/policy/membership/store_view.py
+++ b/src/sesamevale/policy/membership/store_view.py
@@ -60,11 +60,13 @@
         absent: Who was away last.
         registration_doubtful: Whether the view is so old that the other
             entries may no longer count this one.
+        era: Era of the store; 0 if it names none.
     """
 
     contact: Contact
     absent: Absent
     registration_doubtful: bool
+    era: int
 
 
 def is_newer(
@@ -121,7 +123,9 @@
             contact = Contact.AWAY
         elif now < self._grace_until:
             contact = Contact.BACK
-        return Summary(contact, self._absent, age_s >= REGISTRATION_LIFETIME_S)
+        return Summary(
+            contact, self._absent, age_s >= REGISTRATION_LIFETIME_S, self._era
+        )
 
     def record_failure(self, sent_at: float) -> None:
         """Records that the store did not answer a read."""
--- a/src/sesamevale/policy/signals/discovered_upstreams.py
+++ b/src/sesamevale/policy/signals/discovered_upstreams.py
@@ -14,6 +14,8 @@
 
 # Longer than the delay of any heartbeat of an upstream that has stopped.
 DEPARTED_RETENTION_S = 60.0
+# Longer than it takes a record to lapse that nobody writes any more.
+COPY_LIFETIME_S = 10.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -37,6 +39,7 @@
     fenced: bool
     is_missing: bool = False
     departed_at: float | None = None
+    copied_until: float = float("-inf")
 
 
 class DiscoveredUpstreams:
@@ -52,6 +55,7 @@
     def __init__(self) -> None:
         self._known: dict[str, _TrackedUpstream] = {}
         self._last_read: float | None = None
+        self._era = 0
         self._by_service: dict[str, tuple[routes.UpstreamRecord, ...]] = {}
 
     @property
@@ -68,6 +72,7 @@
         records: Iterable[routes.UpstreamRecord],
         now: float,
         grace_until: float = float("-inf"),
+        era: int = 0,
     ) -> list[UpstreamChange]:
         """Applies a complete read of the discovery and returns the changes.
 
@@ -76,13 +81,19 @@
             now: When the read was sent, in monotonic seconds.
             grace_until: Until when missing upstreams may be used; they are
                 dropped by ``drop_missing``.
+            era: Era of the store. A record of an upstream that is gone may
+                come from the copy with which a new era begins.
         """
         self._last_read = now
+        if era > self._era:
+            self._era = era
+            for known in self._known.values():
+                known.copied_until = now + COPY_LIFETIME_S
         changes: list[UpstreamChange] = []
         seen = set()
         for record in records:
             seen.add(record.upstream_id)
-            self._apply_record(record, changes)
+            self._apply_record(record, now, changes)
         for upstream_id in self._known.keys() - seen:
             known = self._known[upstream_id]
             if now < grace_until and not known.fenced:
@@ -115,11 +126,16 @@
         return [UpstreamChange(upstream_id, known.record.service, "misplaced")]
 
     def _apply_record(
-        self, record: routes.UpstreamRecord, changes: list[UpstreamChange]
+        self,
+        record: routes.UpstreamRecord,
+        now: float,
+        changes: list[UpstreamChange],
     ) -> None:
         known = self._known.get(record.upstream_id)
         if known is not None:
             known.is_missing = False
+            if _may_be_copied(record, known, now):
+                return
         if known is None or _is_new_start(record, known):
             self._known[record.upstream_id] = _TrackedUpstream(
                 record, record.draining
@@ -181,6 +197,17 @@
     return known.departed_at is not None and not known.fenced
 
 
+def _may_be_copied(
+    record: routes.UpstreamRecord, known: _TrackedUpstream, now: float
+) -> bool:
+    """Whether a record may be an old one of an upstream that is gone."""
+    return (
+        known.departed_at is not None
+        and now < known.copied_until
+        and record.started_ms <= known.record.started_ms
+    )
+
+
 def _is_older(
     record: routes.UpstreamRecord, known: routes.UpstreamRecord
 ) -> bool:
--- a/tests/entries/test_store_absence.py
+++ b/tests/entries/test_store_absence.py
@@ -25,6 +25,7 @@
         self.is_reachable = True
         self.names = ["u-1", "u-2"]
         self.era = 1
+        self.evacuated: frozenset[str] = frozenset()
         self._stopped_at = None
         self._stopped_s = 0.0
 
@@ -45,6 +46,7 @@
             gateway.configuration(),
             tuple(gateway.upstream(each) for each in self.names),
             (),
+            evacuated=self.evacuated,
             era=self.era,
             store_revision=int(CHANGES_PER_S * now),
         )
@@ -58,6 +60,10 @@
     def __init__(self):
         self.data_center_entries: dict[str, tuple[str, int]] = {}
         self.messages: list[tuple[float, object]] = []
+        self.evacuated: frozenset[str] = frozenset()
+
+    def record_read(self, contents, read_at):
+        self.evacuated = contents.evacuated
 
     def send(self, message):
         self.messages.append((time.monotonic(), message))
@@ -78,6 +84,7 @@
         0,
         metrics.MetricsRecorder(),
     )
+    reader.on_read(fake_gateway.record_read)
     async with reader:
         yield fake_gateway
 
@@ -125,3 +132,19 @@
             assert view.view.absent is store_view.Absent.ENTRY
 
     run(scenario)
+
+
+def test_an_evacuation_that_the_store_lost_holds_for_the_grace():
+    async def scenario():
+        store = FakeStore()
+        store.evacuated = frozenset({"there"})
+        async with open_reader(store) as fake_gateway:
+            await asyncio.sleep(1.0)
+            store.evacuated = frozenset()
+            store.era = 2
+            await asyncio.sleep(1.0)
+            assert fake_gateway.evacuated == {"there"}
+            await asyncio.sleep(store_view.RETURN_GRACE_S + 0.5)
+            assert fake_gateway.evacuated == frozenset()
+
+    run(scenario)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -306,6 +306,49 @@
     run(scenario)
 
 
+# Guards against a lease of an earlier era, which may be given out again.
+def test_a_registration_is_written_again_when_the_store_comes_back_older():
+    async def scenario():
+        async with open_store_case() as case:
+            case.store.era = 3
+            key = "sesamevale/entries/e-1"
+            copy = case.store.copy()
+            task = registration.RegistrationTask(
+                case.client, own_registration(), case.gateway, case.gateway
+            )
+            async with task:
+                await until(lambda: key in case.store.items)
+                case.store.restore(copy)
+                # Another entry gets the number of the lease.
+                case.store.leases.add(101)
+                task.send(contents_of(case.store, era=4))
+                await until(lambda: key in case.store.items)
+                item = models.Item.model_validate(case.store.items[key])
+                assert decoding.decode_record(item).era == 4
+                assert item.lease != 101 or case.store.calls[-2].endswith(
+                    "kv-lease"
+                )
+
+    run(scenario)
+
+
+def test_a_read_over_a_change_of_the_era_fails():
+    async def scenario():
+        async with open_store_case(page_size=1) as case:
+            case.store.era = 3
+            for number in range(3):
+                put_upstream(case.store, f"i-{number}")
+            assert (await case.client.read_all()).era == 3
+            case.store.faults.extend(["ok", "slow"])
+            read = asyncio.create_task(case.client.read_all())
+            await until(lambda: len(case.store.calls) == 5)
+            case.store.restore(case.store.copy())
+            assert isinstance(await read, store_client.CallFailure)
+            assert (await case.client.read_all()).era == 4
+
+    run(scenario)
+
+
 def test_a_store_that_is_away_is_asked_less_and_less_often(monkeypatch):
     """Each entry asked it twice a second, and each call has its price."""
     monkeypatch.setattr(registration, "RETRY_INTERVAL_S", 0.05)
--- a/tests/test_store_mutants.py
+++ b/tests/test_store_mutants.py
@@ -8,15 +8,23 @@
 from hypothesis import stateful
 
 from sesamevale.entries import state_reader
+from sesamevale.platform import decoding
 from sesamevale.platform import store_client
 from sesamevale.policy.membership import entry_count
 from sesamevale.policy.membership import own_registration
+from sesamevale.policy.membership import registered_peers
+from sesamevale.policy.membership import shared_state
 from sesamevale.policy.membership import store_view
+from sesamevale.policy.signals import discovered_upstreams
 from tests.builders import hypothesis_settings
 from tests.entries import test_store_absence
 from tests.platform import test_store
+from tests.platform import test_store_reader
+from tests.policy import test_routes
+from tests.policy.membership import test_drills_machine
 from tests.policy.membership import test_entry_count
 from tests.policy.membership import test_own_registration_machine
+from tests.policy.membership import test_shared_state_machine
 from tests.policy.membership import test_store_view
 
 
@@ -50,6 +58,13 @@
     )
 
 
+def run_drill_machine() -> None:
+    settings = hypothesis_settings.machine_settings(200, 40)
+    stateful.run_state_machine_as_test(
+        test_drills_machine.DrillMachine, settings=settings
+    )
+
+
 def never_look_at_the_own_registration(monkeypatch) -> None:
     monkeypatch.setattr(
         own_registration.OwnRegistration,
@@ -104,7 +119,69 @@
     monkeypatch.setattr(entry_count, "DOUBT_FACTOR", 1)
 
 
+def judge_reads_by_time_alone(monkeypatch) -> None:
+    def is_newer(era, read_at, known_era, known_read_at):
+        return known_read_at is None or read_at > known_read_at
+
+    monkeypatch.setattr(store_view, "is_newer", is_newer)
+
+
+def take_copied_upstreams_back(monkeypatch) -> None:
+    monkeypatch.setattr(
+        discovered_upstreams, "_may_be_copied", lambda *arguments: False
+    )
+
+
+def cache_by_revision_alone(monkeypatch) -> None:
+    original = decoding.Decoder.decode
+    monkeypatch.setattr(
+        decoding.Decoder,
+        "decode",
+        lambda self, items, era=0: original(self, items),
+    )
+
+
+def count_entries_of_earlier_eras(monkeypatch) -> None:
+    monkeypatch.setattr(registered_peers, "_is_of_era", lambda *arguments: True)
+
+
+def pass_older_configurations_on(monkeypatch) -> None:
+    monkeypatch.setattr(
+        shared_state.SharedState, "_record_era", lambda self, era: None
+    )
+
+
+def forget_evacuations_with_the_store(monkeypatch) -> None:
+    monkeypatch.setattr(
+        state_reader.StateReader,
+        "_evacuated",
+        property(lambda self: frozenset(), lambda self, value: None),
+        raising=False,
+    )
+
+
 MUTANTS = [
+    (
+        judge_reads_by_time_alone,
+        test_shared_state_machine.test_a_read_of_an_earlier_era_that_arrives_late_is_ignored,
+    ),
+    (take_copied_upstreams_back, run_drill_machine),
+    (
+        cache_by_revision_alone,
+        test_store_reader.test_values_with_a_revision_given_out_again_are_decoded_again,
+    ),
+    (
+        count_entries_of_earlier_eras,
+        test_routes.test_registrations_of_an_earlier_era_do_not_count,
+    ),
+    (
+        pass_older_configurations_on,
+        test_shared_state_machine.test_a_configuration_does_not_go_back_with_the_store,
+    ),
+    (
+        forget_evacuations_with_the_store,
+        test_store_absence.test_an_evacuation_that_the_store_lost_holds_for_the_grace,
+    ),
     (never_look_at_the_own_registration, run_registration_machine),
     (
         write_over_later_processes,
