Have the soak play drills of the store

Mode drills: the store comes back from a copy again and again; afterwards each running entry is registered in the present era under a living lease.

--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -42,6 +42,7 @@
     def __init__(self):
         super().__init__()
         self.entry_proxies = {}
+        self.era = 1
 
     def put(self, item):
         if item["key"].startswith(decoding.REGISTRATION_PREFIX):
@@ -231,6 +232,10 @@
     def configure(self):
         """Publishes the next configuration; each version adds a route."""
         self.version += 1
+        self.publish_configuration()
+
+    def publish_configuration(self):
+        """Writes the newest configuration, again after a drill."""
         kinds = [records.READ, records.CHARGE]
         kinds += [records.SLOW_READ, records.SLOW_CHARGE]
         kinds += [records.Kind(f"v{n}") for n in range(1, self.version + 1)]
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -6,7 +6,8 @@
 
 Modes: ``faults`` injects faults one by one, ``planned`` only stops, reloads
 and configures, ``mixed`` does both, ``signals`` only has upstreams send
-signals, which ``faults`` and ``mixed`` do too, and ``drawn`` draws ``planned``
+signals, which ``faults`` and ``mixed`` do too, ``drills`` only has the store
+come back older, and ``drawn`` draws ``planned``
 or ``mixed`` from the seed.
 """
 
@@ -24,6 +25,7 @@
 
 from tests.soak import callers
 from tests.soak import checks
+from tests.soak import drills
 from tests.soak import faults
 from tests.soak import fleet as fleets
 from tests.soak import launch
@@ -43,7 +45,7 @@
 # an answer that is under way then is not judged late.
 STALL_S = 0.25
 DRAWN_MODES = ("planned", "mixed")
-MODES = ("drawn", "faults", "signals", *DRAWN_MODES)
+MODES = ("drawn", "faults", "signals", "drills", *DRAWN_MODES)
 OPTIONS = ("entries", "upstreams", "mode")
 
 
@@ -98,17 +100,21 @@
             done.set()
             await calls
             recovery = await self._check_recovery()
+            restored = list(drills.find_violations(self.fleet))
             watch.cancel()
         run_checks = checks.Checks(
             self.fleet, self.callers.exchanges, self._stalls
         )
         seen = [*self.callers.violations, *recovery]
         said = signals.find_violations(self.fleet, self.callers.exchanges)
-        return [*run_checks.find_violations(), *seen, *said]
+        return [*run_checks.find_violations(), *seen, *said, *restored]
 
     async def _inject(self, end):
         work = []
-        if self.mode != "planned":
+        if self.mode == "drills":
+            drill_rng = random.Random(self.seed + 9_000_000)
+            work.append(drills.Drills(self.fleet, drill_rng).run(end))
+        elif self.mode != "planned":
             signal_rng = random.Random(self.seed + 8_000_000)
             work.append(signals.SignalFaults(self.fleet, signal_rng).run(end))
         if self.mode in ("faults", "mixed"):
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -32,3 +32,10 @@
     violations, statuses = run.soak(2, 12.0, tmp_path, mode="signals")
     assert not violations, "\n".join(violations)
     assert statuses[200] > 100
+
+
+# Entries kept what the store had before it came back older, or its numbers.
+def test_a_store_that_comes_back_older_steers_nothing(tmp_path):
+    violations, statuses = run.soak(3, 6.0, tmp_path, mode="drills")
+    assert not violations, "\n".join(violations)
+    assert statuses[200] > 100
