--- a/src/sesamevale/gateway.py
+++ b/src/sesamevale/gateway.py
@@ -19,19 +19,15 @@
 from sesamevale.entries import gossip
 from sesamevale.forwarding import messages
 from sesamevale.forwarding import router as routers
-from sesamevale.forwarding import service_task
+from sesamevale.forwarding import task_building
 from sesamevale.operators import admin_server
 from sesamevale.operators import gateway_pages
 from sesamevale.policy.admission import drain_schedule
-from sesamevale.policy.admission import rate_shares
-from sesamevale.policy.admission import retry_budget
-from sesamevale.policy.balancing import load_sampling
 from sesamevale.policy.configuration import active_configuration
 from sesamevale.policy.membership import membership
 from sesamevale.policy.membership import membership_types
 from sesamevale.policy.membership import registered_peers
 from sesamevale.policy.signals import discovered_upstreams
-from sesamevale.policy.signals import upstream_signals
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -229,13 +225,13 @@
             if existing is not None:
                 existing.send(messages.SetService(service))
                 continue
-            task = service_task.ServiceTask(
+            task = task_building.build_task(
                 service,
-                self._new_balancer(),
-                retry_budget.RetryBudget(self._settings.retry_budget),
+                self._settings,
                 self._dialect,
                 self._events,
                 self._recorder,
+                self._rng,
                 lambda upstream_id: self.send(
                     gateway_messages.UpstreamIdMismatch(upstream_id)
                 ),
@@ -246,17 +242,6 @@
         self._apply_entry_count()
         self._apply_registered_entries()
 
-    def _new_balancer(self) -> load_sampling.LoadBalancer:
-        settings = self._settings
-        shares = rate_shares.RateShares(
-            settings.entry_id,
-            settings.data_center,
-            upstream_signals.UpstreamSignals(),
-        )
-        return load_sampling.LoadBalancer(
-            settings.data_center, self._rng, shares
-        )
-
     def _apply_upstreams(self) -> None:
         for name, task in self._router.tasks.items():
             records = self._upstreams.usable(name)
