--- a/tests/builders/store_items.py
+++ b/tests/builders/store_items.py
@@ -35,6 +35,10 @@
     return values | changes
 
 
+def evacuation(data_center: str) -> dict:
+    return item(f"op/evacuate/{data_center}", {})
+
+
 def route(**changes) -> dict:
     values = {
         "name": "read",
