Send nothing more to the upstreams of an evacuated data centre

Cause: the list of evacuated data centres was read and passed on, but nothing used it. The gateway now applies it before the upstreams of the same read, so their services lose them as candidates: what runs there ends, waiting requests and repeats go elsewhere, and they are candidates again with the read that no longer holds the key. The bound on an evacuation counts for the interval of reads. Status page, command, log and a gauge show it.

--- a/src/sesamevale/entries/state_reader.py
+++ b/src/sesamevale/entries/state_reader.py
@@ -185,6 +185,11 @@
         if not self._state.record_read(contents, read_at):
             return
         gateway = self._gateway
+        # Upstreams come after it, so that none is used before it is known to
+        # be evacuated.
+        gateway.send(
+            gateway_messages.EvacuationsRead(contents.evacuated, read_at)
+        )
         gateway.send(
             gateway_messages.UpstreamsRead(contents.upstreams, read_at)
         )
--- a/src/sesamevale/gateway.py
+++ b/src/sesamevale/gateway.py
@@ -24,6 +24,7 @@
 from sesamevale.operators import gateway_pages
 from sesamevale.policy.admission import drain_schedule
 from sesamevale.policy.configuration import active_configuration
+from sesamevale.policy.membership import evacuations
 from sesamevale.policy.membership import membership
 from sesamevale.policy.membership import membership_types
 from sesamevale.policy.membership import registered_peers
@@ -67,6 +68,7 @@
         self._router = routers.RequestRouter(dialect, settings.config_bound_s)
         self._active_configuration = active_configuration.ActiveConfiguration()
         self._upstreams = discovered_upstreams.DiscoveredUpstreams()
+        self._evacuations = evacuations.Evacuations()
         self._peers = registered_peers.RegisteredPeers(
             settings.entry_id, settings.data_center
         )
@@ -107,6 +109,7 @@
             self._router,
             self._active_configuration,
             self._upstreams,
+            self._evacuations,
             events,
             recorder,
         )
@@ -244,7 +247,9 @@
 
     def _apply_upstreams(self) -> None:
         for name, task in self._router.tasks.items():
-            records = self._upstreams.usable(name)
+            records = self._evacuations.select_usable(
+                self._upstreams.usable(name)
+            )
             task.send(messages.SetUpstreams(records))
 
     def _apply_entry_count(self) -> None:
@@ -343,6 +348,20 @@
     gateway._update_view(upstreams_loaded=True)
 
 
+@_receive.register
+def _(message: gateway_messages.EvacuationsRead, gateway: Gateway) -> None:
+    # The upstreams of the same read follow and are applied with it.
+    for change in gateway._evacuations.record_read(
+        message.data_centers, message.read_at
+    ):
+        gateway._events.state(
+            "evacuation",
+            data_center=change.data_center,
+            change=change.change,
+            age_s=_age_s(message.read_at),
+        )
+
+
 @_receive.register
 def _(message: gateway_messages.PeersRead, gateway: Gateway) -> None:
     gateway._peers.record_read(message.peers, message.read_at)
--- a/src/sesamevale/gateway_messages.py
+++ b/src/sesamevale/gateway_messages.py
@@ -16,6 +16,7 @@
 
 __all__ = [
     "ConfigurationRead",
+    "EvacuationsRead",
     "GatewaySettings",
     "MembersChanged",
     "Message",
@@ -51,8 +52,6 @@
             the deployment has none.
         warmup: Bounds on the requests to cold upstreams; None if the
             deployment has none.
-        evacuation_bound_s: Longest time until an evacuation must be in force,
-            in seconds.
         machine: Resources of the machine.
     """
 
@@ -68,7 +67,6 @@
     grace_s: float
     quota: resources.QuotaBounds | None = None
     warmup: resources.WarmupBounds | None = None
-    evacuation_bound_s: float = 5.0
     machine: resources.Machine = dataclasses.field(
         default_factory=resources.Machine
     )
@@ -100,6 +98,19 @@
     read_at: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class EvacuationsRead:
+    """The list of evacuated data centres was read from the store.
+
+    Attributes:
+        data_centers: Data centres whose upstreams are to get nothing more.
+        read_at: When the read was sent, in monotonic seconds.
+    """
+
+    data_centers: frozenset[str]
+    read_at: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class PeersRead:
     """The list of registered entries was read from the store.
@@ -156,6 +167,7 @@
 Message = (
     ConfigurationRead
     | UpstreamsRead
+    | EvacuationsRead
     | PeersRead
     | StoreReachabilityChanged
     | MembersChanged
--- a/src/sesamevale/operators/commands/gateway.py
+++ b/src/sesamevale/operators/commands/gateway.py
@@ -30,6 +30,8 @@
     typer.echo(
         f"  upstreams read {_format_age(content['upstreams_age_s'])} ago"
     )
+    for data_center, age_s in content["evacuated"].items():
+        typer.echo(f"  {data_center} is evacuated for {_format_age(age_s)}")
     typer.echo(f"  callers are sent to {', '.join(content['members'])}")
     for name, service in content["services"].items():
         usable = service["upstreams"]
--- a/src/sesamevale/operators/gateway_pages.py
+++ b/src/sesamevale/operators/gateway_pages.py
@@ -18,6 +18,7 @@
     from sesamevale.forwarding import router as routers
     from sesamevale.forwarding import service_task
     from sesamevale.policy.configuration import active_configuration
+    from sesamevale.policy.membership import evacuations as evacuation_states
     from sesamevale.policy.signals import discovered_upstreams
 
 __all__ = ["GatewayPages"]
@@ -31,6 +32,7 @@
         router: Router with the tasks of all services.
         configuration: Configuration in force.
         upstreams: Upstreams that are known.
+        evacuations: Evacuations in force.
         events: Log whose dropped lines are counted.
         recorder: Recorder of the metrics.
     """
@@ -41,6 +43,7 @@
         router: routers.RequestRouter,
         configuration: active_configuration.ActiveConfiguration,
         upstreams: discovered_upstreams.DiscoveredUpstreams,
+        evacuations: evacuation_states.Evacuations,
         events: event_log.EventLog,
         recorder: metrics.MetricsRecorder,
     ) -> None:
@@ -48,6 +51,7 @@
         self._router = router
         self._configuration = configuration
         self._upstreams = upstreams
+        self._evacuations = evacuations
         self._events = events
         self._recorder = recorder
         recorder.add_source(self._gauges)
@@ -69,6 +73,11 @@
             gauge("config_age_seconds", "Since confirmed", age_s),
             gauge("requests_active", "Requests now", self._router.active_count),
             gauge("members", "Entries in use", len(view.members)),
+            gauge(
+                "evacuated_data_centers",
+                "Whose upstreams get nothing",
+                len(self._evacuations.data_centers),
+            ),
             gauge("log_lines_dropped", "Not written", self._events.dropped),
             *self._signal_gauges(),
         ]
@@ -109,6 +118,7 @@
             "config": self._configuration.version,
             "config_age_s": self._configuration.age_s(now),
             "upstreams_age_s": None if last_read is None else now - last_read,
+            "evacuated": self._evacuations.ages_s(now),
             "members": [each.entry_id for each in view.members],
             "services": {
                 name: _service_status(task, now)
--- a/src/sesamevale/platform/settings.py
+++ b/src/sesamevale/platform/settings.py
@@ -59,7 +59,7 @@
     quota_tolerance: float = 20.0
     warmup_overage: float | None = None
     warmup_tolerance: float = 8.0
-    evacuate_ms: float = 5000.0
+    evacuate_ms: float | None = None
 
     @pydantic.model_validator(mode="before")
     @classmethod
@@ -135,7 +135,10 @@
     @property
     def propagation_bound_s(self) -> float:
         """Longest time until a store change must be known, in seconds."""
-        bound_ms = min(self.bounds.drain_ms, self.bounds.config_apply_ms)
+        bounds = self.bounds
+        bound_ms = min(bounds.drain_ms, bounds.config_apply_ms)
+        if bounds.evacuate_ms is not None:
+            bound_ms = min(bound_ms, bounds.evacuate_ms)
         return bound_ms / 1000
 
     @property
@@ -162,7 +165,6 @@
             grace_s=bounds.grace_s,
             quota=_quota(bounds),
             warmup=_warmup(bounds),
-            evacuation_bound_s=bounds.evacuate_ms / 1000,
             machine=self.machine.to_machine(),
         )
 
--- a/tests/operators/test_gateway_pages.py
+++ b/tests/operators/test_gateway_pages.py
@@ -12,6 +12,7 @@
 from sesamevale.operators import gateway_pages
 from sesamevale.operators.commands import common
 from sesamevale.policy.configuration import active_configuration
+from sesamevale.policy.membership import evacuations
 from sesamevale.policy.signals import discovered_upstreams
 from sesamevale.policy.signals import upstream_signals
 from tests.builders import gateway
@@ -30,11 +31,14 @@
     upstreams = [scripted_upstream.ScriptedUpstream(name) for name in SIGNALS]
     async with gateway_entry.GatewayEntry(*upstreams) as entry:
         await asyncio.sleep(0.05)
+        evacuated = evacuations.Evacuations()
+        evacuated.record_read({"there"}, time.monotonic() - 3.0)
         pages = gateway_pages.GatewayPages(
             "e-1",
             entry.router,
             active_configuration.ActiveConfiguration(),
             discovered_upstreams.DiscoveredUpstreams(),
+            evacuated,
             entry.events,
             entry.recorder,
         )
@@ -54,6 +58,11 @@
         return content, gauges
 
 
+def test_evacuations_in_force_are_in_the_status():
+    content, _ = asyncio.run(read_status())
+    assert 3.0 <= content["evacuated"]["there"] < 4.0
+
+
 def test_signals_in_force_are_in_the_status_and_the_gauges():
     content, gauges = asyncio.run(read_status())
     found = {
