Keep what reaches a cold upstream within what it tolerates

Cause: coldness only doubled the expected time of an upstream, and only when its first record told of it. Now a cold upstream is one with an implied rate limit, shared among a few entries as the limits are that upstreams name (policy/balancing/warmup_shares.py).

--- a/src/sesamevale/forwarding/request_flow.py
+++ b/src/sesamevale/forwarding/request_flow.py
@@ -121,7 +121,7 @@
         active_request.search.must_yield = waiting.any_can_meet_objective(
             self._active_requests.values(), self._balancer, now
         )
-        if self._balancer.signals.instances:
+        if self._balancer.has_scarce_room:
             active_request.search.ahead = waiting.count_ahead(
                 self._active_requests.values(), active_request
             )
--- a/src/sesamevale/forwarding/service_task.py
+++ b/src/sesamevale/forwarding/service_task.py
@@ -64,7 +64,7 @@
         self._balancer = balancer
         self._budget = budget
         self._signal_recorder = signal_recorder.SignalRecorder(
-            balancer.signals, events, recorder
+            balancer.signals, balancer.warmups, events, recorder
         )
         self._connections_max = service.connections_max
         self._pool = link_pool.LinkPool(dialect)
@@ -185,6 +185,9 @@
 def _(message: messages.SetService, task: ServiceTask) -> None:
     task._sampler.path = message.service.health_path
     task._connections_max = message.service.connections_max
+    task._balancer.warmups.set_rate(
+        message.service.warmup_rate_per_s, time.monotonic()
+    )
     task._update_connection_share()
 
 
@@ -196,9 +199,9 @@
 
 @_receive.register
 def _(message: messages.SetRegisteredEntries, task: ServiceTask) -> None:
-    task._balancer.shares.set_members(
-        message.peers, message.read_at, time.monotonic()
-    )
+    now = time.monotonic()
+    for shares in (task._balancer.shares, task._balancer.warmups):
+        shares.set_members(message.peers, message.read_at, now)
 
 
 @_receive.register
--- a/src/sesamevale/forwarding/signal_recorder.py
+++ b/src/sesamevale/forwarding/signal_recorder.py
@@ -9,20 +9,22 @@
 from sesamevale.policy.signals import upstream_signals
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Collection
 
     from sesamevale import event_log
     from sesamevale import metrics
     from sesamevale import routes
+    from sesamevale.policy.balancing import warmup_shares
 
 __all__ = ["SignalRecorder", "Source"]
 
 
 class Source(enum.StrEnum):
-    """What the upstream answered when it sent a signal."""
+    """Where a signal of an upstream was found."""
 
     REQUEST = "request"
     SAMPLE = "sample"
+    RECORD = "record"
 
 
 class SignalRecorder:
@@ -30,6 +32,7 @@
 
     Args:
         signals: Signals of the service's upstreams.
+        warmups: Shares in what cold upstreams accept.
         events: Log of changes.
         recorder: Records metrics.
     """
@@ -37,10 +40,12 @@
     def __init__(
         self,
         signals: upstream_signals.UpstreamSignals,
+        warmups: warmup_shares.WarmupShares,
         events: event_log.EventLog,
         recorder: metrics.MetricsRecorder,
     ) -> None:
         self._signals = signals
+        self._warmups = warmups
         self._events = events
         self._recorder = recorder
 
@@ -60,26 +65,45 @@
         """
         if signals is None:
             return
-        changes = self._signals.record_answer(
-            upstream_signals.instance_of(record), signals, time.monotonic()
+        instance, now = upstream_signals.instance_of(record), time.monotonic()
+        changes = self._signals.record_answer(instance, signals, now)
+        changes += self._warmups.record_answer(
+            instance, signals, now, is_sample=source is Source.SAMPLE
         )
         for change in changes:
-            self._recorder.count(f"signals_{change.signal}_{change.change}")
-            self._events.decision(
-                "upstream_signal",
-                service=record.service,
-                upstream=record.upstream_id,
-                signal=change.signal,
-                change=change.change,
-                value=change.value,
-                source=str(source),
-            )
+            self._report(record, change, source)
 
-    def retain(self, records: Iterable[routes.UpstreamRecord]) -> None:
-        """Forgets upstreams that have been gone for a long time.
+    def retain(self, records: Collection[routes.UpstreamRecord]) -> None:
+        """Records what is discovered and forgets what is long gone.
 
         Args:
             records: Upstreams that are discovered now.
         """
-        instances = map(upstream_signals.instance_of, records)
-        self._signals.retain(instances, time.monotonic())
+        now = time.monotonic()
+        by_instance = {
+            upstream_signals.instance_of(each): each for each in records
+        }
+        self._signals.retain(by_instance, now)
+        for instance in self._warmups.record_discovered(records, now):
+            record = by_instance[instance]
+            began = upstream_signals.SignalChange(
+                "warmup", "began", record.warmup_s
+            )
+            self._report(record, began, Source.RECORD)
+
+    def _report(
+        self,
+        record: routes.UpstreamRecord,
+        change: upstream_signals.SignalChange,
+        source: Source,
+    ) -> None:
+        self._recorder.count(f"signals_{change.signal}_{change.change}")
+        self._events.decision(
+            "upstream_signal",
+            service=record.service,
+            upstream=record.upstream_id,
+            signal=change.signal,
+            change=change.change,
+            value=change.value,
+            source=str(source),
+        )
--- a/src/sesamevale/forwarding/task_building.py
+++ b/src/sesamevale/forwarding/task_building.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import time
 from typing import TYPE_CHECKING
 
 from sesamevale.forwarding import service_task
 from sesamevale.policy.admission import rate_shares
 from sesamevale.policy.admission import retry_budget
 from sesamevale.policy.balancing import load_sampling
+from sesamevale.policy.balancing import warmup_shares
 from sesamevale.policy.signals import upstream_signals
 
 if TYPE_CHECKING:
@@ -49,9 +51,13 @@
         settings.data_center,
         upstream_signals.UpstreamSignals(),
     )
+    warmups = warmup_shares.WarmupShares(
+        settings.entry_id, settings.data_center, settings.warmup
+    )
+    warmups.set_rate(service.warmup_rate_per_s, time.monotonic())
     return service_task.ServiceTask(
         service,
-        load_sampling.LoadBalancer(settings.data_center, rng, shares),
+        load_sampling.LoadBalancer(settings.data_center, rng, shares, warmups),
         retry_budget.RetryBudget(settings.retry_budget),
         dialect,
         events,
--- a/src/sesamevale/operators/gateway_pages.py
+++ b/src/sesamevale/operators/gateway_pages.py
@@ -20,6 +20,7 @@
     from sesamevale.policy.configuration import active_configuration
     from sesamevale.policy.membership import evacuations as evacuation_states
     from sesamevale.policy.signals import discovered_upstreams
+    from sesamevale.policy.signals import upstream_signals
 
 __all__ = ["GatewayPages"]
 
@@ -86,7 +87,7 @@
         now = time.monotonic()
         counts: collections.Counter[tuple[str, str]] = collections.Counter()
         for name, task in self._router.tasks.items():
-            for each in task.balancer.signals.list_in_force(now):
+            for each in _list_in_force(task, now):
                 counts[name, each.signal] += 1
         return [
             metrics.MetricSample(
@@ -129,13 +130,24 @@
         return admin_server.Page(200, "application/json", body)
 
 
+def _list_in_force(
+    task: service_task.ServiceTask, now: float
+) -> list[upstream_signals.SignalStatus]:
+    """Returns the signals in force at a service and its cold upstreams."""
+    balancer = task.balancer
+    return [
+        *balancer.signals.list_in_force(now),
+        *balancer.warmups.list_in_force(now),
+    ]
+
+
 def _signals(
     task: service_task.ServiceTask, now: float
 ) -> list[dict[str, object]]:
     """Returns what the upstreams of a service say of themselves."""
     found = []
     candidates, shares = task.balancer.candidates, task.balancer.shares
-    for each in task.balancer.signals.list_in_force(now):
+    for each in _list_in_force(task, now):
         status: dict[str, object] = dataclasses.asdict(each)
         candidate = candidates.get(each.upstream_id)
         used = None
@@ -144,6 +156,10 @@
         if candidate is not None and used is not None:
             status["share"] = shares.rate_of(candidate.record, now)
             status["used"] = used
+        if candidate is not None and each.signal == "warmup":
+            status["share"] = task.balancer.warmups.rate_of(
+                candidate.record, now
+            )
         found.append(status)
     return found
 
--- a/src/sesamevale/platform/header_fields.py
+++ b/src/sesamevale/platform/header_fields.py
@@ -20,6 +20,7 @@
 LEAVING = b"server-leaving"
 LEAVING_VALUE = b"1"
 RETRY_AFTER = b"retry-after"
+WARMUP_MS = b"x-warmup-ms"
 UNAVAILABLE = 503
 # Longest number that is accepted in a load report.
 LOAD_LENGTH_MAX = 9
@@ -69,6 +70,9 @@
     pause_s = _read_positive_decimal(headers, RETRY_AFTER)
     if status == UNAVAILABLE and pause_s is not None:
         signals.append(upstream_signals.Pause(pause_s))
+    warmup_ms = _read_positive_decimal(headers, WARMUP_MS)
+    if warmup_ms is not None:
+        signals.append(upstream_signals.Warming(warmup_ms / 1000))
     return tuple(signals)
 
 
--- a/src/sesamevale/policy/balancing/load_sampling.py
+++ b/src/sesamevale/policy/balancing/load_sampling.py
@@ -19,6 +19,7 @@
 from sesamevale.policy.balancing import upstream_openings
 from sesamevale.policy.balancing import upstream_search
 from sesamevale.policy.balancing import upstream_state
+from sesamevale.policy.balancing import warmup_shares
 from sesamevale.policy.signals import upstream_signals
 
 if TYPE_CHECKING:
@@ -69,6 +70,7 @@
         data_center: Data centre of this entry.
         rng: Source of randomness.
         shares: Shares of this entry in the limits that upstreams name.
+        warmups: Shares of this entry in what cold upstreams accept.
     """
 
     def __init__(
@@ -76,13 +78,15 @@
         data_center: str,
         rng: random.Random,
         shares: rate_shares.RateShares | None = None,
+        warmups: warmup_shares.WarmupShares | None = None,
     ) -> None:
         self._data_center = data_center
         self._rng = rng
         self._shares = shares or rate_shares.RateShares(
             "", data_center, upstream_signals.UpstreamSignals()
         )
-        self._openings = upstream_openings.Openings(self._shares)
+        self._warmups = warmups or warmup_shares.WarmupShares("", data_center)
+        self._openings = upstream_openings.Openings(self._shares, self._warmups)
         self._candidates: dict[str, upstream_state.Candidate] = {}
         self._average = upstream_state.AverageLoad(INITIAL_AVERAGE_SLOWDOWN)
         self._durations = route_durations.RouteDurations()
@@ -108,6 +112,16 @@
         """Shares of this entry in the limits that upstreams name."""
         return self._shares
 
+    @property
+    def warmups(self) -> warmup_shares.WarmupShares:
+        """Shares of this entry in what cold upstreams accept."""
+        return self._warmups
+
+    @property
+    def has_scarce_room(self) -> bool:
+        """Whether limits or coldness may leave upstreams little room."""
+        return self._openings.any_signal
+
     @property
     def average(self) -> upstream_state.AverageLoad:
         """Moving average of the sampled loads."""
@@ -179,6 +193,12 @@
         self, search: upstream_search.Search, now: float
     ) -> upstream_search.Step:
         """Decides the next step of the search for an upstream."""
+        step = self._choose_step(search, now)
+        return self._warmups.look_first(step, search, now)
+
+    def _choose_step(
+        self, search: upstream_search.Search, now: float
+    ) -> upstream_search.Step:
         best = self.find_best(search.excluded, now, search.ahead)
         if best is None:
             return self._wait_for_room(search, now)
@@ -285,17 +305,6 @@
         room_at = self._openings.opens_at(candidate, now)
         return room_at if room_at > now else math.inf
 
-    def _last_resorts(
-        self, excluded: frozenset[str], now: float
-    ) -> list[upstream_state.Candidate]:
-        """Returns the candidates that leave but still serve."""
-        return [
-            candidate
-            for name, candidate in self._candidates.items()
-            if name not in excluded
-            and self._openings.is_last_resort(candidate, now)
-        ]
-
     def expected_duration_s(
         self, route: str, best: upstream_state.RankedCandidate
     ) -> float:
@@ -396,16 +405,6 @@
             chosen.append(recheck)
         return [each for each in chosen if not each.is_fresh(now)]
 
-    def _leave_room(
-        self, candidates: list[upstream_state.Candidate], ahead: int
-    ) -> list[upstream_state.Candidate]:
-        """Removes limited candidates if more urgent requests need them all."""
-        unlimited = [
-            each for each in candidates if not self._openings.is_limited(each)
-        ]
-        limited_count = len(candidates) - len(unlimited)
-        return candidates if ahead < limited_count else unlimited
-
     def find_best(
         self, excluded: frozenset[str], now: float, ahead: int = 0
     ) -> upstream_state.RankedCandidate | None:
@@ -420,16 +419,16 @@
             ahead: Number of more urgent requests that wait for room; those
                 get the room of the limited upstreams.
         """
-        untried = [
+        left = [
             candidate
             for name, candidate in self._candidates.items()
             if name not in excluded
         ]
-        untried = self._openings.select_open(untried, now)
+        untried = self._openings.select_open(left, now)
         if ahead:
-            untried = self._leave_room(untried, ahead)
+            untried = self._openings.leave_room(untried, ahead, now)
         if not untried:
-            untried = self._last_resorts(excluded, now)
+            untried = self._openings.select_last_resorts(left, now)
         usable = [each for each in untried if not each.is_ejected(now)]
         best: upstream_state.Candidate | None = None
         least = math.inf
--- a/src/sesamevale/policy/balancing/upstream_search.py
+++ b/src/sesamevale/policy/balancing/upstream_search.py
@@ -43,6 +43,7 @@
             waiting; a request that cannot must then leave them the slots.
         ahead: Number of more urgent requests that wait. Room under the limits
             that upstreams name is theirs.
+        looked: Upstreams that were looked at since the last wait for one.
     """
 
     route: str
@@ -56,6 +57,7 @@
     wait_count: int = 0
     must_yield: bool = False
     ahead: int = 0
+    looked: frozenset[str] = frozenset()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/sesamevale/policy/membership/shared_state.py
+++ b/src/sesamevale/policy/membership/shared_state.py
@@ -1,7 +1,7 @@
 """Contents of the store, shared between the entries of a data centre.
 
 Heartbeats have no effect on requests, so they are not passed on: an upstream
-counts as changed when more than its heartbeat changes.
+counts as changed when more than its heartbeat changes, or when it turns cold.
 """
 
 from __future__ import annotations
@@ -113,8 +113,10 @@
         for name, record in found.items():
             self._removed.pop(name, None)
             known = self._upstreams.get(name)
-            if known is None or _differs_beyond_heartbeat(known[1], record):
-                self._upstreams[name] = (revision, record)
+            changed_at = revision
+            if known is not None and not _has_changed(known[1], record):
+                changed_at = known[0]
+            self._upstreams[name] = (changed_at, record)
         return True
 
     def changes_since(
@@ -206,10 +208,15 @@
         )
 
 
-def _differs_beyond_heartbeat(
+def _has_changed(
     known: routes.UpstreamRecord, record: routes.UpstreamRecord
 ) -> bool:
-    """Whether more than the heartbeat of an upstream has changed."""
+    """Whether a record has changed in what affects requests.
+
+    The rest of a warm-up falls with the time, so only its rise is a change.
+    """
+    if record.warmup_s > known.warmup_s:
+        return True
     without_heartbeat = dataclasses.replace(
         record, sequence=known.sequence, warmup_s=known.warmup_s
     )
--- a/src/sesamevale/policy/signals/upstream_signals.py
+++ b/src/sesamevale/policy/signals/upstream_signals.py
@@ -23,6 +23,7 @@
     "SignalStatus",
     "Signals",
     "UpstreamSignals",
+    "Warming",
     "instance_of",
 ]
 
@@ -90,7 +91,18 @@
     seconds: float
 
 
-Signal = RateLimit | Leaving | Pause
+@dataclasses.dataclass(frozen=True, slots=True)
+class Warming:
+    """The upstream is cold and takes few requests.
+
+    Attributes:
+        seconds: Rest of the time for which it is cold; positive.
+    """
+
+    seconds: float
+
+
+Signal = RateLimit | Leaving | Pause | Warming
 # All signals of one answer.
 Signals = tuple[Signal, ...]
 
@@ -316,3 +328,9 @@
     state.awaits_trial = True
     change = "changed" if was_paused else "began"
     return [SignalChange("pause", change, signal.seconds)]
+
+
+@_apply.register
+def _(signal: Warming, state: _InstanceState, now: float) -> list[SignalChange]:
+    # Kept where requests are shared, since discovery records tell of it too.
+    return []
--- a/tests/system/test_cold_upstreams.py
+++ b/tests/system/test_cold_upstreams.py
@@ -16,6 +16,9 @@
 OVERAGE = 1.5
 TOLERANCE = 4
 CALLS = 60
+# Time after which an entry that has started uses its shares: until it has read
+# its own registration, and until others that read it later have done so.
+SHARED_AFTER_S = 4.0
 
 
 def cold_entry(folder):
@@ -41,7 +44,7 @@
         async with cold_entry(tmp_path) as entry:
             await entry.wait_readiness()
             assert set(await call_at_once(entry, 4)) == {200}
-            await asyncio.sleep(1.7)
+            await asyncio.sleep(SHARED_AFTER_S)
             entry.upstream.health_headers = (("x-warmup-ms", "4000"),)
             if told_by == "its record":
                 entry.put_heartbeat(seqNo=9, warmupLeftMs=4000)
