--- a/tests/test_shift_mutants.py
+++ b/tests/test_shift_mutants.py
@@ -14,6 +14,7 @@
 from sesamevale.policy.membership import evacuations
 from sesamevale.policy.membership import shared_state
 from tests.builders import hypothesis_settings
+from tests.policy.balancing import test_shift_patterns
 from tests.policy.balancing import test_warmup_shares
 from tests.policy.membership import test_evacuations_machine
 
@@ -125,6 +126,10 @@
 MUTANTS = [
     (limit_no_cold_upstream, turn_forty_cold),
     (never_look, turn_forty_cold),
+    (
+        ignore_coldness_in_the_choice,
+        test_shift_patterns.test_upstreams_that_turn_cold_where_traffic_has_just_moved_to_hold,
+    ),
     (count_no_requests_to_cold_upstreams, run_warmup_machine),
     (give_all_entries_a_whole_share, turn_forty_cold),
     (
