--- a/tests/operators/test_gateway_pages.py
+++ b/tests/operators/test_gateway_pages.py
@@ -23,6 +23,7 @@
     "u-1": upstream_signals.RateLimit(1.5),
     "u-2": upstream_signals.Pause(30.0),
     "u-3": upstream_signals.Leaving(),
+    "u-4": upstream_signals.Warming(2.5),
 }
 
 
@@ -42,6 +43,8 @@
             entry.events,
             entry.recorder,
         )
+        warmups = entry.task.balancer.warmups
+        warmups.set_rate(2.0, time.monotonic())
         for each in upstreams:
             record = gateway.upstream(each.upstream_id, port=each.port)
             entry.task.balancer.signals.record_answer(
@@ -49,6 +52,12 @@
                 (SIGNALS[each.upstream_id],),
                 time.monotonic(),
             )
+            warmups.record_answer(
+                upstream_signals.instance_of(record),
+                (SIGNALS[each.upstream_id],),
+                time.monotonic(),
+                is_sample=True,
+            )
         content = json.loads(pages.handlers["/status"]("").body)
         gauges = {
             each.labels["signal"]: each.value
@@ -75,7 +84,10 @@
     assert found["u-1"]["used"] == 0.0
     assert 29 < found["u-2"]["value"] <= 30
     assert found["u-3"]["signal"] == "leaving"
-    assert gauges == {"limit": 1, "pause": 1, "leaving": 1}
+    assert found["u-4"]["signal"] == "warmup"
+    assert 2 < found["u-4"]["value"] <= 2.5
+    assert 0 < found["u-4"]["share"] <= 2.0
+    assert gauges == {"limit": 1, "pause": 1, "leaving": 1, "warmup": 1}
 
 
 def test_the_command_shows_the_signals(monkeypatch):
@@ -91,3 +103,6 @@
     assert "share here 0.6, 0% used" in result.output
     assert "u-2: pause for" in result.output
     assert "u-3: leaving for" in result.output
+    assert "u-4: warmup for" in result.output
+    assert "s left, share here 0.8 a second" in result.output
+    assert "there is evacuated for 3" in result.output
--- a/tests/policy/membership/test_shared_state_machine.py
+++ b/tests/policy/membership/test_shared_state_machine.py
@@ -49,6 +49,27 @@
     assert changed.draining
 
 
+# Entries that ask another one used upstreams that had turned cold.
+def test_coldness_is_passed_on_and_its_decline_is_not():
+    state = shared_state.SharedState(1)
+    passed_on = []
+    for sequence, warmup_s in enumerate([0.0, 3.0, 2.0, 1.0, 2.5, 1.5, 0.0]):
+        record = gateway.upstream(sequence=sequence, warmup_s=warmup_s)
+        state.record_read(contents(record), float(sequence + 1))
+        update = state.changes_since(1, sequence, 9.0)
+        passed_on += [each.warmup_s for each in update.changed if sequence > 0]
+    assert passed_on == [3.0, 2.5]
+
+
+def test_a_newcomer_gets_the_newest_rest_of_a_warm_up():
+    state = shared_state.SharedState(1)
+    for sequence, warmup_s in ((1, 3.0), (2, 1.0)):
+        record = gateway.upstream(sequence=sequence, warmup_s=warmup_s)
+        state.record_read(contents(record), float(sequence))
+    (found,) = state.changes_since(0, 0, 3.0).changed
+    assert (found.sequence, found.warmup_s) == (2, 1.0)
+
+
 def test_changes_of_another_process_are_not_applied():
     mirror = shared_state.Mirror()
     first, second = shared_state.SharedState(1), shared_state.SharedState(2)
