--- a/src/sesamevale/policy/balancing/warmup_shares.py
+++ b/src/sesamevale/policy/balancing/warmup_shares.py
@@ -127,13 +127,15 @@
             The upstreams that have turned cold.
         """
         sequences = self._sequences
-        self._sequences, turned = {}, []
+        self._sequences = {}
+        turned: list[upstream_signals.Instance] = []
+        if not self.is_active:
+            return turned
         for record in records:
             instance = upstream_signals.instance_of(record)
             self._sequences[instance] = record.sequence
             if (
-                self.is_active
-                and record.warmup_s > 0.0
+                record.warmup_s > 0.0
                 and sequences.get(instance) != record.sequence
             ):
                 until = max(
