--- a/src/sesamevale/gateway.py
+++ b/src/sesamevale/gateway.py
@@ -11,6 +11,7 @@
 from typing import TYPE_CHECKING
 
 from sesamevale import draining
+from sesamevale import gateway_events
 from sesamevale import gateway_messages
 from sesamevale import incarnations
 from sesamevale import messaging
@@ -24,6 +25,7 @@
 from sesamevale.operators import gateway_pages
 from sesamevale.policy.admission import drain_schedule
 from sesamevale.policy.configuration import active_configuration
+from sesamevale.policy.membership import entry_count
 from sesamevale.policy.membership import evacuations
 from sesamevale.policy.membership import membership
 from sesamevale.policy.membership import membership_types
@@ -72,6 +74,7 @@
         self._peers = registered_peers.RegisteredPeers(
             settings.entry_id, settings.data_center
         )
+        self._is_registration_old = False
         self._own_member = membership_types.Member(
             entry_id=settings.entry_id,
             incarnation=incarnations.new(self._rng),
@@ -253,8 +256,11 @@
             task.send(messages.SetUpstreams(records))
 
     def _apply_entry_count(self) -> None:
-        same_data_center = self._gossip.view.reachable
-        count = len(same_data_center) + len(self._peers.other_data_centers)
+        count = entry_count.sharing(
+            len(self._gossip.view.reachable),
+            len(self._peers.other_data_centers),
+            self._is_registration_old or not self._peers.is_registered,
+        )
         for task in self._router.tasks.values():
             task.send(messages.SetEntryCount(count))
 
@@ -268,29 +274,9 @@
         for task in self._router.tasks.values():
             task.send(registered)
 
-    def _log_changes(
-        self, changes: list[discovered_upstreams.UpstreamChange]
-    ) -> None:
-        for change in changes:
-            self._events.state(
-                "upstream",
-                upstream=change.upstream_id,
-                service=change.service,
-                change=change.kind,
-            )
-
     def _update_members(self) -> None:
         """Updates the entries that callers may be sent to."""
-        alive = [
-            registered_peers.Peer(
-                each.entry_id,
-                each.data_center,
-                each.host,
-                each.caller_port,
-                each.peer_port,
-            )
-            for each in self._gossip.view.usable
-        ]
+        alive = map(registered_peers.Peer.of, self._gossip.view.usable)
         members = (*alive, *self._peers.other_data_centers)
         self._apply_entry_count()
         if members == self._router.view.members:
@@ -301,11 +287,6 @@
         )
 
 
-def _age_s(read_at: float) -> float:
-    """Returns the age of a read of the store for a log line, in seconds."""
-    return round(time.monotonic() - read_at, 3)
-
-
 @functools.singledispatch
 def _receive(message: gateway_messages.Message, gateway: Gateway) -> None:
     raise TypeError(f"no handler for {type(message).__name__}")
@@ -326,24 +307,23 @@
         confirmed_at=message.read_at,
     )
     if changed:
-        gateway._events.state(
-            "config_in_force",
-            version=found.version,
-            previous=previous,
-            age_s=_age_s(message.read_at),
+        gateway_events.log_configuration(
+            gateway._events, found.version, previous, message.read_at
         )
         gateway._apply_services(found)
 
 
 @_receive.register
 def _(message: gateway_messages.UpstreamsRead, gateway: Gateway) -> None:
-    changes = gateway._upstreams.record_read(message.upstreams, message.read_at)
+    changes = gateway._upstreams.record_read(
+        message.upstreams, message.read_at, message.grace_until
+    )
     gateway._apply_upstreams()
     if gateway._router.view.upstreams_loaded:
-        gateway._log_changes(changes)
+        gateway_events.log_changes(gateway._events, changes)
         return
-    gateway._events.state(
-        "upstreams_known", count=len(changes), age_s=_age_s(message.read_at)
+    gateway_events.log_upstreams_known(
+        gateway._events, len(changes), message.read_at
     )
     gateway._update_view(upstreams_loaded=True)
 
@@ -351,20 +331,16 @@
 @_receive.register
 def _(message: gateway_messages.EvacuationsRead, gateway: Gateway) -> None:
     # The upstreams of the same read follow and are applied with it.
-    for change in gateway._evacuations.record_read(
-        message.data_centers, message.read_at
-    ):
-        gateway._events.state(
-            "evacuation",
-            data_center=change.data_center,
-            change=change.change,
-            age_s=_age_s(message.read_at),
-        )
+    found, read_at = message.data_centers, message.read_at
+    changes = gateway._evacuations.record_read(found, read_at)
+    gateway_events.log_changes(gateway._events, changes)
 
 
 @_receive.register
 def _(message: gateway_messages.PeersRead, gateway: Gateway) -> None:
-    gateway._peers.record_read(message.peers, message.read_at)
+    gateway._peers.record_read(
+        message.peers, message.read_at, message.grace_until
+    )
     for peer in gateway._peers.same_data_center:
         gateway._gossip.send(gossip.Seed(peer.host, peer.entry_port))
     gateway._apply_registered_entries()
@@ -381,6 +357,27 @@
     )
 
 
+@_receive.register
+def _(message: gateway_messages.GraceEnded, gateway: Gateway) -> None:
+    gateway_events.log_changes(
+        gateway._events, gateway._upstreams.drop_missing(time.monotonic())
+    )
+    gateway._peers.drop_missing()
+    gateway._apply_upstreams()
+    gateway._apply_registered_entries()
+    gateway._update_members()
+
+
+@_receive.register
+def _(message: gateway_messages.StoreViewChanged, gateway: Gateway) -> None:
+    view = message.view
+    gateway._is_registration_old = view.registration_doubtful
+    gateway._apply_entry_count()
+    gateway._events.state(
+        "store_view", state=view.contact.value, absent=view.absent.value
+    )
+
+
 @_receive.register
 def _(message: gateway_messages.MembersChanged, gateway: Gateway) -> None:
     gateway._update_members()
@@ -388,7 +385,9 @@
 
 @_receive.register
 def _(message: gateway_messages.UpstreamIdMismatch, gateway: Gateway) -> None:
-    gateway._log_changes(gateway._upstreams.fence(message.upstream_id))
+    gateway_events.log_changes(
+        gateway._events, gateway._upstreams.fence(message.upstream_id)
+    )
     gateway._apply_upstreams()
 
 
--- a/src/sesamevale/gateway_messages.py
+++ b/src/sesamevale/gateway_messages.py
@@ -13,16 +13,19 @@
     from sesamevale.policy.admission import drain_schedule
     from sesamevale.policy.admission import retry_budget
     from sesamevale.policy.membership import registered_peers as peers
+    from sesamevale.policy.membership import store_view
 
 __all__ = [
     "ConfigurationRead",
     "EvacuationsRead",
     "GatewaySettings",
+    "GraceEnded",
     "MembersChanged",
     "Message",
     "PeersRead",
     "Stopping",
     "StoreReachabilityChanged",
+    "StoreViewChanged",
     "UpstreamIdMismatch",
     "UpstreamsRead",
 ]
@@ -92,10 +95,13 @@
     Attributes:
         upstreams: The upstreams.
         read_at: When the read was sent, in monotonic seconds.
+        grace_until: Until when missing upstreams may be used, in monotonic
+            seconds.
     """
 
     upstreams: tuple[routes.UpstreamRecord, ...]
     read_at: float
+    grace_until: float = float("-inf")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -118,10 +124,29 @@
     Attributes:
         peers: The entries, including this one.
         read_at: When the read was sent, in monotonic seconds.
+        grace_until: Until when missing entries are kept, in monotonic
+            seconds.
     """
 
     peers: tuple[peers.Peer, ...]
     read_at: float
+    grace_until: float = float("-inf")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GraceEnded:
+    """What is missing since an outage of the store is gone."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreViewChanged:
+    """The view of the store changed its state.
+
+    Attributes:
+        view: The view now.
+    """
+
+    view: store_view.Summary
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -169,6 +194,8 @@
     | UpstreamsRead
     | EvacuationsRead
     | PeersRead
+    | GraceEnded
+    | StoreViewChanged
     | StoreReachabilityChanged
     | MembersChanged
     | UpstreamIdMismatch
--- a/src/sesamevale/policy/membership/evacuations.py
+++ b/src/sesamevale/policy/membership/evacuations.py
@@ -24,10 +24,12 @@
     Attributes:
         data_center: The data centre.
         change: began or ended.
+        read_at: When the read that told it was sent, in monotonic seconds.
     """
 
     data_center: str
     change: str
+    read_at: float
 
 
 class Evacuations:
@@ -61,8 +63,8 @@
             del self._since[name]
         for name in begun:
             self._since[name] = now
-        return [EvacuationChange(name, "began") for name in begun] + [
-            EvacuationChange(name, "ended") for name in ended
+        return [EvacuationChange(name, "began", now) for name in begun] + [
+            EvacuationChange(name, "ended", now) for name in ended
         ]
 
     def select_usable(
--- a/tests/policy/membership/test_evacuations_machine.py
+++ b/tests/policy/membership/test_evacuations_machine.py
@@ -158,6 +158,7 @@
     assert dataclasses.astuple(state.record_read((), 11.0)[0]) == (
         "b",
         "ended",
+        11.0,
     )
 
 
--- a/tests/policy/test_routes.py
+++ b/tests/policy/test_routes.py
@@ -89,11 +89,22 @@
     assert known.same_data_center == known.other_data_centers == ()
 
 
-def test_registrations_that_lapsed_in_an_outage_are_kept_temporarily():
+# Guards against taking a gap between two reads for an outage of the store.
+def test_an_entry_that_was_cut_off_forgets_entries_that_are_gone():
     known = registered_peers.RegisteredPeers("e-1", "here")
     known.record_read([peer("e-3", "there")], 0.0)
     known.record_read([], 9.0)
+    assert known.other_data_centers == ()
+
+
+def test_registrations_that_lapsed_in_an_outage_are_kept_temporarily():
+    known = registered_peers.RegisteredPeers("e-1", "here")
+    known.record_read([peer("e-3", "there")], 0.0)
+    known.record_read([], 9.0, grace_until=11.2)
     assert [each.entry_id for each in known.other_data_centers] == ["e-3"]
-    known.record_read([], 10.0)
-    known.record_read([], 11.3)
+    known.record_read([], 10.0, grace_until=11.2)
+    known.drop_missing()
+    assert known.other_data_centers == ()
+    known.record_read([peer("e-3", "there")], 12.0)
+    known.record_read([], 13.0, grace_until=11.2)
     assert known.other_data_centers == ()
--- a/tests/test_gateway_mutants.py
+++ b/tests/test_gateway_mutants.py
@@ -16,7 +16,8 @@
 from sesamevale.callers import gateway_exchange
 from sesamevale.entries import state_reader
 from sesamevale.forwarding import attempt_runner
-from sesamevale.forwarding import service_task
+from sesamevale.forwarding import request_flow
+from sesamevale.platform import header_fields
 from sesamevale.platform import store_client
 from sesamevale.policy.admission import drain_schedule
 from sesamevale.policy.admission import pipelining
@@ -40,9 +41,13 @@
 from tests.forwarding import test_answer_channel
 from tests.forwarding import test_endless_answers
 from tests.forwarding import test_service_task
+from tests.forwarding import (
+    test_upstream_signals as test_upstream_signals_over_sockets,
+)
 from tests.platform import test_store_reader
 from tests.policy import test_routes
 from tests.policy.admission import test_drain_schedule
+from tests.policy.admission import test_pipelining_machine
 from tests.policy.admission import test_rate_shares
 from tests.policy.admission import test_retry_budget_machine
 from tests.policy.balancing import test_load_sampling
@@ -109,7 +114,14 @@
 
 
 def drop_lapsed_upstreams_immediately(monkeypatch) -> None:
-    monkeypatch.setattr(discovered_upstreams, "RETURN_GRACE_S", 0.0)
+    original = discovered_upstreams.DiscoveredUpstreams.record_read
+
+    def record_read(self, records, now, grace_until=0.0):
+        return original(self, records, now)
+
+    monkeypatch.setattr(
+        discovered_upstreams.DiscoveredUpstreams, "record_read", record_read
+    )
 
 
 def accept_any_version(monkeypatch) -> None:
@@ -171,7 +183,28 @@
 
 def close_before_started_requests(monkeypatch) -> None:
     monkeypatch.setattr(
-        pipelining.Pipeline, "close_behind_oldest", lambda self: True
+        pipelining.Pipeline, "close_behind_oldest", lambda self, **read: True
+    )
+
+
+def drop_requests_that_were_read(monkeypatch) -> None:
+    monkeypatch.setattr(
+        gateway_connection.GatewayConnection, "_has_read_more", False
+    )
+
+
+def close_before_read_requests(monkeypatch) -> None:
+    original = pipelining.Pipeline.close_behind_oldest
+
+    def close(self, *, has_read_more):
+        return original(self, has_read_more=False)
+
+    monkeypatch.setattr(pipelining.Pipeline, "close_behind_oldest", close)
+
+
+def take_all_that_is_behind_others(monkeypatch) -> None:
+    monkeypatch.setattr(
+        pipelining.Pipeline, "must_refuse", lambda self, **state: False
     )
 
 
@@ -259,21 +292,21 @@
 
 def leave_streams_open(monkeypatch) -> None:
     monkeypatch.setattr(
-        service_task.ServiceTask,
-        "_end_stream",
+        request_flow.RequestFlow,
+        "end_stream",
         lambda self, active_request, *, complete: None,
     )
 
 
 def set_no_timer_for_streams(monkeypatch) -> None:
-    original = service_task.ServiceTask._set_deadline_timer
+    original = request_flow.RequestFlow.set_deadline_timer
 
     def set_timer(self, active_request):
         if not active_request.is_streaming:
             original(self, active_request)
 
     monkeypatch.setattr(
-        service_task.ServiceTask, "_set_deadline_timer", set_timer
+        request_flow.RequestFlow, "set_deadline_timer", set_timer
     )
 
 
@@ -360,6 +393,33 @@
     monkeypatch.setattr(upstream_signals, "RETENTION_S", 0.0)
 
 
+def read_zero_as_no_limit(monkeypatch) -> None:
+    original = header_fields._read_decimal
+
+    def read(headers, name):
+        return original(headers, name) or None
+
+    monkeypatch.setattr(header_fields, "_read_decimal", read)
+
+
+def recheck_all_at_once(monkeypatch) -> None:
+    monkeypatch.setattr(
+        rate_shares.RateShares, "_first_recheck_after_s", lambda self: 1.0
+    )
+
+
+def never_recheck_closed_services(monkeypatch) -> None:
+    monkeypatch.setattr(
+        upstream_openings.Openings, "find_recheck", lambda *_: None
+    )
+
+
+def send_all_after_a_limit_of_zero(monkeypatch) -> None:
+    monkeypatch.setattr(
+        upstream_signals.UpstreamSignals, "record_request", lambda *_: None
+    )
+
+
 def forget_who_leaves(monkeypatch) -> None:
     original = upstream_signals.UpstreamSignals.record_answer
 
@@ -476,7 +536,23 @@
     ),
     (
         close_before_started_requests,
-        test_pipelined_requests.test_an_entry_that_stops_answers_what_it_has_started,
+        test_pipelined_requests.test_an_entry_that_stops_answers_what_it_has_read,
+    ),
+    (
+        drop_requests_that_were_read,
+        test_pipelined_requests.test_a_charge_that_was_read_before_a_stop_is_served_behind_a_read,
+    ),
+    (
+        drop_requests_that_were_read,
+        test_pipelined_requests.test_a_connection_that_times_out_answers_what_has_just_arrived,
+    ),
+    (
+        close_before_read_requests,
+        lambda: run_machine(test_pipelining_machine.PipelineMachine),
+    ),
+    (
+        take_all_that_is_behind_others,
+        test_pipelined_requests.test_an_entry_that_stops_answers_what_it_has_read,
     ),
     (share_nothing, lambda: run_machine(test_rate_shares.SharesMachine)),
     (count_no_requests, lambda: run_machine(test_rate_shares.SharesMachine)),
@@ -492,6 +568,22 @@
         never_lift_limits,
         test_rate_shares.test_the_end_of_a_limit_gives_room_at_once,
     ),
+    (
+        read_zero_as_no_limit,
+        test_upstream_signals_over_sockets.test_an_upstream_that_names_a_limit_of_zero_gets_nothing_until_it_ends,
+    ),
+    (
+        recheck_all_at_once,
+        test_rate_shares.test_entries_look_again_one_after_the_other,
+    ),
+    (
+        never_recheck_closed_services,
+        test_load_sampling.test_upstreams_that_take_nothing_are_sampled_now_and_then,
+    ),
+    (
+        send_all_after_a_limit_of_zero,
+        test_upstream_signals.test_one_request_comes_first_after_a_limit_of_zero,
+    ),
     (
         forget_who_leaves,
         test_upstream_signals.test_an_upstream_that_leaves_stays_closed_whatever_it_says_later,
