Give an upstream that answers no look what a cold one bears

Cause: a request was sent to an upstream that is believed warm only after it had answered a sample, so one whose health path is silent was never used again while it served. Now it is doubtful for a second at a time: its share, no more. A late answer ends the doubt.

--- a/src/sesamevale/operators/commands/gateway.py
+++ b/src/sesamevale/operators/commands/gateway.py
@@ -51,7 +51,7 @@
     since = f"for {content['age_s']:.1f} s"
     if content["signal"] == "pause":
         return f"{begin} {since}, {content['value']:.1f} s left"
-    if content["signal"] == "warmup":
+    if content["signal"] in ("warmup", "doubtful"):
         left = f"{begin} {since}, {content['value']:.1f} s left"
         share = content.get("share")
         return f"{left}, share here {share:.2g} a second" if share else left
--- a/src/sesamevale/operators/gateway_pages.py
+++ b/src/sesamevale/operators/gateway_pages.py
@@ -156,7 +156,7 @@
         if candidate is not None and used is not None:
             status["share"] = shares.rate_of(candidate.record, now)
             status["used"] = used
-        if candidate is not None and each.signal == "warmup":
+        if candidate is not None and each.signal in ("warmup", "doubtful"):
             status["share"] = task.balancer.warmups.rate_of(
                 candidate.record, now
             )
--- a/src/sesamevale/policy/balancing/upstream_search.py
+++ b/src/sesamevale/policy/balancing/upstream_search.py
@@ -43,7 +43,7 @@
             waiting; a request that cannot must then leave them the slots.
         ahead: Number of more urgent requests that wait. Room under the limits
             that upstreams name is theirs.
-        looked: Upstreams that were looked at since the last wait for one.
+        looked: Upstreams that were looked at whether they are cold.
     """
 
     route: str
--- a/src/sesamevale/policy/balancing/warmup_shares.py
+++ b/src/sesamevale/policy/balancing/warmup_shares.py
@@ -5,7 +5,8 @@
 entries, chosen by rendezvous hashing from the registered ones, have a share.
 
 Discovery records tell late that an upstream has turned cold. So an upstream
-that is believed warm is looked at, by a sample, just before a request.
+that is believed warm is looked at, by a sample, just before a request. Without
+an answer to the look it is doubtful, and gets no more than a cold one.
 """
 
 from __future__ import annotations
@@ -32,7 +33,10 @@
 # Longest time for which a report of coldness is relied on. The upstream is
 # looked at again after it.
 REPORT_MAX_AGE_S = 10.0
-# Delay before another look if the last one brought no answer.
+# Time for which an upstream that has not answered a look is doubtful.
+DOUBT_S = 1.0
+# Delay before another choice if the upstream of the last one is doubtful and
+# has no room.
 LOOK_DELAY_S = 0.05
 
 
@@ -62,6 +66,7 @@
         self._rate: float | None = None
         self._cold_since: dict[upstream_signals.Instance, float] = {}
         self._cold_until: dict[upstream_signals.Instance, float] = {}
+        self._doubtful: set[upstream_signals.Instance] = set()
         self._first_end = math.inf
         self._looked_at: dict[upstream_signals.Instance, float] = {}
         self._sequences: dict[upstream_signals.Instance, int] = {}
@@ -74,7 +79,7 @@
 
     @property
     def any_cold(self) -> bool:
-        """Whether any upstream is known to be cold."""
+        """Whether any upstream is taken for cold."""
         return bool(self._cold_until)
 
     @property
@@ -180,18 +185,28 @@
         )
         if is_sample:
             self._looked_at[instance] = now
+        was_doubtful = instance in self._doubtful
         if left_s > 0.0:
-            if self._begin(instance, now + left_s, now):
+            self._doubtful.discard(instance)
+            if self._begin(instance, now + left_s, now) or was_doubtful:
                 return [
                     upstream_signals.SignalChange("warmup", "began", left_s)
                 ]
         elif is_sample and instance in self._cold_until:
             self._end(instance, now)
-            return [upstream_signals.SignalChange("warmup", "ended", 0.0)]
+            if not was_doubtful:
+                return [upstream_signals.SignalChange("warmup", "ended", 0.0)]
         return []
 
+    def record_unanswered(
+        self, instance: upstream_signals.Instance, now: float
+    ) -> None:
+        """Records that an upstream has not answered a look in time."""
+        if self._begin(instance, now + DOUBT_S, now):
+            self._doubtful.add(instance)
+
     def is_cold(self, instance: upstream_signals.Instance, now: float) -> bool:
-        """Whether an upstream is known to be cold."""
+        """Whether an upstream is known to be cold, or doubtful."""
         return now < self.cold_until(instance)
 
     def cold_until(self, instance: upstream_signals.Instance) -> float:
@@ -263,11 +278,14 @@
         return _look_first(step, self, search, now)
 
     def list_in_force(self, now: float) -> list[upstream_signals.SignalStatus]:
-        """Returns all upstreams that are cold, with the rest of the time."""
+        """Returns all upstreams that are cold or doubtful.
+
+        The value is the rest of the time for which they are.
+        """
         return [
             upstream_signals.SignalStatus(
                 instance.upstream_id,
-                "warmup",
+                "doubtful" if instance in self._doubtful else "warmup",
                 until - now,
                 now - self._cold_since[instance],
             )
@@ -291,6 +309,7 @@
 
     def _end(self, instance: upstream_signals.Instance, now: float) -> None:
         del self._cold_until[instance], self._cold_since[instance]
+        self._doubtful.discard(instance)
         self._changes += 1
         self._limits.record_answer(instance, (), now)
 
@@ -334,8 +353,11 @@
     if not shares.must_look(candidate.record, now):
         return step
     name = candidate.record.upstream_id
-    if name in search.looked:
-        search.looked = frozenset()
-        return upstream_search.Wait(LOOK_DELAY_S)
-    search.looked |= {name}
-    return upstream_search.Sample((candidate,))
+    if name not in search.looked:
+        search.looked |= {name}
+        return upstream_search.Sample((candidate,))
+    search.looked -= {name}
+    shares.record_unanswered(candidate.instance, now)
+    if shares.has_room(candidate.record, now):
+        return step
+    return upstream_search.Wait(LOOK_DELAY_S)
--- a/tests/policy/balancing/test_warmup_shares.py
+++ b/tests/policy/balancing/test_warmup_shares.py
@@ -191,19 +191,44 @@
     assert shares.rate_of(RECORD, 20.3) == math.inf
 
 
-# A search that can't look must neither send nor spin.
-def test_a_look_without_an_answer_is_followed_by_a_wait():
+# A search that can't look must neither send what it likes nor spin.
+def test_an_upstream_that_answers_no_look_gets_no_more_than_a_cold_one():
+    shares = alone()
+    kinds = []
+    for number in range(4):
+        search, now = new_search(), 12.0 + 0.05 * number
+        step = shares.look_first(send(), search, now)
+        if isinstance(step, upstream_search.Sample):
+            step = shares.look_first(send(), search, now + 0.025)
+        kinds.append(type(step))
+        if isinstance(step, upstream_search.Send):
+            shares.record_request(RECORD, now + 0.025)
+    assert kinds[0] is upstream_search.Send
+    assert not shares.has_room(RECORD, 12.2)
+    (status,) = shares.list_in_force(12.2)
+    assert status.signal == "doubtful"
+    assert shares.must_look(RECORD, 12.1 + warmup_shares.DOUBT_S)
+
+
+def test_without_room_a_look_without_an_answer_is_followed_by_a_wait():
     shares, search = alone(), new_search()
-    kinds = [
-        type(shares.look_first(send(), search, 10.0 + 0.1 * number))
-        for number in range(4)
-    ]
-    assert kinds == [
-        upstream_search.Sample,
-        upstream_search.Wait,
-        upstream_search.Sample,
-        upstream_search.Wait,
-    ]
+    shares.set_members([], 11.0, 11.0)
+    shares.look_first(send(), search, 12.0)
+    step = shares.look_first(send(), search, 12.03)
+    assert step == upstream_search.Wait(warmup_shares.LOOK_DELAY_S)
+
+
+def test_a_late_answer_ends_the_doubt():
+    shares = alone()
+    shares.record_unanswered(INSTANCE, 20.0)
+    assert shares.is_cold(INSTANCE, 20.1)
+    assert sample(shares, 0.0, 20.2) == []
+    assert not shares.any_cold
+    shares.record_unanswered(INSTANCE, 21.0)
+    (change,) = sample(shares, COLD_S, 21.1)
+    assert (change.signal, change.change) == ("warmup", "began")
+    (status,) = shares.list_in_force(21.2)
+    assert status.signal == "warmup"
 
 
 def test_a_request_goes_on_after_a_look():
--- a/tests/standins/cold_fleet.py
+++ b/tests/standins/cold_fleet.py
@@ -226,13 +226,14 @@
         shares, now = entry.shares, self.now
         shares.forget_ended(now)
         if shares.must_look(upstream.record, now):
-            if entry.hears_nothing:
-                return False
             left_s = upstream.cold_until - now
             signals = ()
             if left_s > 0.0:
                 signals = (upstream_signals.Warming(left_s),)
-            shares.record_answer(instance, signals, now, is_sample=True)
+            if entry.hears_nothing:
+                shares.record_unanswered(instance, now)
+            else:
+                shares.record_answer(instance, signals, now, is_sample=True)
         return shares.has_room(upstream.record, now)
 
     def arrive(self, entry, upstream) -> None:
--- a/tests/test_shift_mutants.py
+++ b/tests/test_shift_mutants.py
@@ -96,6 +96,14 @@
     )
 
 
+def never_doubt(monkeypatch):
+    monkeypatch.setattr(
+        warmup_shares.WarmupShares,
+        "record_unanswered",
+        lambda self, instance, now: None,
+    )
+
+
 def let_records_end_coldness(monkeypatch):
     def record_discovered(self, records, now):
         for record in records:
@@ -130,6 +138,10 @@
         ignore_coldness_in_the_choice,
         test_shift_patterns.test_upstreams_that_turn_cold_where_traffic_has_just_moved_to_hold,
     ),
+    (
+        never_doubt,
+        test_warmup_shares.test_an_upstream_that_answers_no_look_gets_no_more_than_a_cold_one,
+    ),
     (count_no_requests_to_cold_upstreams, run_warmup_machine),
     (give_all_entries_a_whole_share, turn_forty_cold),
     (
