--- a/src/sesamevale/entries/state_reader.py
+++ b/src/sesamevale/entries/state_reader.py
@@ -217,6 +217,11 @@
         self._evacuated = contents.evacuated
         self._state.record_read(contents, read_at)
         gateway = self._gateway
+        # Upstreams come after it, so that none is used before it is known to
+        # be evacuated.
+        gateway.send(
+            gateway_messages.EvacuationsRead(contents.evacuated, read_at)
+        )
         gateway.send(
             gateway_messages.UpstreamsRead(
                 contents.upstreams, read_at, grace_until, contents.era
