--- a/src/sesamevale/operators/gateway_pages.py
+++ b/src/sesamevale/operators/gateway_pages.py
@@ -10,6 +10,7 @@
 
 from sesamevale import metrics
 from sesamevale.operators import admin_server
+from sesamevale.operators import memory_samples
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -19,7 +20,9 @@
     from sesamevale.forwarding import service_task
     from sesamevale.policy.admission import memory_account
     from sesamevale.policy.configuration import active_configuration
+    from sesamevale.policy.membership import evacuations as evacuation_states
     from sesamevale.policy.signals import discovered_upstreams
+    from sesamevale.policy.signals import upstream_signals
 
 __all__ = ["GatewayPages"]
 
@@ -32,6 +35,7 @@
         router: Router with the tasks of all services.
         configuration: Configuration in force.
         upstreams: Upstreams that are known.
+        evacuations: Evacuations in force.
         events: Log whose dropped lines are counted.
         recorder: Recorder of the metrics.
         account: Memory of the entry, if it is counted.
@@ -43,6 +47,7 @@
         router: routers.RequestRouter,
         configuration: active_configuration.ActiveConfiguration,
         upstreams: discovered_upstreams.DiscoveredUpstreams,
+        evacuations: evacuation_states.Evacuations,
         events: event_log.EventLog,
         recorder: metrics.MetricsRecorder,
         account: memory_account.MemoryAccount | None = None,
@@ -51,11 +56,12 @@
         self._router = router
         self._configuration = configuration
         self._upstreams = upstreams
+        self._evacuations = evacuations
         self._events = events
         self._recorder = recorder
         recorder.add_source(self._gauges)
         if account is not None:
-            recorder.add_source(lambda: _memory_samples(account))
+            recorder.add_source(lambda: memory_samples.samples(account))
 
     @property
     def handlers(self) -> dict[str, Callable[[str], admin_server.Page]]:
@@ -74,6 +80,11 @@
             gauge("config_age_seconds", "Since confirmed", age_s),
             gauge("requests_active", "Requests now", self._router.active_count),
             gauge("members", "Entries in use", len(view.members)),
+            gauge(
+                "evacuated_data_centers",
+                "Whose upstreams get nothing",
+                len(self._evacuations.data_centers),
+            ),
             gauge("log_lines_dropped", "Not written", self._events.dropped),
             *self._signal_gauges(),
         ]
@@ -82,7 +93,7 @@
         now = time.monotonic()
         counts: collections.Counter[tuple[str, str]] = collections.Counter()
         for name, task in self._router.tasks.items():
-            for each in task.balancer.signals.list_in_force(now):
+            for each in _list_in_force(task, now):
                 counts[name, each.signal] += 1
         return [
             metrics.MetricSample(
@@ -114,6 +125,7 @@
             "config": self._configuration.version,
             "config_age_s": self._configuration.age_s(now),
             "upstreams_age_s": None if last_read is None else now - last_read,
+            "evacuated": self._evacuations.ages_s(now),
             "members": [each.entry_id for each in view.members],
             "services": {
                 name: _service_status(task, now)
@@ -124,33 +136,15 @@
         return admin_server.Page(200, "application/json", body)
 
 
-def _memory_samples(
-    account: memory_account.MemoryAccount,
-) -> list[metrics.MetricSample]:
-    """Returns what callers hold and whom there was no room for."""
-    held = [
-        metrics.MetricSample(
-            "sesamevale_held_bytes", "Held now", {"kind": str(kind)}, count
-        )
-        for kind, count in account.held_by_kind.items()
-    ]
-    turned_away = [
-        metrics.MetricSample(
-            "sesamevale_turned_away",
-            "Connections and requests without room",
-            {"cause": str(cause)},
-            count,
-            is_counter=True,
-        )
-        for cause, count in account.turned_away.items()
+def _list_in_force(
+    task: service_task.ServiceTask, now: float
+) -> list[upstream_signals.SignalStatus]:
+    """Returns the signals in force at a service and its cold upstreams."""
+    balancer = task.balancer
+    return [
+        *balancer.signals.list_in_force(now),
+        *balancer.warmups.list_in_force(now),
     ]
-    capacity = metrics.MetricSample(
-        "sesamevale_held_bytes_max",
-        "Bound on the bytes held",
-        {},
-        account.limits.capacity_bytes,
-    )
-    return [*held, capacity, *turned_away]
 
 
 def _signals(
@@ -159,7 +153,7 @@
     """Returns what the upstreams of a service say of themselves."""
     found = []
     candidates, shares = task.balancer.candidates, task.balancer.shares
-    for each in task.balancer.signals.list_in_force(now):
+    for each in _list_in_force(task, now):
         status: dict[str, object] = dataclasses.asdict(each)
         candidate = candidates.get(each.upstream_id)
         used = None
@@ -168,6 +162,10 @@
         if candidate is not None and used is not None:
             status["share"] = shares.rate_of(candidate.record, now)
             status["used"] = used
+        if candidate is not None and each.signal in ("warmup", "doubtful"):
+            status["share"] = task.balancer.warmups.rate_of(
+                candidate.record, now
+            )
         found.append(status)
     return found
 
