--- a/src/sesamevale/bodies.py
+++ b/src/sesamevale/bodies.py
@@ -32,6 +32,11 @@
     def __len__(self) -> int:
         return self._length
 
+    @property
+    def is_long(self) -> bool:
+        """Whether it is held in more than one piece."""
+        return bool(self._segments)
+
     @property
     def is_released(self) -> bool:
         """Whether the memory was given back."""
--- a/src/sesamevale/callers/body_reader.py
+++ b/src/sesamevale/callers/body_reader.py
@@ -69,7 +69,11 @@
         if declared is not None and declared > self._limit_bytes:
             return Reason.TOO_LARGE
         with self._reader.reading_body():
-            if declared is not None and not await self._hold(declared):
+            if (
+                declared is not None
+                and declared > self._held_bytes
+                and not await self._hold(declared)
+            ):
                 return Reason.MEMORY
             result = await self._read_parts()
         self._wait_for_caller(is_waiting=False)
@@ -91,7 +95,7 @@
             length = len(body) + len(event.data)
             if length > self._limit_bytes:
                 return Reason.TOO_LARGE
-            if not await self._hold(length):
+            if length > self._held_bytes and not await self._hold(length):
                 return Reason.MEMORY
             body.append(event.data)
             self._note_progress(len(event.data))
@@ -102,8 +106,6 @@
     async def _hold(self, length: int) -> bool:
         """Takes memory for a body up to a length; False if there is none."""
         missing = length - self._held_bytes
-        if missing <= 0:
-            return True
         self._wait_for_caller(is_waiting=True)
         if self._reader.declared_length is None:
             missing = max(missing, bodies.SEGMENT_BYTES)
--- a/src/sesamevale/policy/admission/memory_account.py
+++ b/src/sesamevale/policy/admission/memory_account.py
@@ -77,7 +77,8 @@
 
     __slots__ = (
         "_account",
-        "_bytes",
+        "_further",
+        "_held_bytes",
         "_is_open",
         "_phase",
         "_priority",
@@ -96,7 +97,9 @@
         self._account = account
         self._priority = priority
         self._turn_away = turn_away
-        self._bytes = {Kind.REQUEST: memory_limits.REQUEST_BYTES}
+        # By kind, what is held beside the memory of each request.
+        self._further: dict[Kind, int] | None = None
+        self._held_bytes = memory_limits.REQUEST_BYTES
         self._phase = Phase.SERVED
         self._progress = 0
         self._progress_at = now
@@ -110,7 +113,7 @@
     @property
     def held_bytes(self) -> int:
         """Bytes that are held."""
-        return sum(self._bytes.values())
+        return self._held_bytes
 
     @property
     def phase(self) -> Phase:
@@ -154,15 +157,21 @@
         account = self._account
         if not self._is_open or not account._make_room(self, count, now):
             return False
-        self._bytes[kind] = self._bytes.get(kind, 0) + count
-        account._add(kind, count)
+        self._add(kind, count)
         return True
 
     def shrink(self, kind: Kind, count: int) -> None:
         """Gives memory back."""
         if self._is_open:
-            self._bytes[kind] -= count
-            self._account._give_back(kind, count)
+            self._add(kind, -count)
+            self._account._on_freed()
+
+    def _add(self, kind: Kind, count: int) -> None:
+        if self._further is None:
+            self._further = {}
+        self._further[kind] = self._further.get(kind, 0) + count
+        self._held_bytes += count
+        self._account._add(kind, count)
 
     def close(self) -> None:
         """Gives all memory back; does nothing the second time."""
@@ -187,7 +196,8 @@
         self._limits = limits
         self._on_freed = on_freed
         self._total = 0
-        self._held = dict.fromkeys(Kind, 0)
+        # By kind, what is held beside the memory of each request.
+        self._further = dict.fromkeys(Kind, 0)
         self._turned_away: collections.Counter[Cause] = collections.Counter()
         self._request_count = 0
         # Holdings that wait for their callers.
@@ -206,7 +216,9 @@
     @property
     def held_by_kind(self) -> Mapping[Kind, int]:
         """Bytes that are held, by what for."""
-        return self._held
+        held = dict(self._further)
+        held[Kind.REQUEST] += self._request_count * memory_limits.REQUEST_BYTES
+        return held
 
     @property
     def turned_away(self) -> Mapping[Cause, int]:
@@ -219,7 +231,7 @@
         Args:
             replaces: Whether another connection is being closed for it.
         """
-        held = self._held[Kind.CONNECTION]
+        held = self._further[Kind.CONNECTION]
         is_full = (
             held
             >= self._limits.connections_max * memory_limits.CONNECTION_BYTES
@@ -233,7 +245,8 @@
 
     def disconnect(self) -> None:
         """Counts the end of a connection."""
-        self._give_back(Kind.CONNECTION, memory_limits.CONNECTION_BYTES)
+        self._add(Kind.CONNECTION, -memory_limits.CONNECTION_BYTES)
+        self._on_freed()
 
     def open(
         self, priority: int, turn_away: Callable[[Cause], None], now: float
@@ -256,7 +269,7 @@
         if not self._make_room(holding, memory_limits.REQUEST_BYTES, now):
             return None
         self._request_count += 1
-        self._add(Kind.REQUEST, memory_limits.REQUEST_BYTES)
+        self._total += memory_limits.REQUEST_BYTES
         return holding
 
     def count_refused_connection(self) -> None:
@@ -337,15 +350,11 @@
     def _forget(self, holding: Holding) -> None:
         self._waiting.discard(holding)
         self._request_count -= 1
-        for kind, count in holding._bytes.items():
-            self._held[kind] -= count
+        for kind, count in (holding._further or {}).items():
+            self._further[kind] -= count
         self._total -= holding.held_bytes
         self._on_freed()
 
     def _add(self, kind: Kind, count: int) -> None:
-        self._held[kind] += count
+        self._further[kind] += count
         self._total += count
-
-    def _give_back(self, kind: Kind, count: int) -> None:
-        self._add(kind, -count)
-        self._on_freed()
--- a/src/sesamevale/upstreams/http_link.py
+++ b/src/sesamevale/upstreams/http_link.py
@@ -229,15 +229,14 @@
         A task of its own writes a long body, so that an early answer is read.
         """
         data = self._http.send(head) or b""
-        parts = body.parts() if body is not None else []
-        if len(parts) > 1:
+        if body is not None and body.is_long:
             stream.write(data)
             self._writing = asyncio.create_task(
-                self._write_parts(stream, parts)
+                self._write_parts(stream, body.parts())
             )
             return
-        for part in parts:
-            data += self._http.send(h11.Data(data=bytes(part))) or b""
+        if body:
+            data += self._http.send(h11.Data(data=body.to_bytes())) or b""
         data += self._http.send(h11.EndOfMessage()) or b""
         stream.write(data)
 
