Let a connection find room where requests stall

Requests that fill the memory and stall kept new connections out: they were closed at once. A stalled request gives way to a connection as it does to a request.

--- a/src/sesamevale/callers/answer_encoder.py
+++ b/src/sesamevale/callers/answer_encoder.py
@@ -22,7 +22,7 @@
     from sesamevale import outcomes
     from sesamevale import sockets
 
-__all__ = ["AnswerEncoder", "PIECE_BYTES"]
+__all__ = ["AnswerEncoder"]
 
 NO_BODY_STATUSES = (204, 304)
 # Interval in which progress is looked for while a caller takes an answer.
@@ -129,16 +129,26 @@
         data += self._http.send(h11.EndOfMessage()) or b""
         self._stream.write(data)
 
-    async def send_long(self, head: calls.AnswerHead, body: bytes) -> None:
-        """Sends a complete answer no faster than the caller takes it.
+    async def send_parts(
+        self,
+        head: calls.AnswerHead,
+        parts: list[calls.AnswerData],
+        method: bytes,
+    ) -> None:
+        """Sends a complete answer, a long one as the caller takes it.
 
         Args:
             head: Status and header fields.
-            body: The whole body, which must not be empty.
+            parts: The whole body.
+            method: Method of the request; the answer to HEAD has no body.
 
         Raises:
             h11.LocalProtocolError: The answer cannot be encoded.
         """
+        body = b"".join(each.data for each in parts)
+        if len(body) <= PIECE_BYTES or method == b"HEAD":
+            self.send_whole(head, body, method)
+            return
         name = http1.HeaderName.CONTENT_LENGTH
         headers = (*head.headers, (name, b"%d" % len(body)))
         self._stream.write(self._encode_head(head.status, headers))
--- a/src/sesamevale/callers/gateway_exchange.py
+++ b/src/sesamevale/callers/gateway_exchange.py
@@ -17,6 +17,7 @@
 from sesamevale.callers import answer_encoder
 from sesamevale.callers import answers
 from sesamevale.forwarding import requests
+from sesamevale.policy.admission import memory_account
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -37,8 +38,6 @@
 # Retry-After of a request without a known route, e.g. because no
 # configuration has been read yet.
 UNROUTED_RETRY_AFTER_MS = 300
-# Priority of a request without a route.
-LEAST_URGENT = 9
 # Reason in the log of a request whose task has failed.
 UNEXPECTED_ERROR = "unexpected_error"
 
@@ -117,7 +116,9 @@
     @property
     def priority(self) -> int:
         """Priority by the route; 0 is the most urgent."""
-        return LEAST_URGENT if self._route is None else self._route.priority
+        if self._route is None:
+            return memory_account.LEAST_URGENT
+        return self._route.priority
 
     @property
     def held_bytes(self) -> int:
@@ -322,7 +323,7 @@
         if isinstance(message, calls.AnswerFailed):
             return self._end_without_answer(request, message.outcome)
         if isinstance(message, calls.AnswerEnd):
-            await self._send_whole(first, parts, request.method)
+            await self._encoder.send_parts(first, parts, request.method)
             return _answered(first.status)
         # These parts are not kept while the rest is sent.
         del message
@@ -333,19 +334,6 @@
             return _Result("unknown", str(last.outcome.reason), 0)
         return _answered(first.status)
 
-    async def _send_whole(
-        self,
-        head: calls.AnswerHead,
-        parts: list[calls.AnswerData],
-        method: bytes,
-    ) -> None:
-        """Sends a complete answer, at once unless it is long."""
-        data = b"".join(each.data for each in parts)
-        if len(data) <= answer_encoder.PIECE_BYTES or method == b"HEAD":
-            self._encoder.send_whole(head, data, method)
-        else:
-            await self._encoder.send_long(head, data)
-
     def _end_without_answer(
         self,
         request: requests.Request,
--- a/src/sesamevale/callers/gateway_server.py
+++ b/src/sesamevale/callers/gateway_server.py
@@ -111,7 +111,7 @@
         has_room = False
         if self.open_connections >= account.limits.crowded_connections:
             has_room = self._abort_unused()
-        if not account.try_connect(replaces=has_room):
+        if not account.try_connect(time.monotonic(), replaces=has_room):
             return False
         super()._on_accepted(stream)
         return True
--- a/src/sesamevale/policy/admission/memory_account.py
+++ b/src/sesamevale/policy/admission/memory_account.py
@@ -34,6 +34,8 @@
 # Bytes that count as progress. A peer that sends or takes less in ``STALL_S``
 # holds memory for far longer than its link requires.
 PROGRESS_BYTES = 16 * 1024
+# Priority of what has no route, or is no request yet.
+LEAST_URGENT = 9
 
 
 class Kind(enum.StrEnum):
@@ -154,8 +156,13 @@
         Returns:
             Whether there is room. There is none for one that was turned away.
         """
-        account = self._account
-        if not self._is_open or not account._make_room(self, count, now):
+        account, limits = self._account, self._account.limits
+        request_bytes = memory_limits.REQUEST_BYTES
+        is_large = max(count, self._held_bytes) > request_bytes
+        limit = limits.large_bytes if is_large else limits.capacity_bytes
+        if not self._is_open or not account._make_room(
+            count, limit, self._priority, now, keep=self
+        ):
             return False
         self._add(kind, count)
         return True
@@ -225,23 +232,21 @@
         """Connections and requests that were turned away, by cause."""
         return self._turned_away
 
-    def try_connect(self, *, replaces: bool = False) -> bool:
+    def try_connect(self, now: float, *, replaces: bool = False) -> bool:
         """Counts a connection; False if there is no room for it.
 
         Args:
+            now: Monotonic time in seconds.
             replaces: Whether another connection is being closed for it.
         """
+        count, limits = memory_limits.CONNECTION_BYTES, self._limits
         held = self._further[Kind.CONNECTION]
-        is_full = (
-            held
-            >= self._limits.connections_max * memory_limits.CONNECTION_BYTES
-            or self._total + memory_limits.CONNECTION_BYTES
-            > self._limits.capacity_bytes
+        has_room = held < limits.connections_max * count and self._make_room(
+            count, limits.capacity_bytes, LEAST_URGENT, now
         )
-        if is_full and not replaces:
-            return False
-        self._add(Kind.CONNECTION, memory_limits.CONNECTION_BYTES)
-        return True
+        if has_room or replaces:
+            self._add(Kind.CONNECTION, count)
+        return has_room or replaces
 
     def disconnect(self) -> None:
         """Counts the end of a connection."""
@@ -265,12 +270,13 @@
             self._turn_away_one(priority, now)
             if self._request_count >= self._limits.requests_max:
                 return None
-        holding = Holding(self, priority, turn_away, now)
-        if not self._make_room(holding, memory_limits.REQUEST_BYTES, now):
+        count = memory_limits.REQUEST_BYTES
+        limit = self._limits.capacity_bytes
+        if not self._make_room(count, limit, priority, now):
             return None
         self._request_count += 1
-        self._total += memory_limits.REQUEST_BYTES
-        return holding
+        self._total += count
+        return Holding(self, priority, turn_away, now)
 
     def count_refused_connection(self) -> None:
         """Counts a connection that was closed since it found no room."""
@@ -281,21 +287,33 @@
         is_full = self._request_count >= self._limits.requests_max
         self._turned_away[Cause.REQUESTS if is_full else Cause.MEMORY] += 1
 
-    def _make_room(self, holding: Holding, count: int, now: float) -> bool:
-        """Turns others away until bytes fit; False if they can't."""
-        is_large = (
-            count > memory_limits.REQUEST_BYTES
-            or holding.held_bytes > memory_limits.REQUEST_BYTES
-        )
-        limit = self._limits.capacity_bytes
-        if is_large:
-            limit = self._limits.large_bytes
+    def _make_room(
+        self,
+        count: int,
+        limit: int,
+        priority: int,
+        now: float,
+        *,
+        keep: Holding | None = None,
+    ) -> bool:
+        """Turns others away until bytes fit.
+
+        Args:
+            count: The bytes.
+            limit: Bytes that may be held with them.
+            priority: Priority of the request that they are for.
+            now: Monotonic time in seconds.
+            keep: Holding that stays, since the bytes are for it.
+
+        Returns:
+            Whether they fit; otherwise nobody is turned away.
+        """
         missing = self._total + count - limit
         if missing <= 0:
             return True
         victims = []
-        for each in self._candidates(holding.priority, now):
-            if each is holding:
+        for each in self._candidates(priority, now):
+            if each is keep:
                 continue
             victims.append(each)
             missing -= each.held_bytes
--- a/tests/policy/admission/test_memory_account.py
+++ b/tests/policy/admission/test_memory_account.py
@@ -131,6 +131,18 @@
     assert memory.Request(account).holding is not None
 
 
+# Load: small requests that fill the entry, of callers that send no more.
+def test_a_connection_finds_room_beside_requests_that_stall():
+    account = memory.account(capacity_bytes=MIB, requests_max=100)
+    while memory.Request(account, phase=READING).holding is not None:
+        pass
+    held = account.held_bytes
+    while account.try_connect(0.0):
+        pass
+    assert account.limits.capacity_bytes - held < MIB // 8
+    assert account.try_connect(STALL_S)
+
+
 def test_a_request_that_was_turned_away_gets_no_more():
     account = memory.account()
     request = memory.Request(account, phase=READING, body=MIB)
@@ -160,7 +172,7 @@
 
     @stateful.rule()
     def connect(self):
-        self.connections += self.account.try_connect()
+        self.connections += self.account.try_connect(self.now)
 
     @stateful.precondition(lambda self: self.connections)
     @stateful.rule()
--- a/tests/test_memory_mutants.py
+++ b/tests/test_memory_mutants.py
@@ -28,7 +28,7 @@
 
 
 def admit_whatever_comes(monkeypatch) -> None:
-    monkeypatch.setattr(Account, "_make_room", lambda *_: True)
+    monkeypatch.setattr(Account, "_make_room", lambda *_, **__: True)
 
 
 def keep_what_ended(monkeypatch) -> None:
