--- a/src/sesamevale/callers/gateway_exchange.py
+++ b/src/sesamevale/callers/gateway_exchange.py
@@ -135,13 +135,7 @@
     def set_claim(
         self, claim: memory_room.Claim, stall_timeout_s: float
     ) -> None:
-        """Hands over the memory of the request, which ends with it.
-
-        Args:
-            claim: The memory.
-            stall_timeout_s: Time without progress, in seconds, after which a
-                caller that does not take its answer is cut off.
-        """
+        """Hands over the memory of the request; see ``AnswerEncoder``."""
         self._claim = claim
         self._encoder.set_claim(claim, stall_timeout_s)
 
