--- a/src/sesamevale/entries/state_reader.py
+++ b/src/sesamevale/entries/state_reader.py
@@ -209,6 +209,11 @@
             # The message of the end of the grace goes ahead of this one.
             grace_until = float("-inf")
         gateway = self._gateway
+        # Upstreams come after it, so that none is used before it is known to
+        # be evacuated.
+        gateway.send(
+            gateway_messages.EvacuationsRead(contents.evacuated, read_at)
+        )
         gateway.send(
             gateway_messages.UpstreamsRead(
                 contents.upstreams, read_at, grace_until
--- a/src/sesamevale/gateway.py
+++ b/src/sesamevale/gateway.py
@@ -19,20 +19,17 @@
 from sesamevale.entries import gossip
 from sesamevale.forwarding import messages
 from sesamevale.forwarding import router as routers
-from sesamevale.forwarding import service_task
+from sesamevale.forwarding import task_building
 from sesamevale.operators import admin_server
 from sesamevale.operators import gateway_pages
 from sesamevale.policy.admission import drain_schedule
-from sesamevale.policy.admission import rate_shares
-from sesamevale.policy.admission import retry_budget
-from sesamevale.policy.balancing import load_sampling
 from sesamevale.policy.configuration import active_configuration
 from sesamevale.policy.membership import entry_count
+from sesamevale.policy.membership import evacuations
 from sesamevale.policy.membership import membership
 from sesamevale.policy.membership import membership_types
 from sesamevale.policy.membership import registered_peers
 from sesamevale.policy.signals import discovered_upstreams
-from sesamevale.policy.signals import upstream_signals
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -72,6 +69,7 @@
         self._router = routers.RequestRouter(dialect, settings.config_bound_s)
         self._active_configuration = active_configuration.ActiveConfiguration()
         self._upstreams = discovered_upstreams.DiscoveredUpstreams()
+        self._evacuations = evacuations.Evacuations()
         self._peers = registered_peers.RegisteredPeers(
             settings.entry_id, settings.data_center
         )
@@ -113,6 +111,7 @@
             self._router,
             self._active_configuration,
             self._upstreams,
+            self._evacuations,
             events,
             recorder,
         )
@@ -231,13 +230,13 @@
             if existing is not None:
                 existing.send(messages.SetService(service))
                 continue
-            task = service_task.ServiceTask(
+            task = task_building.build_task(
                 service,
-                self._new_balancer(),
-                retry_budget.RetryBudget(self._settings.retry_budget),
+                self._settings,
                 self._dialect,
                 self._events,
                 self._recorder,
+                self._rng,
                 lambda upstream_id: self.send(
                     gateway_messages.UpstreamIdMismatch(upstream_id)
                 ),
@@ -248,20 +247,11 @@
         self._apply_entry_count()
         self._apply_registered_entries()
 
-    def _new_balancer(self) -> load_sampling.LoadBalancer:
-        settings = self._settings
-        shares = rate_shares.RateShares(
-            settings.entry_id,
-            settings.data_center,
-            upstream_signals.UpstreamSignals(),
-        )
-        return load_sampling.LoadBalancer(
-            settings.data_center, self._rng, shares
-        )
-
     def _apply_upstreams(self) -> None:
         for name, task in self._router.tasks.items():
-            records = self._upstreams.usable(name)
+            records = self._evacuations.select_usable(
+                self._upstreams.usable(name)
+            )
             task.send(messages.SetUpstreams(records))
 
     def _apply_entry_count(self) -> None:
@@ -356,6 +346,20 @@
     gateway._update_view(upstreams_loaded=True)
 
 
+@_receive.register
+def _(message: gateway_messages.EvacuationsRead, gateway: Gateway) -> None:
+    # The upstreams of the same read follow and are applied with it.
+    for change in gateway._evacuations.record_read(
+        message.data_centers, message.read_at
+    ):
+        gateway._events.state(
+            "evacuation",
+            data_center=change.data_center,
+            change=change.change,
+            age_s=_age_s(message.read_at),
+        )
+
+
 @_receive.register
 def _(message: gateway_messages.PeersRead, gateway: Gateway) -> None:
     gateway._peers.record_read(
