Leave scarce room to the requests that cost most to turn away

Cause: above the capacity, all requests queued at the upstreams alike: most were late, the urgent ones as often as the others.

Change: a service order at each entry follows the load reports of the upstreams and what arrives. The retry budget keeps a headroom of a tenth of its ratio instead of 0.4, as a restarted entry forgets requests and retries alike; that of its fixed number stays.

--- a/src/sesamevale/forwarding/request_flow.py
+++ b/src/sesamevale/forwarding/request_flow.py
@@ -22,6 +22,7 @@
 
     from sesamevale import metrics
     from sesamevale.forwarding import attempt_runner
+    from sesamevale.forwarding import requests
     from sesamevale.forwarding import sampling
     from sesamevale.policy.admission import drain_schedule
     from sesamevale.policy.admission import retry_budget
@@ -35,6 +36,9 @@
 SAMPLE_ROUND_TIMEOUT_S = 0.025
 # Shortest time to the deadline with which another attempt is made.
 RETRY_TIME_MIN_S = 0.05
+# Share of the latency objective that must have passed before a request counts
+# as one that its caller sends again.
+RETURN_SHARE = 0.1
 
 Reason = outcomes.Reason
 
@@ -108,6 +112,10 @@
             active_request.tried,
             time.monotonic(),
             request.deadline,
+            priority=request.priority,
+        )
+        active_request.search.has_returned = _has_returned(
+            request, active_request.search
         )
         self.continue_search(active_request)
 
@@ -243,6 +251,14 @@
             active_request.timer.cancel()
 
 
+def _has_returned(
+    request: requests.Request, search: upstream_search.Search
+) -> bool:
+    """Whether the caller of a request seems to have sent it before."""
+    waited_s = request.arrived - search.arrived
+    return waited_s > RETURN_SHARE * search.objective_s
+
+
 @functools.singledispatch
 def _perform_step(
     step: upstream_search.Step,
@@ -262,6 +278,9 @@
         active_request.progress.reason = Reason.STOPPING
         flow.apply(active_request, active_request.progress.give_up())
         return
+    order = flow._balancer.order
+    if order is not None:
+        order.record_served(active_request.request.priority, time.monotonic())
     flow._runner.start(active_request, step.best)
 
 
--- a/src/sesamevale/forwarding/service_task.py
+++ b/src/sesamevale/forwarding/service_task.py
@@ -144,6 +144,8 @@
 def _(message: messages.Submit, task: ServiceTask) -> None:
     request = message.request
     task._budget.record_request(request.arrived)
+    if task.balancer.order is not None:
+        task.balancer.order.record_arrival(request.priority, request.arrived)
     limits = forwarding.AttemptLimits(
         request.route.repeatable, request.route.upstreams_max
     )
--- a/src/sesamevale/forwarding/task_building.py
+++ b/src/sesamevale/forwarding/task_building.py
@@ -8,6 +8,7 @@
 from sesamevale.forwarding import service_task
 from sesamevale.policy.admission import rate_shares
 from sesamevale.policy.admission import retry_budget
+from sesamevale.policy.admission import service_order
 from sesamevale.policy.balancing import load_sampling
 from sesamevale.policy.balancing import warmup_shares
 from sesamevale.policy.signals import upstream_signals
@@ -57,7 +58,13 @@
     warmups.set_rate(service.warmup_rate_per_s, time.monotonic())
     return service_task.ServiceTask(
         service,
-        load_sampling.LoadBalancer(settings.data_center, rng, shares, warmups),
+        load_sampling.LoadBalancer(
+            settings.data_center,
+            rng,
+            shares,
+            warmups,
+            service_order.ServiceOrder() if settings.orders_service else None,
+        ),
         retry_budget.RetryBudget(settings.retry_budget),
         dialect,
         events,
--- a/src/sesamevale/gateway_messages.py
+++ b/src/sesamevale/gateway_messages.py
@@ -56,6 +56,8 @@
         warmup: Bounds on the requests to cold upstreams; None if the
             deployment has none.
         machine: Resources of the machine.
+        orders_service: Whether requests that cost their callers less to be
+            turned away leave scarce room to others.
     """
 
     entry_id: str
@@ -73,6 +75,7 @@
     machine: resources.Machine = dataclasses.field(
         default_factory=resources.Machine
     )
+    orders_service: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/sesamevale/platform/settings.py
+++ b/src/sesamevale/platform/settings.py
@@ -114,6 +114,8 @@
     bounds: _Bounds
     store: _Store
     machine: _Machine = pydantic.Field(default_factory=_Machine)
+    # Whether requests leave scarce room to those that cost more to turn away.
+    order_of_service: bool = False
     # Control addresses of the first machines; their entries use other ports.
     seed_addresses: tuple[Endpoint, ...] | None = pydantic.Field(
         alias="seeds", default=None
@@ -166,6 +168,7 @@
             quota=_quota(bounds),
             warmup=_warmup(bounds),
             machine=self.machine.to_machine(),
+            orders_service=self.order_of_service,
         )
 
 
--- a/src/sesamevale/policy/admission/retry_budget.py
+++ b/src/sesamevale/policy/admission/retry_budget.py
@@ -13,9 +13,13 @@
 
 __all__ = ["RetryBudget", "RetryBudgetLimits"]
 
-# Share of the budget that is left unused, because an entry that joins or
-# restarts within a window gets its share of the fixed number again.
+# Share of the fixed number that is left unused, because an entry that joins or
+# restarts within a window gets its share of it again.
 HEADROOM_SHARE = 0.4
+# The same of the ratio. An entry that restarts has forgotten its requests
+# together with its retries, so that its part of the ratio begins anew; the
+# rest covers requests that are counted differently elsewhere.
+RATIO_HEADROOM_SHARE = 0.1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -76,11 +80,13 @@
         for times in (self._requests, self._retries):
             while times and times[0] < oldest:
                 times.popleft()
-        share = (
-            self._limits.ratio * len(self._requests)
-            + self._limits.extra / self._entry_count
+        by_ratio = self._limits.ratio * len(self._requests)
+        fixed = self._limits.extra / self._entry_count
+        return (
+            (1.0 - RATIO_HEADROOM_SHARE) * by_ratio
+            + (1.0 - HEADROOM_SHARE) * fixed
+            - len(self._retries)
         )
-        return (1.0 - HEADROOM_SHARE) * share - len(self._retries)
 
     def try_spend(self, now: float) -> bool:
         """Counts a retry if the budget allows it; False if it does not."""
--- a/src/sesamevale/policy/balancing/load_sampling.py
+++ b/src/sesamevale/policy/balancing/load_sampling.py
@@ -15,6 +15,7 @@
 from typing import TYPE_CHECKING
 
 from sesamevale.policy.admission import rate_shares
+from sesamevale.policy.admission import service_order
 from sesamevale.policy.balancing import route_durations
 from sesamevale.policy.balancing import upstream_openings
 from sesamevale.policy.balancing import upstream_search
@@ -71,6 +72,8 @@
         rng: Source of randomness.
         shares: Shares of this entry in the limits that upstreams name.
         warmups: Shares of this entry in what cold upstreams accept.
+        order: Order of service while there is too little room; None to serve
+            all requests alike.
     """
 
     def __init__(
@@ -79,6 +82,7 @@
         rng: random.Random,
         shares: rate_shares.RateShares | None = None,
         warmups: warmup_shares.WarmupShares | None = None,
+        order: service_order.ServiceOrder | None = None,
     ) -> None:
         self._data_center = data_center
         self._rng = rng
@@ -90,6 +94,7 @@
         self._candidates: dict[str, upstream_state.Candidate] = {}
         self._average = upstream_state.AverageLoad(INITIAL_AVERAGE_SLOWDOWN)
         self._durations = route_durations.RouteDurations()
+        self._order = order
         self._reports_load: bool | None = None
 
     @property
@@ -102,6 +107,11 @@
         """Durations of the attempts of each route."""
         return self._durations
 
+    @property
+    def order(self) -> service_order.ServiceOrder | None:
+        """Order of service while there is too little room, if there is one."""
+        return self._order
+
     @property
     def signals(self) -> upstream_signals.UpstreamSignals:
         """Signals that the upstreams have sent."""
@@ -170,6 +180,8 @@
         candidate.record_load(load, now)
         average = self._average
         utilization = (load.running + load.waiting) / max(1, load.slots)
+        if self._order is not None:
+            self._order.pressure.record_load(utilization, now)
         self._average = upstream_state.AverageLoad(
             average.slowdown
             + AVERAGE_WEIGHT * (load.slowdown - average.slowdown),
@@ -204,6 +216,7 @@
             return self._wait_for_room(search, now)
         if not self._can_end_in_time(search, 1.0, now):
             return upstream_search.TooLate()
+        yields = self._must_leave_room(search, now)
         is_good = best.is_good_enough or self._reports_load is False
         must_yield = search.must_yield and not self.can_meet_objective(
             search, now
@@ -219,9 +232,10 @@
             stale = self._to_sample(search.excluded, local=True, now=now)
             if stale:
                 return upstream_search.Sample(tuple(stale))
-        if self._is_in_time(search, best, now):
+        has_room = not yields or self._has_spare_slot(best.candidate, now)
+        if has_room and self._is_in_time(search, best, now):
             return upstream_search.Send(best)
-        return self._widen_search(search, best, now)
+        return self._widen_search(search, best, now, yields)
 
     def _wait_for_room(
         self, search: upstream_search.Search, now: float
@@ -252,6 +266,7 @@
         search: upstream_search.Search,
         best: upstream_state.RankedCandidate,
         now: float,
+        yields: bool,
     ) -> upstream_search.Step:
         """Decides the next step if no candidate is good enough so far."""
         if not search.sampled_remote:
@@ -262,13 +277,20 @@
             if stale:
                 return upstream_search.Sample(tuple(stale))
         in_time = self.can_meet_objective(search, now)
-        may_send = self.has_free_slot(
-            best.candidate, now
-        ) and self._can_end_in_time(search, best.expected_slowdown, now)
+        has_slot = self._has_spare_slot if yields else self.has_free_slot
+        may_send = has_slot(best.candidate, now) and self._can_end_in_time(
+            search, best.expected_slowdown, now
+        )
         if may_send and (in_time or not search.must_yield):
             return upstream_search.Send(best)
         waited = now - search.started
-        if in_time or waited < SLOT_WAIT_SHARE * search.objective_s:
+        if yields:
+            wait_share = service_order.YIELDING_WAIT_SHARE
+            may_wait = waited < wait_share * search.objective_s
+        else:
+            wait_share = SLOT_WAIT_SHARE
+            may_wait = in_time or waited < wait_share * search.objective_s
+        if may_wait:
             search.sampled_remote = False
             return self._wait_and_resample(search, now)
         return upstream_search.NoCapacity()
@@ -325,12 +347,31 @@
             needed = (1.0 - SLOT_WAIT_SHARE) * search.objective_s
         return now - search.arrived + needed < search.objective_s
 
+    def _must_leave_room(
+        self, search: upstream_search.Search, now: float
+    ) -> bool:
+        """Whether a request leaves scarce room to others."""
+        if self._order is None:
+            return False
+        standing = service_order.Standing(
+            search.priority,
+            self.can_meet_objective(search, now),
+            search.has_returned,
+        )
+        return self._order.yields(standing, now)
+
     def has_free_slot(
         self, candidate: upstream_state.Candidate, now: float
     ) -> bool:
         """Whether an upstream is estimated to have a free slot."""
         return candidate.has_free_slot(self._average, now)
 
+    def _has_spare_slot(
+        self, candidate: upstream_state.Candidate, now: float
+    ) -> bool:
+        """Whether a request would not slow an upstream down."""
+        return candidate.has_spare_slot(self._average, now)
+
     def _can_end_in_time(
         self, search: upstream_search.Search, slowdown: float, now: float
     ) -> bool:
--- a/src/sesamevale/policy/balancing/upstream_search.py
+++ b/src/sesamevale/policy/balancing/upstream_search.py
@@ -41,6 +41,8 @@
         wait_count: Number of waits so far.
         must_yield: Whether requests that can still meet their objective are
             waiting; a request that cannot must then leave them the slots.
+        priority: Priority of the request; 0 is the most urgent.
+        has_returned: Whether its caller came back after an earlier attempt.
         ahead: Number of more urgent requests that wait. Room under the limits
             that upstreams name is theirs.
         looked: Upstreams that were looked at since the last wait for one.
@@ -56,6 +58,8 @@
     sampled_remote: bool = False
     wait_count: int = 0
     must_yield: bool = False
+    priority: int = 0
+    has_returned: bool = False
     ahead: int = 0
     looked: frozenset[str] = frozenset()
 
--- a/src/sesamevale/policy/balancing/upstream_state.py
+++ b/src/sesamevale/policy/balancing/upstream_state.py
@@ -18,6 +18,8 @@
 LOAD_MAX_AGE_S = 0.02
 # Increase of the expected time when all slots are in use, as a share.
 UTILIZATION_WEIGHT = 0.7
+# Share of its slots in use up to which an upstream keeps its usual speed.
+USUAL_SPEED_SHARE = 0.8
 # Weight of the last result in the moving average of failures.
 FAILURE_WEIGHT = 0.2
 # Increase of the expected time of an upstream that always fails, as a multiple.
@@ -182,6 +184,16 @@
         busy, slots = self._busy_slots(average, now)
         return busy < slots
 
+    def has_spare_slot(self, average: AverageLoad, now: float) -> bool:
+        """Whether the upstream keeps its usual speed with another request.
+
+        Args:
+            average: Load assumed without a fresh load report.
+            now: Monotonic time in seconds.
+        """
+        busy, slots = self._busy_slots(average, now)
+        return busy + 1 <= max(1.0, USUAL_SPEED_SHARE * slots)
+
     def _busy_slots(
         self, average: AverageLoad, now: float
     ) -> tuple[float, int]:
