Keep part of the retry budget for requests that cost most to turn away

Cause: while upstreams turn away half of what they get, the budget is spent by whoever comes first. A caller that is refused for the first time can come back and spends nothing; one that has returned is lost.

Change: with an order of service, 0.6 of the share is kept for requests that have returned and for the urgent.

Measured: the tests of admission, balancing and forwarding pass.

--- a/src/sesamevale/forwarding/request_flow.py
+++ b/src/sesamevale/forwarding/request_flow.py
@@ -158,6 +158,18 @@
         duration_s = self._balancer.expected_duration_s(route, best)
         return self._drain_schedule.allows_attempt(time.monotonic(), duration_s)
 
+    def _may_spend(
+        self, active_request: messages.ActiveRequest, now: float
+    ) -> bool:
+        """Spends a retry of the budget if the request may have one."""
+        assert active_request.search is not None
+        return self._budget.try_spend(
+            now,
+            may_use_reserve=self._balancer.may_use_reserve(
+                active_request.search, now
+            ),
+        )
+
     def finish_attempt(
         self, active_request: messages.ActiveRequest, result: forwarding.Result
     ) -> None:
@@ -370,7 +382,7 @@
     progress = active_request.progress
     if active_request.request.deadline - now < RETRY_TIME_MIN_S:
         flow.apply(active_request, progress.give_up())
-    elif decision.uses_budget and not flow._budget.try_spend(now):
+    elif decision.uses_budget and not flow._may_spend(active_request, now):
         flow._recorder.count("retries_over_budget")
         flow.apply(active_request, progress.give_up())
     else:
--- a/src/sesamevale/policy/admission/retry_budget.py
+++ b/src/sesamevale/policy/admission/retry_budget.py
@@ -20,6 +20,8 @@
 # together with its retries, so that its part of the ratio begins anew; the
 # rest covers requests that are counted differently elsewhere.
 RATIO_HEADROOM_SHARE = 0.1
+# Share of the budget that is kept for the requests that cost most to turn away.
+RESERVED_SHARE = 0.6
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -80,17 +82,27 @@
         for times in (self._requests, self._retries):
             while times and times[0] < oldest:
                 times.popleft()
+        return self._share() - len(self._retries)
+
+    def _share(self) -> float:
         by_ratio = self._limits.ratio * len(self._requests)
         fixed = self._limits.extra / self._entry_count
-        return (
-            (1.0 - RATIO_HEADROOM_SHARE) * by_ratio
-            + (1.0 - HEADROOM_SHARE) * fixed
-            - len(self._retries)
-        )
-
-    def try_spend(self, now: float) -> bool:
-        """Counts a retry if the budget allows it; False if it does not."""
-        if self.allowance(now) < 1.0:
+        return (1.0 - RATIO_HEADROOM_SHARE) * by_ratio + (
+            1.0 - HEADROOM_SHARE
+        ) * fixed
+
+    def try_spend(self, now: float, *, may_use_reserve: bool = True) -> bool:
+        """Counts a retry if the budget allows it; False if it does not.
+
+        Args:
+            now: Monotonic time in seconds.
+            may_use_reserve: Whether the request may spend what is kept for
+                those that cost most to turn away.
+        """
+        allowance = self.allowance(now)
+        if not may_use_reserve:
+            allowance -= RESERVED_SHARE * self._share()
+        if allowance < 1.0:
             return False
         self._retries.append(now)
         return True
--- a/src/sesamevale/policy/admission/service_order.py
+++ b/src/sesamevale/policy/admission/service_order.py
@@ -164,6 +164,8 @@
     def yields(self, standing: Standing, now: float) -> bool:
         """Whether a request must leave scarce room to others.
 
+        A service whose requests are all of one priority serves them alike.
+
         Args:
             standing: What turning it away costs.
             now: Monotonic time in seconds.
@@ -183,7 +185,28 @@
         enough = max(1.0, DEMAND_SHARE_MIN * total)
         if more_urgent >= enough:
             return not self._is_starving(standing.priority)
-        return less_urgent < enough or not standing.can_meet_objective
+        return less_urgent >= enough and not standing.can_meet_objective
+
+    def may_use_reserve(self, standing: Standing, now: float) -> bool:
+        """Whether a request may spend what is kept of the retry budget.
+
+        A caller that is refused for the first time can come back, which spends
+        nothing of the budget. One that has returned may not come again.
+
+        Args:
+            standing: What turning it away costs.
+            now: Monotonic time in seconds.
+        """
+        return standing.has_returned or self._outranks(standing.priority, now)
+
+    def _outranks(self, priority: int, now: float) -> bool:
+        """Whether there are requests of a less urgent priority."""
+        before = now - DEMAND_MEMORY_S
+        for each, demand in self._demands.items():
+            demand.expire(before)
+            if each > priority and demand.arrivals:
+                return True
+        return False
 
     def _is_starving(self, priority: int) -> bool:
         demand = self._demands.get(priority)
--- a/src/sesamevale/policy/balancing/load_sampling.py
+++ b/src/sesamevale/policy/balancing/load_sampling.py
@@ -347,18 +347,31 @@
             needed = (1.0 - SLOT_WAIT_SHARE) * search.objective_s
         return now - search.arrived + needed < search.objective_s
 
+    def may_use_reserve(
+        self, search: upstream_search.Search, now: float
+    ) -> bool:
+        """Whether a request may spend what is kept of the retry budget."""
+        if self._order is None:
+            return True
+        return self._order.may_use_reserve(self._standing(search, now), now)
+
     def _must_leave_room(
         self, search: upstream_search.Search, now: float
     ) -> bool:
         """Whether a request leaves scarce room to others."""
         if self._order is None:
             return False
-        standing = service_order.Standing(
+        return self._order.yields(self._standing(search, now), now)
+
+    def _standing(
+        self, search: upstream_search.Search, now: float
+    ) -> service_order.Standing:
+        """Returns what turning a request away costs."""
+        return service_order.Standing(
             search.priority,
             self.can_meet_objective(search, now),
             search.has_returned,
         )
-        return self._order.yields(standing, now)
 
     def has_free_slot(
         self, candidate: upstream_state.Candidate, now: float
