--- a/src/sesamevale/operators/gateway_pages.py
+++ b/src/sesamevale/operators/gateway_pages.py
@@ -164,6 +164,20 @@
     return found
 
 
+def _order_status(
+    task: service_task.ServiceTask, now: float
+) -> dict[str, object] | None:
+    """Returns whether requests yield for lack of room; None without order."""
+    order = task.balancer.order
+    if order is None:
+        return None
+    return {
+        "pressure": order.pressure.level,
+        "short": order.pressure.is_short(now),
+        "served_share": order.served_shares(now),
+    }
+
+
 def _service_status(
     task: service_task.ServiceTask, now: float
 ) -> dict[str, object]:
@@ -172,6 +186,7 @@
         "active": task.active_count,
         "average_slowdown": average.slowdown,
         "average_utilization": average.utilization,
+        "order_of_service": _order_status(task, now),
         "signals": _signals(task, now),
         "upstreams": {
             upstream_id: {
--- a/src/sesamevale/policy/admission/service_order.py
+++ b/src/sesamevale/policy/admission/service_order.py
@@ -161,6 +161,15 @@
         demand.served.append(now)
         demand.expire(now - DEMAND_MEMORY_S)
 
+    def served_shares(self, now: float) -> dict[int, float]:
+        """Returns the share of the recent requests served, by priority."""
+        found = {}
+        for priority, demand in sorted(self._demands.items()):
+            demand.expire(now - DEMAND_MEMORY_S)
+            if demand.arrivals:
+                found[priority] = len(demand.served) / len(demand.arrivals)
+        return found
+
     def yields(self, standing: Standing, now: float) -> bool:
         """Whether a request must leave scarce room to others.
 
