--- a/src/sesamevale/gateway.py
+++ b/src/sesamevale/gateway.py
@@ -370,15 +370,9 @@
 
 @_receive.register
 def _(message: gateway_messages.StoreViewChanged, gateway: Gateway) -> None:
-    view = message.view
-    gateway._is_registration_old = view.registration_doubtful
+    gateway._is_registration_old = message.view.registration_doubtful
     gateway._apply_entry_count()
-    gateway._events.state(
-        "store_view",
-        state=view.contact.value,
-        absent=view.absent.value,
-        era=view.era,
-    )
+    gateway_events.log_store_view(gateway._events, message.view)
 
 
 @_receive.register
--- a/src/sesamevale/gateway_events.py
+++ b/src/sesamevale/gateway_events.py
@@ -13,7 +13,14 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-__all__ = ["log_changes", "log_configuration", "log_upstreams_known"]
+    from sesamevale.policy.membership import store_view
+
+__all__ = [
+    "log_changes",
+    "log_configuration",
+    "log_store_view",
+    "log_upstreams_known",
+]
 
 Change = discovered_upstreams.UpstreamChange | evacuations.EvacuationChange
 
@@ -43,6 +50,18 @@
     events.state("upstreams_known", count=count, age_s=_age_s(read_at))
 
 
+def log_store_view(
+    events: event_log.EventLog, view: store_view.Summary
+) -> None:
+    """Writes how the store is seen."""
+    events.state(
+        "store_view",
+        state=view.contact.value,
+        absent=view.absent.value,
+        era=view.era,
+    )
+
+
 def _age_s(read_at: float) -> float:
     """Returns the age of a read of the store in seconds."""
     return round(time.monotonic() - read_at, 3)
