--- a/src/sesamevale/entries/state_reader.py
+++ b/src/sesamevale/entries/state_reader.py
@@ -264,6 +264,8 @@
         self._report_view()
         if self._view.grace_until == before:
             return
+        if self._view.grace_until > before:
+            self._recorder.count("store_absences")
         if self._grace_timer is not None:
             self._grace_timer.cancel()
         self._grace_timer = asyncio.get_running_loop().call_later(
@@ -276,8 +278,10 @@
 
     def _report_view(self) -> None:
         view = self._view.summary(time.monotonic())
-        if view != self._reported_view:
+        known = self._reported_view
+        if view != known:
             self._reported_view = view
+            self._recorder.count("store_eras", view.era != known.era)
             self._gateway.send(gateway_messages.StoreViewChanged(view))
 
     def _report_reachability(self, unreachable: bool, reason: str) -> None:
