Show that a request that crashes its upstreams is sent to one after the other

Cause: a cut attempt of a repeatable request is sent to the next upstream, and each repeat of its caller is a new attempt of which nothing is known.

--- a/tests/forwarding/test_service_task.py
+++ b/tests/forwarding/test_service_task.py
@@ -40,6 +40,8 @@
         self.data_centers = data_centers
         self.misplaced: list[str] = []
         self.recorder = metrics.MetricsRecorder()
+        self.records = ()
+        self.tell = lambda suspicions: None
 
     async def __aenter__(self):
         self.stack = contextlib.AsyncExitStack()
@@ -58,20 +60,17 @@
             self.misplaced.append,
         )
         await self.stack.enter_async_context(self.task)
-        self.task.send(
-            messages.SetUpstreams(
-                tuple(
-                    gateway.upstream(
-                        each.upstream_id,
-                        port=each.port,
-                        data_center=self.data_centers.get(
-                            each.upstream_id.replace("-", "_"), "here"
-                        ),
-                    )
-                    for each in self.upstreams
-                )
+        self.records = self.records or tuple(
+            gateway.upstream(
+                each.upstream_id,
+                port=each.port,
+                data_center=self.data_centers.get(
+                    each.upstream_id.replace("-", "_"), "here"
+                ),
             )
+            for each in self.upstreams
         )
+        self.task.send(messages.SetUpstreams(self.records))
         return self
 
     async def __aexit__(self, *exc_info):
