Remember requests under which upstreams end, and refuse them at all entries

Cause: a cut attempt went to the next upstream, and a caller's repeats are new attempts of which nothing was known, at this entry or at others.

Change: policy/admission/suspects.py counts the upstreams that ended under a request, by a hash of its content; an answer clears it, and an end is put down to the request under which most upstreams have ended. After two ends it is refused as not run, for a time that doubles; the attempt that saw the second end fails, since it may have run. Whether an upstream has ended is asked by a new connection before the request goes on. Without suspicions a request costs one test of an empty table.

--- a/src/sesamevale/entries/codec.py
+++ b/src/sesamevale/entries/codec.py
@@ -24,6 +24,7 @@
     "decode_frame",
     "encode_datagram",
     "encode_frame",
+    "encode_rumor",
 ]
 
 FRAME_BYTES_MAX = 16 * 1024 * 1024
@@ -102,12 +103,25 @@
     return TSerialization.serialize(_to_wire(message), _FACTORY)
 
 
-def decode_datagram(content: bytes) -> membership_types.Message | None:
-    """Decodes a gossip message; None if it is malformed."""
+def encode_rumor(rumor: bytes) -> bytes:
+    """Encodes suspicions as one datagram."""
+    return TSerialization.serialize(wire.Datagram(rumor=rumor), _FACTORY)
+
+
+def decode_datagram(
+    content: bytes,
+) -> membership_types.Message | bytes | None:
+    """Decodes a datagram.
+
+    Returns:
+        A gossip message, the bytes of suspicions, or None if it is malformed.
+    """
     try:
         datagram = TSerialization.deserialize(
             wire.Datagram(), content, _FACTORY
         )
+        if datagram.rumor is not None:
+            return bytes(datagram.rumor)
         return _from_wire(datagram)
     except _DECODE_ERRORS:
         return None
--- a/src/sesamevale/entries/gossip.py
+++ b/src/sesamevale/entries/gossip.py
@@ -13,6 +13,7 @@
 
 from sesamevale import messaging
 from sesamevale.entries import codec
+from sesamevale.entries import rumor_codec
 from sesamevale.policy.membership import membership
 from sesamevale.policy.membership import membership_types
 
@@ -20,6 +21,7 @@
     from collections.abc import Callable
 
     from sesamevale import metrics
+    from sesamevale.policy.admission import suspects
 
 __all__ = [
     "Announce",
@@ -29,6 +31,7 @@
     "Leave",
     "Message",
     "Seed",
+    "Spread",
     "Unreachable",
 ]
 
@@ -74,6 +77,19 @@
     entry_id: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Spread:
+    """Command: pass suspicions on to some entries.
+
+    Attributes:
+        suspicions: The suspicions.
+        addresses: Hosts and UDP ports of the entries.
+    """
+
+    suspicions: tuple[suspects.Suspicion, ...]
+    addresses: tuple[tuple[str, int], ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Received:
     """Event: a datagram has arrived."""
@@ -87,7 +103,15 @@
 
 
 Message = (
-    Announce | Join | Leave | Depart | Seed | Unreachable | _Received | _Tick
+    Announce
+    | Join
+    | Leave
+    | Depart
+    | Seed
+    | Spread
+    | Unreachable
+    | _Received
+    | _Tick
 )
 
 
@@ -113,6 +137,7 @@
         on_news: Called after each message, which may carry a new revision or
             new loads.
         book: Records metrics.
+        on_suspicions: Called with suspicions that another entry passes on.
     """
 
     def __init__(
@@ -123,8 +148,11 @@
         on_change: Callable[[], None],
         on_news: Callable[[], None],
         book: metrics.MetricsRecorder,
+        on_suspicions: Callable[[tuple[suspects.Suspicion, ...]], None]
+        | None = None,
     ) -> None:
         super().__init__("gossip")
+        self._on_suspicions = on_suspicions
         self._view = view
         self._host = host
         self._port = port
@@ -183,10 +211,13 @@
     def _transmit(self, sends: list[membership_types.Send]) -> None:
         for send in sends:
             data = codec.encode_datagram(send.message)
-            self._recorder.count("gossip_datagrams_sent")
-            self._recorder.count("gossip_bytes_sent", len(data))
-            if self._transport is not None:
-                self._transport.sendto(data, (send.host, send.port))
+            self._send_datagram(data, (send.host, send.port))
+
+    def _send_datagram(self, data: bytes, address: tuple[str, int]) -> None:
+        self._recorder.count("gossip_datagrams_sent")
+        self._recorder.count("gossip_bytes_sent", len(data))
+        if self._transport is not None:
+            self._transport.sendto(data, address)
 
     def _log_changes(self) -> None:
         for entry_id, member in self._view.members.items():
@@ -228,6 +259,15 @@
     return []
 
 
+@_receive.register
+def _(message: Spread, task: Gossip) -> list[membership_types.Send]:
+    rumor = rumor_codec.Rumor(task._view.environment, message.suspicions)
+    data = codec.encode_rumor(rumor_codec.encode(rumor, task._loop.time()))
+    for each in message.addresses:
+        task._send_datagram(data, each)
+    return []
+
+
 @_receive.register
 def _(message: Unreachable, task: Gossip) -> list[membership_types.Send]:
     return task._view.unreachable(message.entry_id, task._loop.time())
@@ -238,6 +278,13 @@
     task._recorder.count("gossip_datagrams_received")
     task._recorder.count("gossip_bytes_received", len(message.data))
     decoded = codec.decode_datagram(message.data)
+    if isinstance(decoded, bytes):
+        heard = rumor_codec.decode(
+            decoded, task._view.environment, task._loop.time()
+        )
+        if heard and task._on_suspicions is not None:
+            task._on_suspicions(heard)
+        return []
     if decoded is None:
         task._recorder.count("gossip_datagrams_malformed")
         return []
--- a/src/sesamevale/entries/wire.thrift
+++ b/src/sesamevale/entries/wire.thrift
@@ -48,6 +48,7 @@
   1: Ping ping
   2: Ack ack
   3: PingRequest ping_request
+  4: binary rumor
 }
 
 struct Header {
--- a/src/sesamevale/entries/wire/ttypes.py
+++ b/src/sesamevale/entries/wire/ttypes.py
@@ -662,6 +662,7 @@
      - ping
      - ack
      - ping_request
+     - rumor
 
     """
 
@@ -669,13 +670,15 @@
         'ping',
         'ack',
         'ping_request',
+        'rumor',
     )
 
 
-    def __init__(self, ping=None, ack=None, ping_request=None,):
+    def __init__(self, ping=None, ack=None, ping_request=None, rumor=None,):
         self.ping = ping
         self.ack = ack
         self.ping_request = ping_request
+        self.rumor = rumor
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -704,6 +707,11 @@
                     self.ping_request.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.rumor = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -726,6 +734,10 @@
             oprot.writeFieldBegin('ping_request', TType.STRUCT, 3)
             self.ping_request.write(oprot)
             oprot.writeFieldEnd()
+        if self.rumor is not None:
+            oprot.writeFieldBegin('rumor', TType.STRING, 4)
+            oprot.writeBinary(self.rumor)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2026,6 +2038,7 @@
     (1, TType.STRUCT, 'ping', [Ping, None], None, ),  # 1
     (2, TType.STRUCT, 'ack', [Ack, None], None, ),  # 2
     (3, TType.STRUCT, 'ping_request', [PingRequest, None], None, ),  # 3
+    (4, TType.STRING, 'rumor', 'BINARY', None, ),  # 4
 )
 all_structs.append(Header)
 Header.thrift_spec = (
--- a/src/sesamevale/forwarding/messages.py
+++ b/src/sesamevale/forwarding/messages.py
@@ -15,6 +15,7 @@
     from sesamevale import routes
     from sesamevale.forwarding import requests
     from sesamevale.policy.admission import drain_schedule
+    from sesamevale.policy.admission import suspects
     from sesamevale.policy.membership import registered_peers
     from sesamevale.upstreams import http_link
     from sesamevale.upstreams import link_messages
@@ -26,6 +27,7 @@
     "CloseExpiredConnections",
     "DeadlineExpired",
     "EndRequests",
+    "InquiryEnded",
     "Message",
     "RoundTimeout",
     "SampleEnded",
@@ -36,6 +38,7 @@
     "StartDrain",
     "StreamEnded",
     "Submit",
+    "SuspicionsHeard",
 ]
 
 
@@ -177,6 +180,30 @@
     number: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class InquiryEnded:
+    """It is known whether an upstream that cut off attempts still listens.
+
+    Attributes:
+        candidate: The upstream.
+        is_listening: Whether it listens.
+    """
+
+    candidate: upstream_state.Candidate
+    is_listening: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SuspicionsHeard:
+    """Other entries have seen upstreams end under requests.
+
+    Attributes:
+        suspicions: What they have seen.
+    """
+
+    suspicions: tuple[suspects.Suspicion, ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class StartDrain:
     """Starts no attempt that is expected to outlast the drain of the entry.
@@ -210,6 +237,8 @@
     | StreamEnded
     | RoundTimeout
     | DeadlineExpired
+    | InquiryEnded
+    | SuspicionsHeard
     | StartDrain
     | EndRequests
     | CloseExpiredConnections
--- a/src/sesamevale/forwarding/service_task.py
+++ b/src/sesamevale/forwarding/service_task.py
@@ -11,6 +11,7 @@
 from sesamevale import messaging
 from sesamevale import outcomes
 from sesamevale.forwarding import attempt_runner
+from sesamevale.forwarding import inquiries
 from sesamevale.forwarding import messages
 from sesamevale.forwarding import request_flow
 from sesamevale.forwarding import sampling
@@ -27,6 +28,7 @@
     from sesamevale import http1
     from sesamevale import metrics
     from sesamevale import routes
+    from sesamevale.policy.admission import suspects
 
 __all__ = ["ServiceTask"]
 
@@ -48,6 +50,10 @@
         recorder: Records metrics.
         on_misplaced: Called with the identifier of an upstream at whose
             address another upstream answers.
+        on_suspicions: Called with requests under which upstreams have ended,
+            for the other entries.
+        suspect_key: Key of the fingerprints of requests, the same at all
+            entries.
     """
 
     def __init__(
@@ -59,6 +65,10 @@
         events: event_log.EventLog,
         recorder: metrics.MetricsRecorder,
         on_misplaced: Callable[[str], None],
+        on_suspicions: Callable[
+            [tuple[suspects.Suspicion, ...]], None
+        ] = lambda suspicions: None,
+        suspect_key: bytes = b"",
     ) -> None:
         super().__init__(f"service-{service.name}")
         self._balancer = balancer
@@ -83,6 +93,9 @@
             self.send,
             on_misplaced,
         )
+        self._inquiries = inquiries.Inquiries(
+            suspect_key, self.send, on_suspicions, events, recorder
+        )
         self._loop = asyncio.get_running_loop()
         self._sweeper = self._loop.call_later(SWEEP_INTERVAL_S, self._sweep)
 
@@ -99,6 +112,7 @@
     async def __aexit__(self, *exc_info: object) -> None:
         self._sweeper.cancel()
         await super().__aexit__(*exc_info)
+        self._inquiries.close()
         for active_request in self._flow.active_requests.values():
             if active_request.link is not None:
                 active_request.link.close()
@@ -151,6 +165,10 @@
         request, forwarding.Progress(limits)
     )
     task._flow.active_requests[request.number] = active_request
+    refused = task._inquiries.judge(request)
+    if refused is not None:
+        task._flow.fail(active_request, refused)
+        return
     task._flow.set_deadline_timer(active_request)
     task._flow.start_search(active_request)
 
@@ -237,14 +255,33 @@
     active_request = task._flow.active_requests.get(message.number)
     if active_request is None or active_request.attempts != message.attempt:
         return
+    candidate = active_request.candidate
+    assert candidate is not None
     task._flow.finish_attempt(active_request, message.result)
+    decision = task._inquiries.postpone(
+        active_request,
+        candidate,
+        message.result,
+        active_request.progress.decide_next(message.result),
+    )
     if active_request.is_abandoned:
         task._flow.runner.stop(active_request)
         task._flow.finish(active_request)
-        return
-    task._flow.apply(
-        active_request, active_request.progress.decide_next(message.result)
-    )
+    elif decision is not None:
+        task._flow.apply(active_request, decision)
+
+
+@_receive.register
+def _(message: messages.InquiryEnded, task: ServiceTask) -> None:
+    for active_request, decision in task._inquiries.end(message):
+        number = active_request.request.number
+        if task._flow.active_requests.get(number) is active_request:
+            task._flow.apply(active_request, decision)
+
+
+@_receive.register
+def _(message: messages.SuspicionsHeard, task: ServiceTask) -> None:
+    task._inquiries.hear(message.suspicions)
 
 
 @_receive.register
--- a/src/sesamevale/gateway.py
+++ b/src/sesamevale/gateway.py
@@ -17,6 +17,7 @@
 from sesamevale import metrics
 from sesamevale.callers import gateway_server
 from sesamevale.entries import gossip
+from sesamevale.entries import suspicion_exchange
 from sesamevale.forwarding import messages
 from sesamevale.forwarding import router as routers
 from sesamevale.forwarding import service_task
@@ -104,8 +105,11 @@
             lambda: self.send(gateway_messages.MembersChanged()),
             lambda: None,
             recorder,
+            lambda heard: self._suspicions.hear(heard),
+        )
+        self._suspicions = suspicion_exchange.SuspicionExchange(
+            self._gossip, self._peers, self._router, self._rng
         )
-
         self._pages = gateway_pages.GatewayPages(
             settings.entry_id,
             self._router,
@@ -145,6 +149,7 @@
 
     async def __aenter__(self) -> Self:
         await self._stack.enter_async_context(self._gossip)
+        await self._stack.enter_async_context(self._suspicions)
         await self._stack.enter_async_context(self._server)
         await self._stack.enter_async_context(
             admin_server.AdminServer(
@@ -239,6 +244,8 @@
                 lambda upstream_id: self.send(
                     gateway_messages.UpstreamIdMismatch(upstream_id)
                 ),
+                self._suspicions.find,
+                self._settings.environment.encode(),
             )
             task.start()
             self._router.add_task(name, task)
--- a/src/sesamevale/outcomes.py
+++ b/src/sesamevale/outcomes.py
@@ -31,6 +31,7 @@
         RATE_LIMITED: The limits that the upstreams name leave no room in time.
         SHED: An upstream rejected the call without running it.
         SPOILT: The answer was malformed, unsigned or for another request.
+        SUSPECT: Upstreams have ended under requests like this one.
     """
 
     BAD_REQUEST = "bad_request"
@@ -57,6 +58,7 @@
     SHED = "shed"
     SPOILT = "spoilt"
     STOPPING = "stopping"
+    SUSPECT = "suspect"
     TOO_LARGE = "too_large"
 
 
--- a/src/sesamevale/policy/calls/forwarding.py
+++ b/src/sesamevale/policy/calls/forwarding.py
@@ -86,9 +86,12 @@
 
     Attributes:
         reason: Why there is no usable answer.
+        closed_by_upstream: Whether the upstream has closed or reset the
+            connection, as it does when its process ends.
     """
 
     reason: Reason
+    closed_by_upstream: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/sesamevale/policy/membership/membership.py
+++ b/src/sesamevale/policy/membership/membership.py
@@ -113,6 +113,11 @@
         """State that this entry announces of itself."""
         return self._own
 
+    @property
+    def environment(self) -> str:
+        """Environment that the entry serves."""
+        return self._environment
+
     @property
     def version(self) -> int:
         """Counter that increases with each change of a member's state."""
--- a/src/sesamevale/upstreams/http_link.py
+++ b/src/sesamevale/upstreams/http_link.py
@@ -177,10 +177,9 @@
             return await self._read_answer(request)
         except h11.ProtocolError:
             self._abort()
-            reason = (
-                outcomes.Reason.CUT if stream.closed else outcomes.Reason.SPOILT
-            )
-            return forwarding.Lost(reason)
+            if stream.closed:
+                return self._cut()
+            return forwarding.Lost(outcomes.Reason.SPOILT)
         finally:
             self._last_used = time.monotonic()
 
@@ -237,7 +236,15 @@
         self._abort()
         if was_reset:
             return forwarding.Reset()
-        return forwarding.Lost(outcomes.Reason.CUT)
+        return self._cut()
+
+    def _cut(self) -> forwarding.Lost:
+        """Returns the result of a connection that ended within an answer."""
+        stream = self._stream
+        closed_by_upstream = stream is not None and (
+            stream.was_reset or (stream.closed and not stream.broken)
+        )
+        return forwarding.Lost(outcomes.Reason.CUT, closed_by_upstream)
 
     async def _skip_body(self, response: h11.Response, method: bytes) -> bool:
         """Reads the body of an answer to another request.
@@ -300,7 +307,7 @@
         body = await self._read_body()
         if body is None:
             self._abort()
-            return forwarding.Lost(outcomes.Reason.CUT)
+            return self._cut()
         self._update_keep_alive(headers)
         load = self._parse_load(headers)
         signals = self._read_signals(status, headers)
--- a/tests/forwarding/test_service_task.py
+++ b/tests/forwarding/test_service_task.py
@@ -58,6 +58,7 @@
             event_log.EventLog("e-1", sink),
             self.recorder,
             self.misplaced.append,
+            lambda suspicions: self.tell(suspicions),
         )
         await self.stack.enter_async_context(self.task)
         self.records = self.records or tuple(
