--- a/src/sesamevale/event_log.py
+++ b/src/sesamevale/event_log.py
@@ -41,6 +41,11 @@
         self._dropped = 0
         self._unreported = 0
 
+    @property
+    def entry_id(self) -> str:
+        """Identifier of this entry."""
+        return self._entry_id
+
     @property
     def dropped(self) -> int:
         """Number of lines that were dropped."""
--- a/src/sesamevale/forwarding/inquiries.py
+++ b/src/sesamevale/forwarding/inquiries.py
@@ -48,6 +48,7 @@
     more has ended. The request waits for that with its next attempt.
 
     Args:
+        entry_id: Identifier of this entry.
         key: Key of the fingerprints, the same at all entries.
         send: Sends a message to the task of the service.
         on_found: Called with suspicions for the other entries.
@@ -57,6 +58,7 @@
 
     def __init__(
         self,
+        entry_id: str,
         key: bytes,
         send: Callable[[messages.Message], None],
         on_found: Callable[[tuple[suspects.Suspicion, ...]], None],
@@ -68,7 +70,7 @@
         self._on_found = on_found
         self._events = events
         self._recorder = recorder
-        self._suspects = suspects.Suspects()
+        self._suspects = suspects.Suspects(entry_id)
         self._pending: dict[upstream_signals.Instance, list[_CutAttempt]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
--- a/src/sesamevale/forwarding/service_task.py
+++ b/src/sesamevale/forwarding/service_task.py
@@ -94,7 +94,12 @@
             on_misplaced,
         )
         self._inquiries = inquiries.Inquiries(
-            suspect_key, self.send, on_suspicions, events, recorder
+            events.entry_id,
+            suspect_key,
+            self.send,
+            on_suspicions,
+            events,
+            recorder,
         )
         self._loop = asyncio.get_running_loop()
         self._sweeper = self._loop.call_later(SWEEP_INTERVAL_S, self._sweep)
--- a/src/sesamevale/policy/admission/suspects.py
+++ b/src/sesamevale/policy/admission/suspects.py
@@ -28,8 +28,9 @@
 
 # Ends of upstreams from which on a request is not sent any more.
 DEATHS_MAX = 2
-# Time after the last of them for which it is refused; it doubles with each
-# further one, up to the maximum.
+# Time after the last of them for which it is refused at least; it doubles with
+# each further one, up to the maximum. Entries refuse it for up to twice that,
+# each for a time of its own, so that one entry tries it again first.
 REFUSAL_S = 20.0
 REFUSAL_MAX_S = 320.0
 # Longest time for which one attempt of a suspect is waited for before another
@@ -43,6 +44,7 @@
 KIND_WINDOW_S = 10.0
 # Most requests that are remembered.
 REQUESTS_MAX = 4096
+HASH_BITS = 32
 # Stands for no upstream: the request has been answered.
 CLEARED = 0
 
@@ -107,14 +109,19 @@
 def kind_of(*names: str) -> int:
     """Returns 32 bits that are equal for the same names; never ``CLEARED``."""
     text = "\x00".join(names).encode()
-    digest = hashlib.blake2b(text, digest_size=4).digest()
+    digest = hashlib.blake2b(text, digest_size=HASH_BITS // 8).digest()
     return int.from_bytes(digest, "big") or 1
 
 
 class Suspects:
-    """What is known of requests under which upstreams have ended."""
+    """What is known of requests under which upstreams have ended.
 
-    def __init__(self) -> None:
+    Args:
+        entry_id: Identifier of this entry.
+    """
+
+    def __init__(self, entry_id: str) -> None:
+        self._entry_id = entry_id
         # Ends of upstreams by request, with their times. A request is kept at
         # its place of first suspicion.
         self._deaths: dict[int, dict[int, float]] = {}
@@ -163,7 +170,8 @@
         deaths = self._blamed_deaths(request)
         if not deaths:
             return Judgement(Verdict.SEND)
-        refused_until = max(deaths) + _refusal_s(len(deaths))
+        turn = 1.0 + self._turn_of(request)
+        refused_until = max(deaths) + turn * _refusal_s(len(deaths))
         if len(deaths) >= DEATHS_MAX and now < refused_until:
             return Judgement(Verdict.REFUSE, refused_until - now)
         if now < self._trials.get(request, -math.inf):
@@ -202,6 +210,10 @@
             for each in self._deaths
         )
 
+    def _turn_of(self, request: int) -> float:
+        """Returns when this entry tries a request again, between 0 and 1."""
+        return kind_of(self._entry_id, f"{request:x}") / 2.0**HASH_BITS
+
     def _clear(self, request: int, at: float) -> bool:
         """Drops the ends of upstreams before a request's answer."""
         if at <= self._cleared.get(request, -math.inf):
@@ -245,7 +257,7 @@
     def _forget(self, now: float) -> None:
         """Drops what is old, and the oldest of what is too much."""
         for request, known in list(self._deaths.items()):
-            kept_s = REFUSAL_S + _refusal_s(len(known))
+            kept_s = REFUSAL_S + 2.0 * _refusal_s(len(known))
             if now - max(known.values()) > kept_s:
                 self._drop_request(request)
         while len(self._deaths) > REQUESTS_MAX:
--- /dev/null
+++ b/tests/policy/admission/test_suspects.py
@@ -0,0 +1,148 @@
+"""Tests of the suspicions against requests that crash upstreams."""
+
+from __future__ import annotations
+
+import pytest
+
+from sesamevale.policy.admission import suspects
+from tests.builders import suspicions
+from tests.builders.suspicions import death
+
+Verdict = suspects.Verdict
+DEADLY, INNOCENT = 1, 2
+
+
+def known(*found, now=100.0, entry_id="e-1"):
+    table = suspects.Suspects(entry_id)
+    for each in found:
+        table.record(each, now)
+    return table
+
+
+def verdict(table, request, now=100.0):
+    return table.judge(request, now).verdict
+
+
+def test_a_request_is_refused_after_two_ends():
+    table = known(death(DEADLY, 7))
+    assert verdict(table, DEADLY) is Verdict.TRY_ALONE
+    table.record(death(DEADLY, 8), 100.0)
+    judgement = table.judge(DEADLY, 100.0)
+    assert judgement.verdict is Verdict.REFUSE
+    assert judgement.retry_after_s >= suspects.REFUSAL_S
+
+
+def test_the_same_end_seen_by_many_entries_counts_once():
+    table = known(*[death(DEADLY, 7) for _ in range(5)])
+    assert verdict(table, DEADLY) is Verdict.TRY_ALONE
+
+
+def test_an_answer_clears_a_request():
+    table = known(death(DEADLY, 7), death(DEADLY, 8))
+    table.record(suspicions.answer(DEADLY, at=101.0), 101.0)
+    assert verdict(table, DEADLY, 101.0) is Verdict.SEND
+    assert not len(table)
+
+
+def test_news_of_an_end_before_the_answer_changes_nothing():
+    table = known(suspicions.answer(DEADLY, at=101.0))
+    assert not table.record(death(DEADLY, 7, at=100.0), 102.0)
+    assert verdict(table, DEADLY, 102.0) is Verdict.SEND
+
+
+# Guards against innocent requests that shared two upstreams with deadly ones.
+def test_an_end_is_put_down_to_the_request_under_which_most_have_ended():
+    table = known(
+        death(DEADLY, 7),
+        death(INNOCENT, 7),
+        death(3, 8),
+        death(INNOCENT, 8),
+    )
+    assert verdict(table, INNOCENT) is Verdict.REFUSE
+    for upstream in (9, 10):
+        table.record(death(DEADLY, upstream), 100.0)
+        table.record(death(3, upstream + 10), 100.0)
+    assert verdict(table, DEADLY) is Verdict.REFUSE
+    assert verdict(table, INNOCENT) is Verdict.SEND
+
+
+def test_one_attempt_of_a_suspect_runs_at_a_time():
+    table = known(death(DEADLY, 7))
+    table.begin_trial(DEADLY, 100.0)
+    judgement = table.judge(DEADLY, 100.1)
+    assert judgement.verdict is Verdict.REFUSE
+    assert 0 < judgement.retry_after_s < 1
+    table.end_trial(DEADLY)
+    assert verdict(table, DEADLY, 100.2) is Verdict.TRY_ALONE
+
+
+def test_a_trial_without_a_result_does_not_last():
+    table = known(death(DEADLY, 7))
+    table.begin_trial(DEADLY, 100.0)
+    later = 100.0 + suspects.TRIAL_MAX_S
+    assert verdict(table, DEADLY, later) is Verdict.TRY_ALONE
+
+
+def test_a_refusal_ends_and_doubles_with_each_further_end():
+    table = known(death(DEADLY, 7), death(DEADLY, 8))
+    first = table.judge(DEADLY, 100.0).retry_after_s
+    assert suspects.REFUSAL_S <= first <= 2 * suspects.REFUSAL_S
+    assert verdict(table, DEADLY, 100.0 + first) is Verdict.TRY_ALONE
+    table.record(death(DEADLY, 9), 100.0)
+    assert table.judge(DEADLY, 100.0).retry_after_s == pytest.approx(2 * first)
+
+
+# Load: all entries refuse a request for the same time, and callers ask each of
+# them for it; its first attempts after that would crash an upstream for each.
+def test_entries_try_a_request_again_one_after_the_other():
+    ends = [
+        known(death(DEADLY, 7), death(DEADLY, 8), entry_id=f"e-{number}")
+        .judge(DEADLY, 100.0)
+        .retry_after_s
+        for number in range(58)
+    ]
+    first = min(ends)
+    assert sum(each < first + 0.1 for each in ends) <= 3
+
+
+# Load: callers ask for many different things that crash upstreams.
+def test_ends_under_many_requests_of_a_kind_stop_its_repeats():
+    table = known(*[death(number, 100 + number) for number in range(1, 5)])
+    assert not table.may_repeat(99, suspicions.KIND, 100.0)
+    assert table.may_repeat(99, suspicions.KIND + 1, 100.0)
+    later = 100.1 + suspects.KIND_WINDOW_S
+    assert table.may_repeat(99, suspicions.KIND, later)
+
+
+def test_ends_that_a_refused_request_explains_do_not_stop_its_kind():
+    table = known(*[death(DEADLY, number) for number in range(7, 17)])
+    assert table.may_repeat(99, suspicions.KIND, 100.0)
+
+
+# Load: a caller sends ever new requests that crash upstreams.
+def test_the_number_of_requests_is_bounded():
+    table = suspects.Suspects("e-1")
+    for number in range(1, suspects.REQUESTS_MAX + 50):
+        table.record(death(number, number), 100.0)
+    assert len(table) == suspects.REQUESTS_MAX
+
+
+def test_what_is_old_is_forgotten():
+    table = known(death(DEADLY, 7))
+    later = 100.0 + 4 * suspects.REFUSAL_S
+    table.record(death(INNOCENT, 8, at=later), later)
+    assert not table.is_suspect(DEADLY)
+    assert len(table) == 1
+
+
+def test_fingerprints_are_of_the_content_and_the_key():
+    one = suspects.fingerprint(b"k", b"GET", b"/a", None)
+    assert one == suspects.fingerprint(b"k", b"GET", b"/a", b"")
+    others = {
+        suspects.fingerprint(b"l", b"GET", b"/a", None),
+        suspects.fingerprint(b"k", b"PUT", b"/a", None),
+        suspects.fingerprint(b"k", b"GET", b"/b", None),
+        suspects.fingerprint(b"k", b"GET", b"/a", b"x"),
+        suspects.fingerprint(b"k", b"GE", b"T/a", None),
+    }
+    assert len(others | {one}) == 6
