Tell innocent requests from deadly ones, and stop attacks with many of them

Change: an end is put down to a request that was never answered before one that was, then to the one under which most upstreams have ended; three ends without an answer refuse a request in any case; the first refusal is short. If ends are put down to four different requests of a route, one is enough.

--- a/src/sesamevale/forwarding/inquiries.py
+++ b/src/sesamevale/forwarding/inquiries.py
@@ -85,7 +85,7 @@
             return None
         now = time.monotonic()
         fingerprint = self._fingerprint(request)
-        judgement = self._suspects.judge(fingerprint, now)
+        judgement = self._suspects.judge(fingerprint, _kind_of(request), now)
         if judgement.verdict is suspects.Verdict.REFUSE:
             self._recorder.count("suspects_refused")
             retry_after_ms = int(judgement.retry_after_s * 1000)
@@ -198,7 +198,6 @@
                 for each in attempts
             ],
             suspects=[f"{each.request:016x}" for each in found],
-            refused=self._suspects.refused_count(now),
         )
         if found:
             self._on_found(tuple(found))
@@ -210,8 +209,7 @@
         if not self._suspects:
             return
         fingerprint = self._fingerprint(request)
-        if not self._suspects.is_suspect(fingerprint):
-            return
+        was_suspect = self._suspects.is_suspect(fingerprint)
         self._suspects.end_trial(fingerprint)
         if not isinstance(result, forwarding.Answered):
             return
@@ -219,7 +217,7 @@
         cleared = suspects.Suspicion(
             fingerprint, _kind_of(request), suspects.CLEARED, now
         )
-        if self._suspects.record(cleared, now):
+        if self._suspects.record(cleared, now) and was_suspect:
             self._recorder.count("suspects_cleared")
             self._on_found((cleared,))
 
--- a/src/sesamevale/policy/admission/suspects.py
+++ b/src/sesamevale/policy/admission/suspects.py
@@ -26,21 +26,26 @@
     "kind_of",
 ]
 
-# Ends of upstreams from which on a request is not sent any more.
+# Ends of upstreams from which on a request is not sent any more: those that are
+# put down to it, and all under which it was running.
 DEATHS_MAX = 2
-# Time after the last of them for which it is refused at least; it doubles with
-# each further one, up to the maximum. Entries refuse it for up to twice that,
-# each for a time of its own, so that one entry tries it again first.
-REFUSAL_S = 20.0
+SHARED_DEATHS_MAX = 3
+# Time after the last of them for which it is refused at least. Two may be
+# chance; from three on, it doubles with each further one, up to the maximum.
+# Entries refuse it for up to twice that, each for a time of its own, so that
+# one entry tries it again first.
+FIRST_REFUSAL_S = 5.0
+REFUSAL_S = 40.0
 REFUSAL_MAX_S = 320.0
 # Longest time for which one attempt of a suspect is waited for before another
 # one may be sent.
 TRIAL_MAX_S = 2.0
 # Retry-After of a suspect while another attempt of it is running.
 TRIAL_RETRY_S = 0.25
-# Unexplained ends of upstreams under one kind of request, within a time, from
-# which on attempts of that kind are not repeated after an end.
-KIND_DEATHS_MAX = 4
+# Different requests of one kind to which ends within a time are put down. From
+# this number on, one end is enough to refuse a request of that kind, and its
+# attempts are not repeated.
+KIND_CULPRITS_MAX = 4
 KIND_WINDOW_S = 10.0
 # Most requests that are remembered.
 REQUESTS_MAX = 4096
@@ -160,20 +165,30 @@
         self._forget(now)
         return True
 
-    def judge(self, request: int, now: float) -> Judgement:
+    def judge(self, request: int, kind: int, now: float) -> Judgement:
         """Decides whether a request may be sent.
 
         Args:
             request: Its fingerprint.
+            kind: Hash of its service and route.
             now: Monotonic time in seconds.
         """
-        deaths = self._blamed_deaths(request)
-        if not deaths:
+        known = self._deaths.get(request)
+        if not known:
             return Judgement(Verdict.SEND)
-        turn = 1.0 + self._turn_of(request)
-        refused_until = max(deaths) + turn * _refusal_s(len(deaths))
-        if len(deaths) >= DEATHS_MAX and now < refused_until:
+        blamed_count = sum(self._blames(each, request) for each in known)
+        refused_until = max(known.values()) + (
+            1.0 + self._turn_of(request)
+        ) * _refusal_s(len(known))
+        is_refused = (
+            blamed_count >= DEATHS_MAX
+            or len(known) >= SHARED_DEATHS_MAX
+            or (blamed_count > 0 and self._is_under_attack(kind, now))
+        )
+        if is_refused and now < refused_until:
             return Judgement(Verdict.REFUSE, refused_until - now)
+        if not blamed_count:
+            return Judgement(Verdict.SEND)
         if now < self._trials.get(request, -math.inf):
             return Judgement(Verdict.REFUSE, TRIAL_RETRY_S)
         return Judgement(Verdict.TRY_ALONE)
@@ -186,9 +201,9 @@
             kind: Hash of its service and route.
             now: Monotonic time in seconds.
         """
-        if self.judge(request, now).verdict is Verdict.REFUSE:
+        if self.judge(request, kind, now).verdict is Verdict.REFUSE:
             return False
-        return self._unexplained_deaths(kind, now) < KIND_DEATHS_MAX
+        return not self._is_under_attack(kind, now)
 
     def begin_trial(self, request: int, now: float) -> None:
         """Records that a suspect is sent."""
@@ -203,13 +218,6 @@
         """Whether an upstream has ended under a request since its answer."""
         return request in self._deaths
 
-    def refused_count(self, now: float) -> int:
-        """Returns the number of requests that are refused now."""
-        return sum(
-            self.judge(each, now).verdict is Verdict.REFUSE
-            for each in self._deaths
-        )
-
     def _turn_of(self, request: int) -> float:
         """Returns when this entry tries a request again, between 0 and 1."""
         return kind_of(self._entry_id, f"{request:x}") / 2.0**HASH_BITS
@@ -228,30 +236,36 @@
         self._trials.pop(request, None)
         return True
 
-    def _blamed_deaths(self, request: int) -> list[float]:
-        """Returns the times of the ends that are put down to a request."""
-        known = self._deaths.get(request, {})
-        return [at for each, at in known.items() if self._blames(each, request)]
-
     def _blames(self, upstream: int, request: int) -> bool:
         """Whether no other request explains the end of an upstream better."""
-        count = len(self._deaths[request])
-        return not any(
-            len(self._deaths[other]) > max(count, DEATHS_MAX - 1)
-            for other in self._requests_of[upstream]
+        own = self._rank(request)
+        return all(
+            self._rank(other) <= own for other in self._requests_of[upstream]
         )
 
-    def _unexplained_deaths(self, kind: int, now: float) -> int:
-        """Returns the recent ends that no request that is refused explains."""
-        return sum(
-            now - at <= KIND_WINDOW_S and not self._is_explained(upstream)
-            for upstream, at in self._kinds.get(kind, {}).items()
-        )
+    def _rank(self, request: int) -> tuple[bool, int]:
+        """Returns how well a request explains an end; a higher rank is better.
 
-    def _is_explained(self, upstream: int) -> bool:
-        return any(
-            len(self._deaths[each]) >= DEATHS_MAX
-            for each in self._requests_of.get(upstream, ())
+        One that has never been answered is a better explanation than one that
+        has been, and one under which several upstreams have ended than others.
+        """
+        count = len(self._deaths[request])
+        return request not in self._cleared, max(count, DEATHS_MAX - 1)
+
+    def _is_under_attack(self, kind: int, now: float) -> bool:
+        """Whether upstreams end under many different requests of a kind."""
+        culprits = {
+            self._likeliest_culprit(upstream)
+            for upstream, at in self._kinds.get(kind, {}).items()
+            if now - at <= KIND_WINDOW_S and upstream in self._requests_of
+        }
+        return len(culprits) >= KIND_CULPRITS_MAX
+
+    def _likeliest_culprit(self, upstream: int) -> int:
+        """Returns the request that explains an upstream's end best."""
+        return max(
+            self._requests_of[upstream],
+            key=lambda each: (self._rank(each), each),
         )
 
     def _forget(self, now: float) -> None:
@@ -287,4 +301,6 @@
 
 def _refusal_s(deaths: int) -> float:
     """Returns for how long a request with so many ends is refused."""
-    return min(REFUSAL_MAX_S, REFUSAL_S * 2.0 ** max(0, deaths - DEATHS_MAX))
+    if deaths < SHARED_DEATHS_MAX:
+        return FIRST_REFUSAL_S
+    return min(REFUSAL_MAX_S, REFUSAL_S * 2.0 ** (deaths - SHARED_DEATHS_MAX))
