Take a status above 599 for no answer, and bound interim answers everywhere

Cause: the parser accepts final statuses up to 999, and the product's own mode read interim answers without a bound.

Change: one check and one bound in http1 for both modes. Such an answer counts as malformed: the request may have run, nothing behind it on the connection is used, the connection ends and the upstream's failure is counted.

--- a/src/sesamevale/http1.py
+++ b/src/sesamevale/http1.py
@@ -5,6 +5,8 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
+import h11
+
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Iterable
@@ -14,13 +16,19 @@
     from sesamevale.policy.signals import upstream_signals
 
 __all__ = [
+    "INTERIM_ANSWERS_MAX",
     "Dialect",
     "HeaderName",
+    "check_status",
     "get_header",
     "get_integer_header",
     "strip_hop_by_hop",
 ]
 
+# Largest number of interim answers (1xx) before an answer.
+INTERIM_ANSWERS_MAX = 16
+# The parser takes larger codes of three digits for final answers.
+STATUS_MAX = 599
 HOP_BY_HOP = frozenset(
     (
         b"connection",
@@ -107,6 +115,17 @@
     return None
 
 
+def check_status(response: h11.Response) -> None:
+    """Checks the status of a final answer.
+
+    Raises:
+        h11.RemoteProtocolError: HTTP has no such status (RFC 9110, section
+            15), so the answer says nothing of the request.
+    """
+    if response.status_code > STATUS_MAX:
+        raise h11.RemoteProtocolError("status code out of range")
+
+
 def get_integer_header(
     headers: Iterable[tuple[bytes, bytes]], name: bytes
 ) -> int | None:
--- a/src/sesamevale/upstreams/connection.py
+++ b/src/sesamevale/upstreams/connection.py
@@ -133,10 +133,8 @@
         self, exchange: exchanges.Exchange, started: float
     ) -> attempts.Result:
         await self._receive()
-        response = await self._next_event()
-        while isinstance(response, h11.InformationalResponse):
-            response = await self._next_event()
-        if not isinstance(response, h11.Response):
+        response = await self._next_response()
+        if response is None:
             return self._lost(exchange, outcomes.Reason.CUT)
         headers = tuple(response.headers)
         leaving = self._is_leaving(exchange, headers)
@@ -148,6 +146,22 @@
             )
         return await self._forward_answer(exchange, response, started, leaving)
 
+    async def _next_response(self) -> h11.Response | None:
+        """Returns the final answer; None if there is none.
+
+        Raises:
+            h11.RemoteProtocolError: It is malformed, or there are too many
+                interim answers.
+        """
+        for _ in range(http1.INTERIM_ANSWERS_MAX + 1):
+            event = await self._next_event()
+            if isinstance(event, h11.Response):
+                http1.check_status(event)
+                return event
+            if not isinstance(event, h11.InformationalResponse):
+                return None
+        raise h11.RemoteProtocolError("too many interim answers")
+
     async def _forward_answer(
         self,
         exchange: exchanges.Exchange,
--- a/src/sesamevale/upstreams/http_link.py
+++ b/src/sesamevale/upstreams/http_link.py
@@ -45,8 +45,6 @@
 # Number of parsed events after which other tasks get a turn, so that an answer
 # in tiny chunks does not hold them up.
 EVENTS_PER_TURN = 256
-# Largest number of interim answers (1xx) before an answer.
-INTERIM_ANSWERS_MAX = 16
 # Idle timeout assumed for an upstream that does not announce its own.
 DEFAULT_KEEP_ALIVE_S = 5.0
 # Time before the idle timeout of the upstream at which a connection is no
@@ -456,10 +454,13 @@
             h11.RemoteProtocolError: An answer is malformed, or there are too
                 many interim answers.
         """
-        for _ in range(INTERIM_ANSWERS_MAX + 1):
+        for _ in range(http1.INTERIM_ANSWERS_MAX + 1):
             event = await self._next_event()
+            if isinstance(event, h11.Response):
+                http1.check_status(event)
+                return event
             if not isinstance(event, h11.InformationalResponse):
-                return event if isinstance(event, h11.Response) else None
+                return None
         raise h11.RemoteProtocolError("too many interim answers")
 
     async def _read_body(self, parts_max: float = math.inf) -> bytes | None:
--- a/tests/test_gateway_mutants.py
+++ b/tests/test_gateway_mutants.py
@@ -59,6 +59,7 @@
 from tests.policy.signals import test_signals_machine
 from tests.policy.signals import test_upstream_signals
 from tests.upstreams import test_http_link
+from tests.upstreams import test_odd_statuses
 
 
 @pytest.fixture(autouse=True)
@@ -330,7 +331,11 @@
 
 
 def read_any_number_of_interim_answers(monkeypatch) -> None:
-    monkeypatch.setattr(http_link, "INTERIM_ANSWERS_MAX", 10**9)
+    monkeypatch.setattr(http1, "INTERIM_ANSWERS_MAX", 10**9)
+
+
+def pass_any_status_on(monkeypatch) -> None:
+    monkeypatch.setattr(http1, "STATUS_MAX", 10**9)
 
 
 def parse_without_giving_turns(monkeypatch) -> None:
@@ -661,6 +666,29 @@
         read_any_number_of_interim_answers,
         with_arguments(ENDLESS_READ, endless_answer("interim"), False),
     ),
+    (
+        read_any_number_of_interim_answers,
+        with_arguments(
+            test_odd_statuses.test_a_dispatcher_never_passes_it_on,
+            "199 without end",
+            "POST",
+        ),
+    ),
+    (
+        pass_any_status_on,
+        with_arguments(
+            test_odd_statuses.test_the_gateway_reports_a_charge_as_unknown,
+            "600",
+        ),
+    ),
+    (
+        pass_any_status_on,
+        with_arguments(
+            test_odd_statuses.test_a_dispatcher_never_passes_it_on,
+            "999",
+            "POST",
+        ),
+    ),
     (
         parse_without_giving_turns,
         with_arguments(
