Show that suspicions cost hashes for good, and of whole uploads

Cause: what is old is forgotten only with the next end of an upstream, so after one end all later requests are hashed; an upload of 60 MB is hashed whole.

Change: two tests, red.

--- a/tests/policy/admission/test_suspects.py
+++ b/tests/policy/admission/test_suspects.py
@@ -165,3 +165,21 @@
         suspects.fingerprint(b"k", b"GE", b"T/a", None),
     }
     assert len(others | {one}) == 6
+
+
+# Guards against uploads that are hashed whole in one turn of the event loop.
+def test_long_bodies_are_hashed_in_part():
+    body = bytes(suspects.BODY_PART_BYTES)
+    one = suspects.fingerprint(b"k", b"PUT", b"/a", body + b"x" + body)
+    assert one == suspects.fingerprint(b"k", b"PUT", b"/a", body + b"y" + body)
+    assert one != suspects.fingerprint(b"k", b"PUT", b"/a", body + b"xx" + body)
+    assert one != suspects.fingerprint(
+        b"k", b"PUT", b"/a", body + b"x" + body[1:] + b"z"
+    )
+
+
+# Guards against hashes of all requests long after the last end of an upstream.
+def test_nothing_is_suspected_long_after_the_last_end():
+    table = known(death(DEADLY, 7), death(DEADLY, 8), death(INNOCENT, 8))
+    table.forget(100.0 + 3 * suspects.REFUSAL_S)
+    assert not len(table)
