Forget suspicions in time, and hash long bodies in part

Cause: what is old was forgotten only with the next end of an upstream, so one end made all later requests be hashed; an upload of 60 MB was hashed whole in one turn of the event loop.

Of a body over 64 KiB the first and last 32 KiB and the length are hashed.

--- a/src/sesamevale/forwarding/inquiries.py
+++ b/src/sesamevale/forwarding/inquiries.py
@@ -79,6 +79,11 @@
         for each in self._tasks:
             each.cancel()
 
+    def forget(self) -> None:
+        """Forgets old suspicions; called at intervals."""
+        if self._suspects:
+            self._suspects.forget(time.monotonic())
+
     def judge(self, request: requests.Request) -> outcomes.NotRun | None:
         """Returns why a request is refused, or None if it may be sent."""
         if not self._suspects:
--- a/src/sesamevale/forwarding/service_task.py
+++ b/src/sesamevale/forwarding/service_task.py
@@ -342,3 +342,4 @@
 @_receive.register
 def _(message: messages.CloseExpiredConnections, task: ServiceTask) -> None:
     task._pool.close_expired(time.monotonic())
+    task._inquiries.forget()
--- a/src/sesamevale/policy/admission/suspects.py
+++ b/src/sesamevale/policy/admission/suspects.py
@@ -50,6 +50,8 @@
 # Most requests that are remembered.
 REQUESTS_MAX = 4096
 HASH_BITS = 32
+# Bytes of the start and of the end of a long body that are hashed.
+BODY_PART_BYTES = 32 * 1024
 # Stands for no upstream: the request has been answered.
 CLEARED = 0
 
@@ -98,6 +100,8 @@
 ) -> int:
     """Returns 64 bits that are equal for requests of the same content.
 
+    Only the start, the end and the length of a long body count.
+
     Args:
         key: Key of the hash, at most 64 bytes, the same at all entries.
         method: HTTP method.
@@ -105,7 +109,11 @@
         body: The whole body, if there is one.
     """
     digest = hashlib.blake2b(key=key[:64], digest_size=8)
-    for part in (method, target, body or b""):
+    body = body or b""
+    size = b"%d" % len(body)
+    if len(body) > 2 * BODY_PART_BYTES:
+        body = body[:BODY_PART_BYTES] + body[-BODY_PART_BYTES:]
+    for part in (method, target, size, body):
         digest.update(len(part).to_bytes(8, "big"))
         digest.update(part)
     return int.from_bytes(digest.digest(), "big")
@@ -162,7 +170,7 @@
         self._trials.pop(request, None)
         self._requests_of.setdefault(upstream, set()).add(request)
         self._kinds.setdefault(suspicion.kind, {})[upstream] = suspicion.at
-        self._forget(now)
+        self.forget(now)
         return True
 
     def judge(self, request: int, kind: int, now: float) -> Judgement:
@@ -218,6 +226,25 @@
         """Whether an upstream has ended under a request since its answer."""
         return request in self._deaths
 
+    def forget(self, now: float) -> None:
+        """Drops what is old, and the oldest of what is too much.
+
+        Args:
+            now: Monotonic time in seconds.
+        """
+        for request, known in list(self._deaths.items()):
+            kept_s = REFUSAL_S + 2.0 * _refusal_s(len(known))
+            if now - max(known.values()) > kept_s:
+                self._drop_request(request)
+        while len(self._deaths) > REQUESTS_MAX:
+            self._drop_request(next(iter(self._deaths)))
+        for kind, deaths in list(self._kinds.items()):
+            for upstream, at in list(deaths.items()):
+                if now - at > KIND_WINDOW_S:
+                    del deaths[upstream]
+            if not deaths:
+                del self._kinds[kind]
+
     def _turn_of(self, request: int) -> float:
         """Returns when this entry tries a request again, between 0 and 1."""
         return kind_of(self._entry_id, f"{request:x}") / 2.0**HASH_BITS
@@ -268,21 +295,6 @@
             key=lambda each: (self._rank(each), each),
         )
 
-    def _forget(self, now: float) -> None:
-        """Drops what is old, and the oldest of what is too much."""
-        for request, known in list(self._deaths.items()):
-            kept_s = REFUSAL_S + 2.0 * _refusal_s(len(known))
-            if now - max(known.values()) > kept_s:
-                self._drop_request(request)
-        while len(self._deaths) > REQUESTS_MAX:
-            self._drop_request(next(iter(self._deaths)))
-        for kind, deaths in list(self._kinds.items()):
-            for upstream, at in list(deaths.items()):
-                if now - at > KIND_WINDOW_S:
-                    del deaths[upstream]
-            if not deaths:
-                del self._kinds[kind]
-
     def _drop_request(self, request: int) -> None:
         for upstream in list(self._deaths[request]):
             self._drop(request, upstream)
