--- a/src/sesamevale/gateway.py
+++ b/src/sesamevale/gateway.py
@@ -11,6 +11,7 @@
 from typing import TYPE_CHECKING
 
 from sesamevale import draining
+from sesamevale import gateway_events
 from sesamevale import gateway_messages
 from sesamevale import incarnations
 from sesamevale import messaging
@@ -20,20 +21,17 @@
 from sesamevale.entries import suspicion_exchange
 from sesamevale.forwarding import messages
 from sesamevale.forwarding import router as routers
-from sesamevale.forwarding import service_task
+from sesamevale.forwarding import task_building
 from sesamevale.operators import admin_server
 from sesamevale.operators import gateway_pages
 from sesamevale.policy.admission import drain_schedule
-from sesamevale.policy.admission import rate_shares
-from sesamevale.policy.admission import retry_budget
-from sesamevale.policy.balancing import load_sampling
 from sesamevale.policy.configuration import active_configuration
 from sesamevale.policy.membership import entry_count
+from sesamevale.policy.membership import evacuations
 from sesamevale.policy.membership import membership
 from sesamevale.policy.membership import membership_types
 from sesamevale.policy.membership import registered_peers
 from sesamevale.policy.signals import discovered_upstreams
-from sesamevale.policy.signals import upstream_signals
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -73,6 +71,7 @@
         self._router = routers.RequestRouter(dialect, settings.config_bound_s)
         self._active_configuration = active_configuration.ActiveConfiguration()
         self._upstreams = discovered_upstreams.DiscoveredUpstreams()
+        self._evacuations = evacuations.Evacuations()
         self._peers = registered_peers.RegisteredPeers(
             settings.entry_id, settings.data_center
         )
@@ -117,6 +116,7 @@
             self._router,
             self._active_configuration,
             self._upstreams,
+            self._evacuations,
             events,
             recorder,
         )
@@ -236,18 +236,17 @@
             if existing is not None:
                 existing.send(messages.SetService(service))
                 continue
-            task = service_task.ServiceTask(
+            task = task_building.build_task(
                 service,
-                self._new_balancer(),
-                retry_budget.RetryBudget(self._settings.retry_budget),
+                self._settings,
                 self._dialect,
                 self._events,
                 self._recorder,
+                self._rng,
                 lambda upstream_id: self.send(
                     gateway_messages.UpstreamIdMismatch(upstream_id)
                 ),
                 self._suspicions.find,
-                self._settings.environment.encode(),
             )
             task.start()
             self._router.add_task(name, task)
@@ -255,20 +254,11 @@
         self._apply_entry_count()
         self._apply_registered_entries()
 
-    def _new_balancer(self) -> load_sampling.LoadBalancer:
-        settings = self._settings
-        shares = rate_shares.RateShares(
-            settings.entry_id,
-            settings.data_center,
-            upstream_signals.UpstreamSignals(),
-        )
-        return load_sampling.LoadBalancer(
-            settings.data_center, self._rng, shares
-        )
-
     def _apply_upstreams(self) -> None:
         for name, task in self._router.tasks.items():
-            records = self._upstreams.usable(name)
+            records = self._evacuations.select_usable(
+                self._upstreams.usable(name)
+            )
             task.send(messages.SetUpstreams(records))
 
     def _apply_entry_count(self) -> None:
@@ -290,17 +280,6 @@
         for task in self._router.tasks.values():
             task.send(registered)
 
-    def _log_changes(
-        self, changes: list[discovered_upstreams.UpstreamChange]
-    ) -> None:
-        for change in changes:
-            self._events.state(
-                "upstream",
-                upstream=change.upstream_id,
-                service=change.service,
-                change=change.kind,
-            )
-
     def _update_members(self) -> None:
         """Updates the entries that callers may be sent to."""
         alive = map(registered_peers.Peer.of, self._gossip.view.usable)
@@ -314,11 +293,6 @@
         )
 
 
-def _age_s(read_at: float) -> float:
-    """Returns the age of a read of the store for a log line, in seconds."""
-    return round(time.monotonic() - read_at, 3)
-
-
 @functools.singledispatch
 def _receive(message: gateway_messages.Message, gateway: Gateway) -> None:
     raise TypeError(f"no handler for {type(message).__name__}")
@@ -339,11 +313,8 @@
         confirmed_at=message.read_at,
     )
     if changed:
-        gateway._events.state(
-            "config_in_force",
-            version=found.version,
-            previous=previous,
-            age_s=_age_s(message.read_at),
+        gateway_events.log_configuration(
+            gateway._events, found.version, previous, message.read_at
         )
         gateway._apply_services(found)
 
@@ -351,22 +322,30 @@
 @_receive.register
 def _(message: gateway_messages.UpstreamsRead, gateway: Gateway) -> None:
     changes = gateway._upstreams.record_read(
-        message.upstreams, message.read_at, message.grace_until
+        message.upstreams, message.read_at, message.grace_until, message.era
     )
     gateway._apply_upstreams()
     if gateway._router.view.upstreams_loaded:
-        gateway._log_changes(changes)
+        gateway_events.log_changes(gateway._events, changes)
         return
-    gateway._events.state(
-        "upstreams_known", count=len(changes), age_s=_age_s(message.read_at)
+    gateway_events.log_upstreams_known(
+        gateway._events, len(changes), message.read_at
     )
     gateway._update_view(upstreams_loaded=True)
 
 
+@_receive.register
+def _(message: gateway_messages.EvacuationsRead, gateway: Gateway) -> None:
+    # The upstreams of the same read follow and are applied with it.
+    found, read_at = message.data_centers, message.read_at
+    changes = gateway._evacuations.record_read(found, read_at)
+    gateway_events.log_changes(gateway._events, changes)
+
+
 @_receive.register
 def _(message: gateway_messages.PeersRead, gateway: Gateway) -> None:
     gateway._peers.record_read(
-        message.peers, message.read_at, message.grace_until
+        message.peers, message.read_at, message.grace_until, message.era
     )
     for peer in gateway._peers.same_data_center:
         gateway._gossip.send(gossip.Seed(peer.host, peer.entry_port))
@@ -386,7 +365,9 @@
 
 @_receive.register
 def _(message: gateway_messages.GraceEnded, gateway: Gateway) -> None:
-    gateway._log_changes(gateway._upstreams.drop_missing(time.monotonic()))
+    gateway_events.log_changes(
+        gateway._events, gateway._upstreams.drop_missing(time.monotonic())
+    )
     gateway._peers.drop_missing()
     gateway._apply_upstreams()
     gateway._apply_registered_entries()
@@ -399,7 +380,10 @@
     gateway._is_registration_old = view.registration_doubtful
     gateway._apply_entry_count()
     gateway._events.state(
-        "store_view", state=view.contact.value, absent=view.absent.value
+        "store_view",
+        state=view.contact.value,
+        absent=view.absent.value,
+        era=view.era,
     )
 
 
@@ -410,7 +394,9 @@
 
 @_receive.register
 def _(message: gateway_messages.UpstreamIdMismatch, gateway: Gateway) -> None:
-    gateway._log_changes(gateway._upstreams.fence(message.upstream_id))
+    gateway_events.log_changes(
+        gateway._events, gateway._upstreams.fence(message.upstream_id)
+    )
     gateway._apply_upstreams()
 
 
--- a/src/sesamevale/gateway_messages.py
+++ b/src/sesamevale/gateway_messages.py
@@ -17,6 +17,7 @@
 
 __all__ = [
     "ConfigurationRead",
+    "EvacuationsRead",
     "GatewaySettings",
     "GraceEnded",
     "MembersChanged",
@@ -54,8 +55,6 @@
             the deployment has none.
         warmup: Bounds on the requests to cold upstreams; None if the
             deployment has none.
-        evacuation_bound_s: Longest time until an evacuation must be in force,
-            in seconds.
         machine: Resources of the machine.
     """
 
@@ -71,7 +70,6 @@
     grace_s: float
     quota: resources.QuotaBounds | None = None
     warmup: resources.WarmupBounds | None = None
-    evacuation_bound_s: float = 5.0
     machine: resources.Machine = dataclasses.field(
         default_factory=resources.Machine
     )
@@ -99,11 +97,26 @@
         read_at: When the read was sent, in monotonic seconds.
         grace_until: Until when missing upstreams may be used, in monotonic
             seconds.
+        era: Era of the store; 0 if it names none.
     """
 
     upstreams: tuple[routes.UpstreamRecord, ...]
     read_at: float
     grace_until: float = float("-inf")
+    era: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EvacuationsRead:
+    """The list of evacuated data centres was read from the store.
+
+    Attributes:
+        data_centers: Data centres whose upstreams are to get nothing more.
+        read_at: When the read was sent, in monotonic seconds.
+    """
+
+    data_centers: frozenset[str]
+    read_at: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -115,11 +128,13 @@
         read_at: When the read was sent, in monotonic seconds.
         grace_until: Until when missing entries are kept, in monotonic
             seconds.
+        era: Era of the store; 0 if it names none.
     """
 
     peers: tuple[peers.Peer, ...]
     read_at: float
     grace_until: float = float("-inf")
+    era: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -181,6 +196,7 @@
 Message = (
     ConfigurationRead
     | UpstreamsRead
+    | EvacuationsRead
     | PeersRead
     | GraceEnded
     | StoreViewChanged
