--- a/src/sesamevale/forwarding/router.py
+++ b/src/sesamevale/forwarding/router.py
@@ -48,6 +48,19 @@
         loaded = self.configuration is not None and self.upstreams_loaded
         return loaded and not self.stopping
 
+    def addresses_for(self, data_center: str) -> list[str]:
+        """Returns the addresses for callers in a data centre.
+
+        These are the entries of the data centre, or all if it has none.
+        """
+        same_data_center = [
+            each for each in self.members if each.data_center == data_center
+        ]
+        return [
+            f"{each.host}:{each.caller_port}"
+            for each in same_data_center or self.members
+        ]
+
 
 class RequestRouter:
     """Passes each request to the task of its service.
--- a/src/sesamevale/gateway.py
+++ b/src/sesamevale/gateway.py
@@ -173,18 +173,8 @@
         _receive(message, self)
 
     def directory_addresses(self, data_center: str) -> list[str]:
-        """Returns the addresses for callers in a data centre.
-
-        These are the entries of the data centre, or all if it has none.
-        """
-        members = self._router.view.members
-        same_data_center = [
-            each for each in members if each.data_center == data_center
-        ]
-        return [
-            f"{each.host}:{each.caller_port}"
-            for each in same_data_center or members
-        ]
+        """Returns the addresses for callers in a data centre."""
+        return self._router.view.addresses_for(data_center)
 
     async def drain(self) -> None:
         """Leaves the directory and waits until callers use other entries."""
