--- a/src/sesamevale/callers/gateway_connection.py
+++ b/src/sesamevale/callers/gateway_connection.py
@@ -15,14 +15,18 @@
 
 from sesamevale import messaging
 from sesamevale import outcomes
+from sesamevale.callers import body_reader
 from sesamevale.callers import framing
 from sesamevale.callers import gateway_exchange
 from sesamevale.callers import http_connection
 from sesamevale.callers import request_reader
+from sesamevale.policy.admission import memory_account
 from sesamevale.policy.admission import pipelining
 
 if TYPE_CHECKING:
+    from sesamevale import bodies
     from sesamevale import event_log
+    from sesamevale import memory_room
     from sesamevale import metrics
     from sesamevale import routes
     from sesamevale import sockets
@@ -51,6 +55,7 @@
         limits: Limits for callers.
         events: Event log for the results of requests.
         recorder: Recorder of the metrics.
+        room: Memory of the entry.
     """
 
     def __init__(
@@ -61,8 +66,10 @@
         limits: routes.CallerLimits,
         events: event_log.EventLog,
         recorder: metrics.MetricsRecorder,
+        room: memory_room.MemoryRoom,
     ) -> None:
         self._stream = stream
+        self._room = room
         self._router = router
         self._limits = limits
         self._recorder = recorder
@@ -71,6 +78,7 @@
         )
         self._reader = request_reader.RequestReader(stream, limits)
         self._reading: gateway_exchange.GatewayExchange | None = None
+        self._body_reader: body_reader.BodyReader | None = None
         self._pipeline: pipelining.Pipeline[
             gateway_exchange.GatewayExchange
         ] = pipelining.Pipeline(
@@ -86,14 +94,15 @@
         self._read_task: asyncio.Task[None] | None = None
         self._has_read_last = False
         self._timed_out = False
+        self._waits_for_room = False
         self._awaits_first_until = (
             time.monotonic() + http_connection.FIRST_REQUEST_S
         )
 
     @property
     def is_reading(self) -> bool:
-        """Whether a request has been received in part."""
-        return self._reader.is_reading
+        """Whether a request has been received in part or waits for room."""
+        return self._reader.is_reading or self._waits_for_room
 
     @property
     def expires_at(self) -> float:
@@ -114,6 +123,8 @@
         finally:
             self._release()
             await self._stream.linger(http_connection.LINGER_S)
+            if self._stream.has_unsent:
+                self._stream.abort()
             self._stream.close()
 
     def expire(self) -> None:
@@ -129,6 +140,16 @@
         self._timed_out = True
         self._read_task.cancel()
 
+    @property
+    def is_unused(self) -> bool:
+        """Whether no request was admitted that has not been answered."""
+        is_admitted = self._reading is not None and not self._waits_for_room
+        return not self._pipeline and not is_admitted
+
+    def abort(self) -> None:
+        """Closes the connection at once."""
+        self._stream.abort()
+
     def close_if_idle(self) -> None:
         """Closes the connection unless it has or is about to have a request."""
         if time.monotonic() < self._awaits_first_until:
@@ -153,6 +174,9 @@
         try:
             while await self._read_one():
                 self._reader.start_next()
+                if self._reader.is_reading:
+                    # Others get a turn before a pipelined request is parsed.
+                    await asyncio.sleep(0)
         except h11.RemoteProtocolError as error:
             self._recorder.count("malformed_requests")
             self._refuse(Reason.BAD_REQUEST, error.error_status_hint)
@@ -186,32 +210,52 @@
             self._context, self._reader.http, head
         )
 
-    async def _read_body(self) -> bytes | None:
-        """Reads the whole body; refuses the request if it is too long.
+    async def _read_body(self) -> bodies.BodyBuffer | None:
+        """Reads the whole body, or refuses the request.
 
         Returns:
-            The body, or None if it is too long or incomplete.
+            The body, or None if the request is refused or incomplete.
 
         Raises:
             h11.RemoteProtocolError: The body is malformed or ends early.
         """
+        assert self._reading is not None
+        priority = self._reading.priority
+        claim = self._room.try_open_claim(priority, self._turn_away)
+        if claim is None:
+            claim = await self._wait_for_claim(priority)
+        if claim is None:
+            self._refuse(Reason.MEMORY)
+            return None
+        self._reading.set_claim(claim, self._limits.idle_timeout_s)
         if self._reader.http.they_are_waiting_for_100_continue:
             await self._wait_until_answered()
-        declared = self._reader.declared_length
-        limit = self._limits.body_bytes
-        body = bytearray()
-        with self._reader.reading_body():
-            while declared is None or declared <= limit:
-                event = await self._reader.next_body_event()
-                if isinstance(event, h11.EndOfMessage):
-                    return bytes(body)
-                if not isinstance(event, h11.Data):
-                    return None
-                body += event.data
-                if len(body) > limit:
-                    break
-        self._refuse(Reason.TOO_LARGE)
-        return None
+        self._body_reader = body_reader.BodyReader(
+            self._reader, claim, self._limits.body_bytes
+        )
+        found = await self._body_reader.read()
+        if isinstance(found, Reason):
+            self._body_reader.release()
+            self._refuse(found)
+            return None
+        return found
+
+    async def _wait_for_claim(self, priority: int) -> memory_room.Claim | None:
+        self._waits_for_room = True
+        try:
+            return await self._room.open_claim(priority, self._turn_away)
+        finally:
+            self._waits_for_room = False
+
+    def _turn_away(self, cause: memory_account.Cause) -> None:
+        """Gives up the request that is read or answered, to free memory."""
+        self._context.events.decision("turned_away", cause=str(cause))
+        if cause is memory_account.Cause.STALLED_READER:
+            self._stream.abort()
+            return
+        if self._body_reader is not None:
+            self._body_reader.release()
+        self.expire()
 
     async def _may_start(
         self, exchange: gateway_exchange.GatewayExchange
@@ -238,7 +282,9 @@
         self._start(None)
 
     def _start(
-        self, body: bytes | None, refusal: outcomes.NotRun | None = None
+        self,
+        body: bodies.BodyBuffer | None,
+        refusal: outcomes.NotRun | None = None,
     ) -> None:
         """Starts the request that has been read, or takes its refusal."""
         exchange = self._reading
@@ -256,7 +302,8 @@
             return False
         try:
             await exchange.deliver()
-            await self._stream.flush(self._limits.idle_timeout_s)
+            if self._stream.has_unsent:
+                await exchange.flush()
         except h11.LocalProtocolError:
             self._stream.abort()
             return False
@@ -275,6 +322,8 @@
         )
 
     def _caller_lost(self) -> None:
+        if self._waits_for_room and self._read_task is not None:
+            self._read_task.cancel()
         for exchange in self._pipeline.requests:
             exchange.caller_lost()
 
--- a/src/sesamevale/callers/gateway_exchange.py
+++ b/src/sesamevale/callers/gateway_exchange.py
@@ -17,11 +17,14 @@
 from sesamevale.callers import answer_encoder
 from sesamevale.callers import answers
 from sesamevale.forwarding import requests
+from sesamevale.policy.admission import memory_account
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from sesamevale import bodies
     from sesamevale import event_log
+    from sesamevale import memory_room
     from sesamevale import metrics
     from sesamevale import routes
     from sesamevale import sockets
@@ -100,6 +103,7 @@
         self._refused_status: int | None = None
         self._span: tracing.CallSpan | None = None
         self._body_bytes = 0
+        self._claim: memory_room.Claim | None = None
         self._is_recorded = False
         self._has_ended = False
         context.router.request_started()
@@ -109,6 +113,13 @@
         """Whether the request may run more than once, or does not run."""
         return self._route is None or self._route.repeatable
 
+    @property
+    def priority(self) -> int:
+        """Priority by the route; 0 is the most urgent."""
+        if self._route is None:
+            return memory_account.LEAST_URGENT
+        return self._route.priority
+
     @property
     def held_bytes(self) -> int:
         """Bytes of the body and of the answer that have not been sent."""
@@ -121,8 +132,17 @@
         """Whether another request can follow on the connection."""
         return self._encoder.keeps_connection
 
+    def set_claim(
+        self, claim: memory_room.Claim, stall_timeout_s: float
+    ) -> None:
+        """Hands over the memory of the request; see ``AnswerEncoder``."""
+        self._claim = claim
+        self._encoder.set_claim(claim, stall_timeout_s)
+
     def submit(
-        self, body: bytes, refusal: outcomes.NotRun | None = None
+        self,
+        body: bodies.BodyBuffer,
+        refusal: outcomes.NotRun | None = None,
     ) -> None:
         """Passes the request to the router, or refuses it.
 
@@ -140,6 +160,7 @@
         )
         request = self._new_request(self._route, body)
         request.traceparent = self._span.traceparent
+        request.claim = self._claim
         self._request = request
         if self._context.stream.closed:
             self.caller_lost()
@@ -193,11 +214,20 @@
         finally:
             self._record(result)
 
+    async def flush(self) -> None:
+        """Waits until the caller has taken the answer or is cut off."""
+        await self._encoder.flush()
+
     def end(self) -> None:
         """Counts the request as ended."""
-        if not self._has_ended:
-            self._has_ended = True
-            self._context.router.request_ended()
+        if self._has_ended:
+            return
+        self._has_ended = True
+        self._context.router.request_ended()
+        if self._request is not None and self._request.body is not None:
+            self._request.body.release()
+        if self._claim is not None:
+            self._claim.close()
 
     def _find_route(self) -> routes.Route | None:
         if self._head is None:
@@ -220,7 +250,7 @@
         return outcomes.NotRun(reason, UNROUTED_RETRY_AFTER_MS)
 
     def _new_request(
-        self, route: routes.Route, body: bytes
+        self, route: routes.Route, body: bodies.BodyBuffer
     ) -> requests.Request:
         assert self._head is not None
         router = self._context.router
@@ -277,21 +307,23 @@
         if isinstance(first, calls.AnswerFailed):
             return self._end_without_answer(request, first.outcome)
         assert isinstance(first, calls.AnswerHead)
-        body = bytearray()
+        parts: list[calls.AnswerData] = []
         message = await request.answer.get()
         while isinstance(message, calls.AnswerData):
-            body += message.data
+            parts.append(message)
             if not request.answer.has_message():
                 break
             message = await request.answer.get()
         if isinstance(message, calls.AnswerFailed):
             return self._end_without_answer(request, message.outcome)
         if isinstance(message, calls.AnswerEnd):
-            self._encoder.send_whole(first, bytes(body), request.method)
+            await self._encoder.send_parts(first, parts, request.method)
             return _answered(first.status)
-        last = await self._encoder.send_stream(
-            first, bytes(body), request.answer
-        )
+        # These parts are not kept while the rest is sent.
+        del message
+        while parts:
+            request.answer.put_back(parts.pop())
+        last = await self._encoder.send_stream(first, request.answer)
         if isinstance(last, calls.AnswerFailed):
             return _Result("unknown", str(last.outcome.reason), 0)
         return _answered(first.status)
--- a/src/sesamevale/callers/idle_timeout_server.py
+++ b/src/sesamevale/callers/idle_timeout_server.py
@@ -32,12 +32,19 @@
     def expires_at(self) -> float:
         """Monotonic time in seconds at which the connection times out."""
 
+    @property
+    def is_unused(self) -> bool:
+        """Whether no request was admitted that has not been answered."""
+
     async def run(self) -> None:
         """Serves requests until one side closes the connection."""
 
     def expire(self) -> None:
         """Closes a connection that timed out."""
 
+    def abort(self) -> None:
+        """Closes the connection at once."""
+
     def close_if_idle(self) -> None:
         """Closes the connection unless it has or is about to have a request."""
 
--- a/src/sesamevale/gateway.py
+++ b/src/sesamevale/gateway.py
@@ -14,6 +14,7 @@
 from sesamevale import gateway_events
 from sesamevale import gateway_messages
 from sesamevale import incarnations
+from sesamevale import memory_room
 from sesamevale import messaging
 from sesamevale import metrics
 from sesamevale.callers import gateway_server
@@ -25,6 +26,7 @@
 from sesamevale.operators import admin_server
 from sesamevale.operators import gateway_pages
 from sesamevale.policy.admission import drain_schedule
+from sesamevale.policy.admission import memory_limits
 from sesamevale.policy.configuration import active_configuration
 from sesamevale.policy.membership import entry_count
 from sesamevale.policy.membership import evacuations
@@ -86,6 +88,9 @@
             caller_port=settings.callers.port,
             peer_port=settings.entry_port,
         )
+        self._room = memory_room.MemoryRoom(
+            memory_limits.MemoryLimits.plan(settings.machine)
+        )
         self._server = gateway_server.GatewayServer(
             settings.callers.host,
             settings.callers.port,
@@ -93,6 +98,7 @@
             settings.entry_id,
             events,
             recorder,
+            self._room,
         )
         self._gossip = gossip.Gossip(
             membership.Membership(
@@ -119,6 +125,7 @@
             self._evacuations,
             events,
             recorder,
+            self._room.account,
         )
 
     @property
--- a/src/sesamevale/operators/gateway_pages.py
+++ b/src/sesamevale/operators/gateway_pages.py
@@ -10,6 +10,7 @@
 
 from sesamevale import metrics
 from sesamevale.operators import admin_server
+from sesamevale.operators import memory_samples
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -17,6 +18,7 @@
     from sesamevale import event_log
     from sesamevale.forwarding import router as routers
     from sesamevale.forwarding import service_task
+    from sesamevale.policy.admission import memory_account
     from sesamevale.policy.configuration import active_configuration
     from sesamevale.policy.membership import evacuations as evacuation_states
     from sesamevale.policy.signals import discovered_upstreams
@@ -36,6 +38,7 @@
         evacuations: Evacuations in force.
         events: Log whose dropped lines are counted.
         recorder: Recorder of the metrics.
+        account: Memory of the entry, if it is counted.
     """
 
     def __init__(
@@ -47,6 +50,7 @@
         evacuations: evacuation_states.Evacuations,
         events: event_log.EventLog,
         recorder: metrics.MetricsRecorder,
+        account: memory_account.MemoryAccount | None = None,
     ) -> None:
         self._entry_id = entry_id
         self._router = router
@@ -56,6 +60,8 @@
         self._events = events
         self._recorder = recorder
         recorder.add_source(self._gauges)
+        if account is not None:
+            recorder.add_source(lambda: memory_samples.samples(account))
 
     @property
     def handlers(self) -> dict[str, Callable[[str], admin_server.Page]]:
