Fingerprint requests by the parts of their bodies, before these are freed

Cause: bodies are buffers now that are freed with the answer; an inquiry ends later and took the fingerprint of an empty body.

Change: the fingerprint is taken when an attempt ends.

--- a/src/sesamevale/bodies.py
+++ b/src/sesamevale/bodies.py
@@ -76,6 +76,27 @@
             return bytes(self._first)
         return b"".join(self.parts())
 
+    def edges(self, size: int) -> bytes:
+        """Returns the first and the last bytes, or all of a shorter body.
+
+        Args:
+            size: Number of bytes of each edge.
+        """
+        if self._length <= 2 * size:
+            return self.to_bytes()
+        first, last = b"", b""
+        parts = self.parts()
+        for part in parts:
+            first += part[: size - len(first)]
+            if len(first) == size:
+                break
+        for part in reversed(parts):
+            missing = size - len(last)
+            if not missing:
+                break
+            last = bytes(part[-missing:]) + last
+        return first + last
+
     def release(self) -> None:
         """Gives the memory back once nobody reads the parts any more."""
         self._is_released = True
--- a/src/sesamevale/forwarding/inquiries.py
+++ b/src/sesamevale/forwarding/inquiries.py
@@ -33,11 +33,14 @@
         active_request: The request.
         decision: What follows if nothing speaks against it.
         ended_at: Monotonic time in seconds at which the attempt ended.
+        fingerprint: Fingerprint of the request, whose body may be gone by the
+            end of the inquiry.
     """
 
     active_request: messages.ActiveRequest
     decision: forwarding.Decision
     ended_at: float
+    fingerprint: int
 
 
 class Inquiries:
@@ -120,7 +123,12 @@
         self._record_result(active_request.request, result)
         if not _may_have_ended(result):
             return decision
-        attempt = _CutAttempt(active_request, decision, time.monotonic())
+        attempt = _CutAttempt(
+            active_request,
+            decision,
+            time.monotonic(),
+            self._fingerprint(active_request.request),
+        )
         self._inquire(candidate, attempt)
         return None if isinstance(decision, forwarding.Retry) else decision
 
@@ -184,7 +192,7 @@
         for each in attempts:
             request = each.active_request.request
             suspicion = suspects.Suspicion(
-                self._fingerprint(request),
+                each.fingerprint,
                 _kind_of(request),
                 instance,
                 each.ended_at,
@@ -233,7 +241,7 @@
         if is_listening:
             return attempt.decision
         request = attempt.active_request.request
-        fingerprint, now = self._fingerprint(request), time.monotonic()
+        fingerprint, now = attempt.fingerprint, time.monotonic()
         if self._suspects.may_repeat(fingerprint, _kind_of(request), now):
             self._suspects.begin_trial(fingerprint, now)
             return attempt.decision
@@ -241,8 +249,11 @@
         return attempt.active_request.progress.give_up()
 
     def _fingerprint(self, request: requests.Request) -> int:
+        body = request.body
+        edges = body.edges(suspects.BODY_PART_BYTES) if body else b""
+        length = len(body) if body else 0
         return suspects.fingerprint(
-            self._key, request.method, request.target, request.body
+            self._key, request.method, request.target, edges, length
         )
 
 
--- a/src/sesamevale/policy/admission/suspects.py
+++ b/src/sesamevale/policy/admission/suspects.py
@@ -96,7 +96,7 @@
 
 
 def fingerprint(
-    key: bytes, method: bytes, target: bytes, body: bytes | None
+    key: bytes, method: bytes, target: bytes, edges: bytes, length: int
 ) -> int:
     """Returns 64 bits that are equal for requests of the same content.
 
@@ -106,14 +106,12 @@
         key: Key of the hash, at most 64 bytes, the same at all entries.
         method: HTTP method.
         target: Request target.
-        body: The whole body, if there is one.
+        edges: First and last ``BODY_PART_BYTES`` of the body, or all of a
+            shorter one.
+        length: Length of the body in bytes.
     """
     digest = hashlib.blake2b(key=key[:64], digest_size=8)
-    body = body or b""
-    size = b"%d" % len(body)
-    if len(body) > 2 * BODY_PART_BYTES:
-        body = body[:BODY_PART_BYTES] + body[-BODY_PART_BYTES:]
-    for part in (method, target, size, body):
+    for part in (method, target, b"%d" % length, edges):
         digest.update(len(part).to_bytes(8, "big"))
         digest.update(part)
     return int.from_bytes(digest.digest(), "big")
--- a/tests/policy/admission/test_suspects.py
+++ b/tests/policy/admission/test_suspects.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from sesamevale import bodies
 from sesamevale.policy.admission import suspects
 from tests.builders import suspicions
 from tests.builders.suspicions import death
@@ -154,15 +155,25 @@
     assert len(table) == 1
 
 
+def fingerprint_of(key, method, target, body):
+    """Returns the fingerprint of a request as the service task takes it."""
+    buffer = bodies.BodyBuffer(body or b"")
+    if len(buffer) > bodies.SMALL_BYTES:
+        buffer = bodies.BodyBuffer()
+        buffer.append(body)
+    edges = buffer.edges(suspects.BODY_PART_BYTES)
+    return suspects.fingerprint(key, method, target, edges, len(buffer))
+
+
 def test_fingerprints_are_of_the_content_and_the_key():
-    one = suspects.fingerprint(b"k", b"GET", b"/a", None)
-    assert one == suspects.fingerprint(b"k", b"GET", b"/a", b"")
+    one = fingerprint_of(b"k", b"GET", b"/a", None)
+    assert one == fingerprint_of(b"k", b"GET", b"/a", b"")
     others = {
-        suspects.fingerprint(b"l", b"GET", b"/a", None),
-        suspects.fingerprint(b"k", b"PUT", b"/a", None),
-        suspects.fingerprint(b"k", b"GET", b"/b", None),
-        suspects.fingerprint(b"k", b"GET", b"/a", b"x"),
-        suspects.fingerprint(b"k", b"GE", b"T/a", None),
+        fingerprint_of(b"l", b"GET", b"/a", None),
+        fingerprint_of(b"k", b"PUT", b"/a", None),
+        fingerprint_of(b"k", b"GET", b"/b", None),
+        fingerprint_of(b"k", b"GET", b"/a", b"x"),
+        fingerprint_of(b"k", b"GE", b"T/a", None),
     }
     assert len(others | {one}) == 6
 
@@ -170,10 +181,10 @@
 # Guards against uploads that are hashed whole in one turn of the event loop.
 def test_long_bodies_are_hashed_in_part():
     body = bytes(suspects.BODY_PART_BYTES)
-    one = suspects.fingerprint(b"k", b"PUT", b"/a", body + b"x" + body)
-    assert one == suspects.fingerprint(b"k", b"PUT", b"/a", body + b"y" + body)
-    assert one != suspects.fingerprint(b"k", b"PUT", b"/a", body + b"xx" + body)
-    assert one != suspects.fingerprint(
+    one = fingerprint_of(b"k", b"PUT", b"/a", body + b"x" + body)
+    assert one == fingerprint_of(b"k", b"PUT", b"/a", body + b"y" + body)
+    assert one != fingerprint_of(b"k", b"PUT", b"/a", body + b"xx" + body)
+    assert one != fingerprint_of(
         b"k", b"PUT", b"/a", body + b"x" + body[1:] + b"z"
     )
 
