Sample the upstreams that an entry has connections to

Change: an entry samples those that it has been in contact with, once they are enough; it leaves the set now and then, and altogether while few upstreams have room. The size grows where there are few entries, so that all are covered.

--- a/src/sesamevale/policy/admission/rate_shares.py
+++ b/src/sesamevale/policy/admission/rate_shares.py
@@ -93,6 +93,11 @@
         """Number that increases with each change of the entries."""
         return self._version
 
+    @property
+    def member_count(self) -> int:
+        """Number of entries that share the limits; 0 if it is unknown."""
+        return len(self._members)
+
     def set_members(
         self,
         peers: Iterable[registered_peers.Peer],
--- a/src/sesamevale/policy/balancing/load_sampling.py
+++ b/src/sesamevale/policy/balancing/load_sampling.py
@@ -21,6 +21,7 @@
 from sesamevale.policy.balancing import upstream_search
 from sesamevale.policy.balancing import upstream_state
 from sesamevale.policy.balancing import warmup_shares
+from sesamevale.policy.balancing import working_set
 from sesamevale.policy.signals import upstream_signals
 
 if TYPE_CHECKING:
@@ -95,6 +96,7 @@
         self._average = upstream_state.AverageLoad(INITIAL_AVERAGE_SLOWDOWN)
         self._durations = route_durations.RouteDurations()
         self._order = order
+        self._working_set = working_set.WorkingSet(rng)
         self._reports_load: bool | None = None
 
     @property
@@ -177,6 +179,7 @@
     ) -> None:
         """Records a load report of one upstream."""
         self._reports_load = True
+        self._working_set.record_contact(candidate, now)
         candidate.record_load(load, now)
         average = self._average
         utilization = (load.running + load.waiting) / max(1, load.slots)
@@ -194,6 +197,7 @@
     ) -> None:
         """Records that a request is sent to an upstream."""
         candidate.attempt_started()
+        self._working_set.record_contact(candidate, now)
         self._openings.record_request(candidate, now)
 
     def record_missing_load(self) -> None:
@@ -229,7 +233,7 @@
             return upstream_search.Send(best)
         if not search.sampled_local:
             search.sampled_local = True
-            stale = self._to_sample(search.excluded, local=True, now=now)
+            stale = self._to_sample(search, local=True, now=now)
             if stale:
                 return upstream_search.Sample(tuple(stale))
         has_room = not yields or self._has_spare_slot(best.candidate, now)
@@ -273,7 +277,7 @@
             if self._may_wait_for_local(search, now):
                 return self._wait_and_resample(search, now)
             search.sampled_remote = True
-            stale = self._to_sample(search.excluded, local=False, now=now)
+            stale = self._to_sample(search, local=False, now=now)
             if stale:
                 return upstream_search.Sample(tuple(stale))
         in_time = self.can_meet_objective(search, now)
@@ -432,19 +436,19 @@
         )
 
     def _to_sample(
-        self, excluded: frozenset[str], *, local: bool, now: float
+        self, search: upstream_search.Search, *, local: bool, now: float
     ) -> list[upstream_state.Candidate]:
         """Returns the candidates to sample in one round.
 
         Args:
-            excluded: Upstreams that were tried already.
+            search: The search that they are sampled for.
             local: Whether to sample this data centre or the others.
             now: Monotonic time in seconds.
         """
         available = [
             candidate
             for name, candidate in self._candidates.items()
-            if name not in excluded
+            if name not in search.excluded
             and local == (candidate.record.data_center == self._data_center)
             and not candidate.is_ejected(now)
         ]
@@ -452,6 +456,13 @@
         if self._openings.any_signal:
             recheck = self._openings.find_recheck(available, now)
             available = self._openings.select_open(available, now)
+        if not search.wait_count:
+            available = self._working_set.select(
+                available,
+                self._shares.member_count,
+                self._average.utilization,
+                now,
+            )
         self._rng.shuffle(available)
         idle = upstream_state.AverageLoad(1.0)
         available.sort(key=lambda each: each.expected_slowdown(idle, now))
--- a/src/sesamevale/policy/balancing/upstream_state.py
+++ b/src/sesamevale/policy/balancing/upstream_state.py
@@ -87,6 +87,7 @@
         "_sampled_at",
         "_sent_since_sample",
         "closed_until",
+        "contacted_at",
         "instance",
         "load",
         "opening_epoch",
@@ -99,6 +100,8 @@
         # Kept by ``upstream_openings.Openings``.
         self.opening_epoch = -1
         self.closed_until = -math.inf
+        # Kept by ``working_set.WorkingSet``.
+        self.contacted_at = -math.inf
         self.instance = upstream_signals.instance_of(record)
         self.load: Load | None = None
         self.warm_at = now + record.warmup_s
