--- a/tests/test_gateway_mutants.py
+++ b/tests/test_gateway_mutants.py
@@ -98,7 +98,7 @@
 
 
 def ignore_the_retry_budget(monkeypatch) -> None:
-    def spend(self, now):
+    def spend(self, now, **_):
         self.record_retry(now)
         return True
 
