--- a/src/sesamevale/forwarding/task_building.py
+++ b/src/sesamevale/forwarding/task_building.py
@@ -22,6 +22,7 @@
     from sesamevale import http1
     from sesamevale import metrics
     from sesamevale import routes
+    from sesamevale.policy.admission import suspects
 
 __all__ = ["build_task"]
 
@@ -34,6 +35,7 @@
     recorder: metrics.MetricsRecorder,
     rng: random.Random,
     on_misplaced: Callable[[str], None],
+    on_suspicions: Callable[[tuple[suspects.Suspicion, ...]], None],
 ) -> service_task.ServiceTask:
     """Builds the task of one service with the decisions that it drives.
 
@@ -46,6 +48,7 @@
         rng: Source of randomness.
         on_misplaced: Called with the identifier of an upstream at whose
             address another upstream answers.
+        on_suspicions: Called with requests under which upstreams have ended.
     """
     shares = rate_shares.RateShares(
         settings.entry_id,
@@ -70,4 +73,6 @@
         events,
         recorder,
         on_misplaced,
+        on_suspicions,
+        settings.environment.encode(),
     )
--- a/src/sesamevale/gateway.py
+++ b/src/sesamevale/gateway.py
@@ -19,6 +19,7 @@
 from sesamevale import metrics
 from sesamevale.callers import gateway_server
 from sesamevale.entries import gossip
+from sesamevale.entries import suspicion_exchange
 from sesamevale.forwarding import messages
 from sesamevale.forwarding import router as routers
 from sesamevale.forwarding import task_building
@@ -111,8 +112,11 @@
             lambda: self.send(gateway_messages.MembersChanged()),
             lambda: None,
             recorder,
+            lambda heard: self._suspicions.hear(heard),
+        )
+        self._suspicions = suspicion_exchange.SuspicionExchange(
+            self._gossip, self._peers, self._router, self._rng
         )
-
         self._pages = gateway_pages.GatewayPages(
             settings.entry_id,
             self._router,
@@ -154,6 +158,7 @@
 
     async def __aenter__(self) -> Self:
         await self._stack.enter_async_context(self._gossip)
+        await self._stack.enter_async_context(self._suspicions)
         await self._stack.enter_async_context(self._server)
         await self._stack.enter_async_context(
             admin_server.AdminServer(
@@ -175,18 +180,8 @@
         _receive(message, self)
 
     def directory_addresses(self, data_center: str) -> list[str]:
-        """Returns the addresses for callers in a data centre.
-
-        These are the entries of the data centre, or all if it has none.
-        """
-        members = self._router.view.members
-        same_data_center = [
-            each for each in members if each.data_center == data_center
-        ]
-        return [
-            f"{each.host}:{each.caller_port}"
-            for each in same_data_center or members
-        ]
+        """Returns the addresses for callers in a data centre."""
+        return self._router.view.addresses_for(data_center)
 
     async def drain(self) -> None:
         """Leaves the directory and waits until callers use other entries."""
@@ -248,6 +243,7 @@
                 lambda upstream_id: self.send(
                     gateway_messages.UpstreamIdMismatch(upstream_id)
                 ),
+                self._suspicions.find,
             )
             task.start()
             self._router.add_task(name, task)
@@ -377,15 +373,9 @@
 
 @_receive.register
 def _(message: gateway_messages.StoreViewChanged, gateway: Gateway) -> None:
-    view = message.view
-    gateway._is_registration_old = view.registration_doubtful
+    gateway._is_registration_old = message.view.registration_doubtful
     gateway._apply_entry_count()
-    gateway._events.state(
-        "store_view",
-        state=view.contact.value,
-        absent=view.absent.value,
-        era=view.era,
-    )
+    gateway_events.log_store_view(gateway._events, message.view)
 
 
 @_receive.register
--- a/src/sesamevale/upstreams/http_link.py
+++ b/src/sesamevale/upstreams/http_link.py
@@ -56,8 +56,6 @@
 # Number of parsed events after which other tasks get a turn, so that an answer
 # in tiny chunks does not hold them up.
 EVENTS_PER_TURN = 256
-# Largest number of interim answers (1xx) before an answer.
-INTERIM_ANSWERS_MAX = 16
 # Idle timeout assumed for an upstream that does not announce its own.
 DEFAULT_KEEP_ALIVE_S = 5.0
 # Time before the idle timeout of the upstream at which a connection is no
@@ -196,10 +194,9 @@
             return await self._read_answer(request)
         except h11.ProtocolError:
             self._abort()
-            reason = (
-                outcomes.Reason.CUT if stream.closed else outcomes.Reason.SPOILT
-            )
-            return forwarding.Lost(reason)
+            if stream.closed:
+                return self._cut()
+            return forwarding.Lost(outcomes.Reason.SPOILT)
         finally:
             self._last_used = time.monotonic()
 
@@ -283,7 +280,15 @@
         self._abort()
         if was_reset:
             return forwarding.Reset()
-        return forwarding.Lost(outcomes.Reason.CUT)
+        return self._cut()
+
+    def _cut(self) -> forwarding.Lost:
+        """Returns the result of a connection that ended within an answer."""
+        stream = self._stream
+        closed_by_upstream = stream is not None and (
+            stream.was_reset or (stream.closed and not stream.broken)
+        )
+        return forwarding.Lost(outcomes.Reason.CUT, closed_by_upstream)
 
     async def _skip_body(self, response: h11.Response, method: bytes) -> bool:
         """Reads the body of an answer to another request.
@@ -346,7 +351,7 @@
         body = await self._read_body()
         if body is None:
             self._abort()
-            return forwarding.Lost(outcomes.Reason.CUT)
+            return self._cut()
         self._update_keep_alive(headers)
         load = self._parse_load(headers)
         signals = self._read_signals(status, headers)
@@ -506,10 +511,13 @@
             h11.RemoteProtocolError: An answer is malformed, or there are too
                 many interim answers.
         """
-        for _ in range(INTERIM_ANSWERS_MAX + 1):
+        for _ in range(http1.INTERIM_ANSWERS_MAX + 1):
             event = await self._next_event()
+            if isinstance(event, h11.Response):
+                http1.check_status(event)
+                return event
             if not isinstance(event, h11.InformationalResponse):
-                return event if isinstance(event, h11.Response) else None
+                return None
         raise h11.RemoteProtocolError("too many interim answers")
 
     async def _read_body(self, parts_max: float = math.inf) -> bytes | None:
