Name the tenant of a request by its key

Cause: configurations hold tenants with keys, and nothing looked at them: a request without a key was served, the key went to the upstream, and a caller could name any tenant to it.

Change: policy/configuration/credentials.py finds the tenant by the key's digest, by the configuration in force when the request is started. Digests are made at the border, so keys are in no message between entries and in no log. A request without a key of a tenant gets 401, or 503 while the configuration is missing or unconfirmed; keys are accepted for a bounded time after the last confirmation. The upstream learns the tenant, never the key; the tenant's priority goes before the route's. A configuration in which tenants share a key or a name is rejected.

--- a/src/sesamevale/callers/answers.py
+++ b/src/sesamevale/callers/answers.py
@@ -25,7 +25,10 @@
     Reason.CUT: 502,
     Reason.PEER_LOST: 502,
     Reason.TOO_LARGE: 413,
+    Reason.UNKNOWN_KEY: 401,
 }
+# Credentials that an answer with status 401 asks for.
+CHALLENGE = b"Bearer"
 DEADLINE_STATUS = 504
 DEFAULT_STATUS = 503
 # A 404 would tell a caller that its action has not run.
@@ -43,6 +46,7 @@
     Reason.NO_ROUTE: "destination_not_found",
     Reason.SHED: "destination_unavailable",
     Reason.TOO_LARGE: "http_request_error",
+    Reason.UNKNOWN_KEY: "http_request_denied",
 }
 DEFAULT_PROXY_ERROR = "proxy_internal_response"
 
@@ -81,6 +85,8 @@
         (http1.HeaderName.CONTENT_LENGTH, b"%d" % len(body)),
         (http1.HeaderName.RETRIES_LEFT, b"0"),
     ]
+    if reason is Reason.UNKNOWN_KEY:
+        headers.append((http1.HeaderName.CHALLENGE, CHALLENGE))
     if isinstance(outcome, outcomes.NotRun) and outcome.retry_after_ms > 0:
         seconds = outcome.retry_after_ms / 1000
         text = f"{seconds:g}" if fractional_seconds else f"{math.ceil(seconds)}"
--- a/src/sesamevale/callers/gateway_exchange.py
+++ b/src/sesamevale/callers/gateway_exchange.py
@@ -16,7 +16,9 @@
 from sesamevale import tracing
 from sesamevale.callers import answer_encoder
 from sesamevale.callers import answers
+from sesamevale.callers import caller_keys
 from sesamevale.forwarding import requests
+from sesamevale.policy.configuration import credentials
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -32,7 +34,7 @@
 # Retry-After of a refused request, as a share of its latency objective;
 # upstreams become idle or busy within that time.
 RETRY_AFTER_SHARE = 0.25
-# Retry-After of a request without a known route, e.g. because no
+# Retry-After of a request without a known route or key, e.g. because no
 # configuration has been read yet.
 UNROUTED_RETRY_AFTER_MS = 300
 # Reason in the log of a request whose task has failed.
@@ -125,13 +127,19 @@
         """Passes the request to the router, or refuses it."""
         self._body_bytes = len(body)
         if self._route is None:
-            self._refused = self._unrouted()
+            self._refused = self._unrouted(Reason.NO_ROUTE)
             return
+        identity = self._identify(self._route)
+        refusal = caller_keys.refusal_reason(identity)
+        if refusal is not None:
+            self._refused = self._unrouted(refusal)
+            return
+        assert isinstance(identity, credentials.Identified)
         self._span = tracing.start_span(
             "request",
             http1.get_header(self._headers, http1.HeaderName.TRACEPARENT),
         )
-        request = self._new_request(self._route, body)
+        request = self._new_request(self._route, identity, body)
         request.traceparent = self._span.traceparent
         self._request = request
         if self._context.stream.closed:
@@ -201,19 +209,35 @@
             self._head.target.decode("ascii", "replace"),
         )
 
-    def _unrouted(self) -> outcomes.NotRun:
-        """Returns the refusal of a request that matches no known route."""
+    def _identify(self, route: routes.Route) -> credentials.Identity:
+        """Returns whose request it is by the configuration in force."""
+        router = self._context.router
+        return router.credentials.identify(
+            route,
+            caller_keys.read_key(self._headers, router.dialect),
+            is_current=router.accepts_keys(time.monotonic()),
+        )
+
+    def _unrouted(self, reason: Reason) -> outcomes.NotRun:
+        """Returns the refusal of a request that no configuration allows.
+
+        Args:
+            reason: Why the configuration in force does not allow it; a newer
+                one may.
+        """
         router = self._context.router
-        reason = Reason.NO_CONFIGURATION
-        if router.view.configuration is not None and router.is_confirmed(
+        if router.view.configuration is None or not router.is_confirmed(
             time.monotonic()
         ):
-            reason = Reason.NO_ROUTE
+            reason = Reason.NO_CONFIGURATION
         self._context.recorder.count(f"refused_{reason}")
         return outcomes.NotRun(reason, UNROUTED_RETRY_AFTER_MS)
 
     def _new_request(
-        self, route: routes.Route, body: bytes
+        self,
+        route: routes.Route,
+        identity: credentials.Identified,
+        body: bytes,
     ) -> requests.Request:
         assert self._head is not None
         router = self._context.router
@@ -239,8 +263,13 @@
                 http1.HeaderName.CONTENT_LENGTH,
             )
         )
+        headers = http1.strip_hop_by_hop(self._headers, dropped)
+        if router.credentials.has_tenants:
+            headers = caller_keys.forwarded_fields(headers, dialect, identity)
         configuration = router.view.configuration
         assert configuration is not None
+        tenant = identity.tenant
+        priority = None if tenant is None else tenant.priority
         return requests.Request(
             number=router.next_request_number(),
             request_id=http1.get_header(self._headers, dialect.request_id)
@@ -250,13 +279,15 @@
             version=configuration.version,
             method=bytes(self._head.method),
             target=bytes(self._head.target),
-            headers=http1.strip_hop_by_hop(self._headers, dropped),
+            headers=headers,
             body=body if has_body else None,
             arrived=self._arrived,
             deadline=min(self._arrived + route.timeout_s, caller_deadline),
             caller_deadline=caller_deadline,
             answer=calls.AnswerChannel(),
-            priority=route.priority,
+            priority=route.priority if priority is None else priority,
+            tenant=tenant,
+            key_digest=identity.key_digest,
         )
 
     async def _send_answer(self) -> _Result:
@@ -351,6 +382,8 @@
         if self._request is not None:
             fields["route"] = self._request.route.name
             fields["service"] = self._request.service
+            if self._request.tenant is not None:
+                fields["tenant"] = self._request.tenant.name
         self._context.events.decision("request", **fields)
 
 
--- a/src/sesamevale/forwarding/requests.py
+++ b/src/sesamevale/forwarding/requests.py
@@ -37,6 +37,7 @@
         priority: Priority of its tenant or else of its route; 0 is the most
             urgent.
         tenant: Tenant whose key it carried; None without one.
+        key_digest: Digest of that key.
     """
 
     number: int
@@ -56,3 +57,4 @@
     upstream_seconds: float = 0.0
     priority: int = 0
     tenant: routes.Tenant | None = None
+    key_digest: str | None = dataclasses.field(default=None, repr=False)
--- a/src/sesamevale/forwarding/router.py
+++ b/src/sesamevale/forwarding/router.py
@@ -4,12 +4,14 @@
 
 import dataclasses
 import itertools
+import math
 import time
 from typing import TYPE_CHECKING
 
 from sesamevale import outcomes
 from sesamevale.forwarding import messages
 from sesamevale.forwarding import service_task
+from sesamevale.policy.configuration import credentials
 from sesamevale.policy.configuration import route_matching
 from sesamevale.policy.configuration import splits
 
@@ -57,11 +59,20 @@
         config_bound_s: Longest time in seconds until a new version must be in
             force. A route that is missing from a configuration confirmed
             within this time does not exist.
+        key_lifetime_s: Time in seconds after the last confirmation of the
+            configuration for which its keys are accepted.
     """
 
-    def __init__(self, dialect: http1.Dialect, config_bound_s: float) -> None:
+    def __init__(
+        self,
+        dialect: http1.Dialect,
+        config_bound_s: float,
+        key_lifetime_s: float = math.inf,
+    ) -> None:
         self._dialect = dialect
         self._config_bound_s = config_bound_s
+        self._key_lifetime_s = key_lifetime_s
+        self._credentials = credentials.Credentials(None)
         self._view = RoutingView()
         self._tasks: dict[str, service_task.ServiceTask] = {}
         self._splitter = splits.WeightedSplitter()
@@ -79,6 +90,11 @@
         """State that routing is currently based on."""
         return self._view
 
+    @property
+    def credentials(self) -> credentials.Credentials:
+        """Keys of the configuration in force."""
+        return self._credentials
+
     @property
     def tasks(self) -> dict[str, service_task.ServiceTask]:
         """Tasks by name of the service."""
@@ -91,6 +107,8 @@
 
     def set_view(self, view: RoutingView) -> None:
         """Replaces the state that routing is based on."""
+        if view.configuration is not self._view.configuration:
+            self._credentials = credentials.Credentials(view.configuration)
         self._view = view
         if view.configuration is not None:
             self._splitter.retain_routes(
@@ -124,6 +142,10 @@
         """Whether the configuration was confirmed within the bound."""
         return now - self._view.confirmed_at <= self._config_bound_s
 
+    def accepts_keys(self, now: float) -> bool:
+        """Whether the configuration is recent enough to accept its keys."""
+        return now - self._view.confirmed_at <= self._key_lifetime_s
+
     def choose_service(self, route: routes.Route) -> str:
         """Returns the service for the next request of a route."""
         return self._splitter.choose(route)
--- a/src/sesamevale/gateway.py
+++ b/src/sesamevale/gateway.py
@@ -68,7 +68,9 @@
         self._rng = random.Random()
         self._stack = contextlib.AsyncExitStack()
         self._readiness_callbacks: list[Callable[[], None]] = []
-        self._router = routers.RequestRouter(dialect, settings.config_bound_s)
+        self._router = routers.RequestRouter(
+            dialect, settings.config_bound_s, settings.key_lifetime_s
+        )
         self._active_configuration = active_configuration.ActiveConfiguration()
         self._upstreams = discovered_upstreams.DiscoveredUpstreams()
         self._peers = registered_peers.RegisteredPeers(
--- a/src/sesamevale/gateway_messages.py
+++ b/src/sesamevale/gateway_messages.py
@@ -51,6 +51,8 @@
             the deployment has none.
         warmup: Bounds on the requests to cold upstreams; None if the
             deployment has none.
+        key_lifetime_s: Time in seconds after the last confirmation of the
+            configuration for which its keys are accepted.
         evacuation_bound_s: Longest time until an evacuation must be in force,
             in seconds.
         machine: Resources of the machine.
@@ -68,6 +70,7 @@
     grace_s: float
     quota: resources.QuotaBounds | None = None
     warmup: resources.WarmupBounds | None = None
+    key_lifetime_s: float = 900.0
     evacuation_bound_s: float = 5.0
     machine: resources.Machine = dataclasses.field(
         default_factory=resources.Machine
--- a/src/sesamevale/http1.py
+++ b/src/sesamevale/http1.py
@@ -42,6 +42,7 @@
 class HeaderName:
     """Names of the header fields that the system reads or writes."""
 
+    CHALLENGE = b"www-authenticate"
     CONNECTION = b"connection"
     CONTENT_LENGTH = b"content-length"
     DEADLINE = b"sesamevale-deadline-ms"
@@ -71,6 +72,10 @@
         not_run: Present if the upstream did not run the request.
         upstream_id: Upstream that answered.
         load: Load of the upstream.
+        authorization: Credentials of the caller.
+        tenant: Tenant whose key a request carried; only entries set it.
+        read_key: Returns the key in the value of ``authorization``; None if
+            it holds none.
         read_load: Parses the value of ``load``; None if it is malformed.
         read_signals: Parses the signals in an answer by its status and header
             fields; malformed ones are left out.
@@ -83,6 +88,9 @@
     not_run: bytes
     upstream_id: bytes
     load: bytes
+    authorization: bytes
+    tenant: bytes
+    read_key: Callable[[bytes], bytes | None]
     read_load: Callable[[bytes], upstream_state.Load | None]
     read_signals: Callable[[int, calls.Headers], upstream_signals.Signals]
 
--- a/src/sesamevale/outcomes.py
+++ b/src/sesamevale/outcomes.py
@@ -30,6 +30,7 @@
         PEER_LOST: The connection to another entry failed.
         RATE_LIMITED: The limits that the upstreams name leave no room in time.
         SHED: An upstream rejected the call without running it.
+        UNKNOWN_KEY: The request carries no key of a tenant.
         SPOILT: The answer was malformed, unsigned or for another request.
     """
 
@@ -58,6 +59,7 @@
     SPOILT = "spoilt"
     STOPPING = "stopping"
     TOO_LARGE = "too_large"
+    UNKNOWN_KEY = "unknown_key"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/sesamevale/platform/decoding.py
+++ b/src/sesamevale/platform/decoding.py
@@ -11,6 +11,7 @@
 
 from sesamevale import routes
 from sesamevale.platform import models
+from sesamevale.policy.configuration import credentials
 from sesamevale.policy.membership import registered_peers
 from sesamevale.policy.membership import shared_state
 
@@ -180,7 +181,7 @@
         tenants={
             each.name: routes.Tenant(
                 each.name,
-                tuple(each.keys),
+                tuple(credentials.digest_of(key.encode()) for key in each.keys),
                 each.priority,
                 each.rate_per_s or None,
                 each.burst,
--- a/src/sesamevale/platform/header_fields.py
+++ b/src/sesamevale/platform/header_fields.py
@@ -13,7 +13,7 @@
 if TYPE_CHECKING:
     from sesamevale import calls
 
-__all__ = ["DIALECT", "read_load", "read_signals"]
+__all__ = ["DIALECT", "read_key", "read_load", "read_signals"]
 
 SLOWDOWN_PERCENT = 100
 LIMIT = b"server-limit"
@@ -21,6 +21,8 @@
 LEAVING_VALUE = b"1"
 RETRY_AFTER = b"retry-after"
 UNAVAILABLE = 503
+# Scheme of a caller's credentials, in lower case.
+KEY_SCHEME = b"bearer"
 # Longest number that is accepted in a load report.
 LOAD_LENGTH_MAX = 9
 # Longest decimal number that is accepted as the value of a signal.
@@ -82,6 +84,15 @@
     return number if 0.0 < number < math.inf else None
 
 
+def read_key(value: bytes) -> bytes | None:
+    """Returns the key in ``Bearer KEY``; None for other credentials."""
+    scheme, _, key = value.partition(b" ")
+    key = key.strip()
+    if scheme.lower() != KEY_SCHEME or not key or b" " in key:
+        return None
+    return key
+
+
 DIALECT = http1.Dialect(
     request_id=b"x-attempt-id",
     deadline_ms=b"x-deadline-ms",
@@ -90,6 +101,9 @@
     not_run=b"x-not-executed",
     upstream_id=b"x-instance-id",
     load=b"x-server-load",
+    authorization=b"authorization",
+    tenant=b"x-tenant",
+    read_key=read_key,
     read_load=read_load,
     read_signals=read_signals,
 )
--- a/src/sesamevale/platform/models.py
+++ b/src/sesamevale/platform/models.py
@@ -42,15 +42,14 @@
     str, pydantic.Strict(), pydantic.AfterValidator(_check_address)
 ]
 Text = Annotated[str, pydantic.StringConstraints(min_length=1, strict=True)]
+# Text that can be the value of a header field.
+HeaderText = Annotated[
+    str,
+    pydantic.StringConstraints(max_length=200, pattern=r"^[!-~]+\z"),
+]
 Port = Annotated[int, pydantic.Field(gt=0, le=PORT_MAX)]
 Count = Annotated[int, pydantic.Field(ge=0, le=INTEGER_MAX, strict=True)]
-# Text that can be the value of a header field.
-UPSTREAM_ID: pydantic.TypeAdapter[str] = pydantic.TypeAdapter(
-    Annotated[
-        str,
-        pydantic.StringConstraints(max_length=200, pattern=r"^[!-~]+\z"),
-    ]
-)
+UPSTREAM_ID: pydantic.TypeAdapter[str] = pydantic.TypeAdapter(HeaderText)
 
 
 class _Model(pydantic.BaseModel):
@@ -156,7 +155,7 @@
 
 
 class _Tenant(_Model):
-    name: Text
+    name: HeaderText
     keys: list[Text] = pydantic.Field(
         alias="apiKeys", default_factory=list, repr=False
     )
@@ -182,6 +181,18 @@
     hosts: list[_Host] = pydantic.Field(alias="virtualHosts")
     tenants: list[_Tenant] = pydantic.Field(default_factory=list)
 
+    @pydantic.field_validator("tenants")
+    @classmethod
+    def _check_tenants(cls, tenants: list[_Tenant]) -> list[_Tenant]:
+        if len({each.name for each in tenants}) < len(tenants):
+            raise ValueError("two tenants have the same name")
+        owners: dict[str, str] = {}
+        for tenant in tenants:
+            for key in tenant.keys:
+                if owners.setdefault(key, tenant.name) != tenant.name:
+                    raise ValueError("two tenants share a key")
+        return tenants
+
 
 class Registration(_Model):
     """Addresses that an entry registers for the other entries."""
--- a/src/sesamevale/platform/settings.py
+++ b/src/sesamevale/platform/settings.py
@@ -27,6 +27,9 @@
 DIRECTORY_LIFETIME_S = 1.0
 # Bound on drains and changes if the platform sets none.
 DEFAULT_BOUND_MS = 2000.0
+# Withdrawn keys work no longer than this at a machine that is cut off from the
+# store. An outage of the store that is shorter turns no caller away.
+KEY_LIFETIME_S = 900.0
 
 
 class SettingsError(Exception):
@@ -60,6 +63,14 @@
     warmup_overage: float | None = None
     warmup_tolerance: float = 8.0
     evacuate_ms: float = 5000.0
+    # Whether machines that cannot read the store drop withdrawn keys in time.
+    strict_revoke: bool = False
+    revoke_ms: float = 5000.0
+
+    @property
+    def key_lifetime_s(self) -> float:
+        """Time for which keys are accepted without a read of the store."""
+        return self.revoke_ms / 1000 if self.strict_revoke else KEY_LIFETIME_S
 
     @pydantic.model_validator(mode="before")
     @classmethod
@@ -162,6 +173,7 @@
             grace_s=bounds.grace_s,
             quota=_quota(bounds),
             warmup=_warmup(bounds),
+            key_lifetime_s=bounds.key_lifetime_s,
             evacuation_bound_s=bounds.evacuate_ms / 1000,
             machine=self.machine.to_machine(),
         )
--- a/src/sesamevale/routes.py
+++ b/src/sesamevale/routes.py
@@ -86,7 +86,8 @@
 
     Attributes:
         name: Name of the tenant.
-        keys: Secret keys; they are left out of logs and representations.
+        key_digests: Digests of its keys; the keys themselves are secret and
+            are not kept.
         priority: Priority of its requests, which goes before that of the
             route; None if it has none.
         rate_per_s: Requests a second that all entries together let through;
@@ -95,7 +96,7 @@
     """
 
     name: str
-    keys: tuple[str, ...] = dataclasses.field(repr=False)
+    key_digests: tuple[str, ...] = dataclasses.field(repr=False)
     priority: int | None = None
     rate_per_s: float | None = None
     burst: float = 0.0
--- a/tests/builders/gateway.py
+++ b/tests/builders/gateway.py
@@ -10,6 +10,7 @@
 from sesamevale import routes
 from sesamevale.forwarding import requests
 from sesamevale.policy.balancing import upstream_state
+from sesamevale.policy.configuration import credentials
 
 _numbers = itertools.count(1)
 
@@ -29,7 +30,12 @@
     return routes.Route(**(values | changes))
 
 
-def configuration(version=1, all_routes=None, services=("sheet",)):
+def tenant(name="acme", keys=("key-1",), **changes) -> routes.Tenant:
+    digests = tuple(credentials.digest_of(key.encode()) for key in keys)
+    return routes.Tenant(name, digests, **changes)
+
+
+def configuration(version=1, all_routes=None, services=("sheet",), tenants=()):
     all_routes = [route()] if all_routes is None else all_routes
     by_host: dict[str, list[routes.Route]] = {}
     for each in all_routes:
@@ -42,6 +48,7 @@
         },
         {name: routes.Service(name, "/health", 100) for name in services},
         routes.CallerLimits(),
+        {each.name: each for each in tenants},
     )
 
 
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -11,6 +11,7 @@
 from sesamevale.platform import models
 from sesamevale.policy.balancing import upstream_state
 from sesamevale.policy.signals import upstream_signals
+from tests.builders import gateway
 from tests.builders import odd_heartbeats
 from tests.builders import store_items
 
@@ -216,3 +217,46 @@
 )
 def test_a_load_report_with_a_number_too_large_is_ignored(value):
     assert header_fields.read_load(value) is None
+
+
+def decode_tenants(*tenants):
+    content = store_items.config() | {"tenants": list(tenants)}
+    return decode(store_items.item("op/config", content))
+
+
+def test_keys_are_kept_as_digests_only():
+    found = decode_tenants(
+        {
+            "name": "acme",
+            "apiKeys": ["key-a", "key-b"],
+            "priority": 1,
+            "ratePerS": 2.5,
+            "burst": 3,
+        },
+        {"name": "bolt", "apiKeys": ["key-c"], "ratePerS": 0},
+    )
+    tenants = found.contents.configuration.tenants
+    assert tenants["acme"] == gateway.tenant(
+        "acme", ("key-a", "key-b"), priority=1, rate_per_s=2.5, burst=3.0
+    )
+    assert tenants["bolt"] == gateway.tenant("bolt", ("key-c",))
+
+
+@pytest.mark.parametrize(
+    "tenants",
+    [
+        [
+            {"name": "acme", "apiKeys": ["key-a"]},
+            {"name": "bolt", "apiKeys": ["key-a"]},
+        ],
+        [{"name": "acme", "apiKeys": ["key-a"]}, {"name": "acme"}],
+        [{"name": "a\r\nb", "apiKeys": ["key-a"]}],
+        [{"name": "acme", "apiKeys": ["key-a", 7]}],
+        [{"name": "acme", "apiKeys": ["key-a"], "ratePerS": -1}],
+    ],
+    ids=["shared key", "same name", "odd name", "odd key", "negative rate"],
+)
+def test_ambiguous_tenants_are_rejected_without_naming_a_key(tenants):
+    found = decode_tenants(*tenants)
+    assert found.contents.configuration is None
+    assert "key-a" not in found.rejected["op/config"]
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -105,3 +105,14 @@
 def test_an_invalid_seed_is_named(load):
     with pytest.raises(settings.SettingsError, match=r"seed_addresses|seeds"):
         load(content(seeds=["nowhere"]))
+
+
+@pytest.mark.parametrize(
+    ("strict", "seconds"), [(True, 4.0), (False, 900.0), (None, 900.0)]
+)
+def test_keys_expire_within_the_bound_if_the_deployment_asks_for_it(
+    load, strict, seconds
+):
+    bounds = content()["bounds"] | {"strict_revoke": strict, "revoke_ms": 4000}
+    result = load(content(bounds=bounds)).gateway_settings()
+    assert result.key_lifetime_s == seconds
