Share the quotas of tenants among entries

Cause: a tenant's rate limit holds for all entries together, and nothing kept it: a hot tenant was served whatever it sent.

Change: each quota is divided into equal token buckets of a few entries, which rendezvous hashing chooses from the registrations; entries without room ask these for single requests by datagrams. Buckets are sized so that the bound holds whatever is lost, killed, frozen or cut off. Each attempt of a tenant's request needs a permit, which also checks again that its key is still held. Over the quota: 429 with the time at which room is expected. What builds the parts of a gateway from its settings moves to gateway_parts.

--- a/src/sesamevale/callers/answers.py
+++ b/src/sesamevale/callers/answers.py
@@ -23,6 +23,7 @@
     Reason.ISSUER_GONE: 409,
     Reason.NOT_RETAINED: 409,
     Reason.CUT: 502,
+    Reason.OVER_QUOTA: 429,
     Reason.PEER_LOST: 502,
     Reason.TOO_LARGE: 413,
     Reason.UNKNOWN_KEY: 401,
--- a/src/sesamevale/entries/codec.py
+++ b/src/sesamevale/entries/codec.py
@@ -18,6 +18,8 @@
     from sesamevale import sockets
 
 __all__ = [
+    "DECODE_ERRORS",
+    "FACTORY",
     "FRAME_BYTES_MAX",
     "FrameStream",
     "decode_datagram",
@@ -29,8 +31,8 @@
 FRAME_BYTES_MAX = 16 * 1024 * 1024
 FRAME_LENGTH = struct.Struct("!I")
 
-_FACTORY = TCompactProtocol.TCompactProtocolAcceleratedFactory(fallback=True)
-_DECODE_ERRORS = (
+FACTORY = TCompactProtocol.TCompactProtocolAcceleratedFactory(fallback=True)
+DECODE_ERRORS = (
     EOFError,
     OverflowError,
     Thrift.TException,
@@ -43,15 +45,15 @@
 
 def encode_frame(frame: wire.Frame) -> bytes:
     """Encodes a frame with its length prefix."""
-    content = TSerialization.serialize(frame, _FACTORY)
+    content = TSerialization.serialize(frame, FACTORY)
     return FRAME_LENGTH.pack(len(content)) + content
 
 
 def decode_frame(content: bytes) -> wire.Frame | None:
     """Decodes a frame without its length prefix; None if malformed."""
     try:
-        return TSerialization.deserialize(wire.Frame(), content, _FACTORY)
-    except _DECODE_ERRORS:
+        return TSerialization.deserialize(wire.Frame(), content, FACTORY)
+    except DECODE_ERRORS:
         return None
 
 
@@ -99,17 +101,15 @@
 
 def encode_datagram(message: membership_types.Message) -> bytes:
     """Encodes a gossip message as one datagram."""
-    return TSerialization.serialize(_to_wire(message), _FACTORY)
+    return TSerialization.serialize(_to_wire(message), FACTORY)
 
 
 def decode_datagram(content: bytes) -> membership_types.Message | None:
     """Decodes a gossip message; None if it is malformed."""
     try:
-        datagram = TSerialization.deserialize(
-            wire.Datagram(), content, _FACTORY
-        )
+        datagram = TSerialization.deserialize(wire.Datagram(), content, FACTORY)
         return _from_wire(datagram)
-    except _DECODE_ERRORS:
+    except DECODE_ERRORS:
         return None
 
 
--- a/src/sesamevale/entries/wire.thrift
+++ b/src/sesamevale/entries/wire.thrift
@@ -129,3 +129,20 @@
   7: DocumentRequest document_request
   8: DocumentAnswer document_answer
 }
+
+struct QuotaAsk {
+  1: i64 number
+  2: string tenant
+  3: i32 count
+}
+
+struct QuotaGrant {
+  1: i64 number
+  2: i32 count
+  3: i32 left_thousandths
+}
+
+union QuotaDatagram {
+  1: QuotaAsk ask
+  2: QuotaGrant grant
+}
--- a/src/sesamevale/entries/wire/ttypes.py
+++ b/src/sesamevale/entries/wire/ttypes.py
@@ -1973,6 +1973,272 @@
 
     def __ne__(self, other):
         return not (self == other)
+class QuotaAsk(object):
+    """
+    Attributes:
+     - number
+     - tenant
+     - count
+
+    """
+
+    __slots__ = (
+        'number',
+        'tenant',
+        'count',
+    )
+
+
+    def __init__(self, number=None, tenant=None, count=None,):
+        self.number = number
+        self.tenant = tenant
+        self.count = count
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.number = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.tenant = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.count = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('QuotaAsk')
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I64, 1)
+            oprot.writeI64(self.number)
+            oprot.writeFieldEnd()
+        if self.tenant is not None:
+            oprot.writeFieldBegin('tenant', TType.STRING, 2)
+            oprot.writeString(self.tenant.encode('utf-8') if sys.version_info[0] == 2 else self.tenant)
+            oprot.writeFieldEnd()
+        if self.count is not None:
+            oprot.writeFieldBegin('count', TType.I32, 3)
+            oprot.writeI32(self.count)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class QuotaGrant(object):
+    """
+    Attributes:
+     - number
+     - count
+     - left_thousandths
+
+    """
+
+    __slots__ = (
+        'number',
+        'count',
+        'left_thousandths',
+    )
+
+
+    def __init__(self, number=None, count=None, left_thousandths=None,):
+        self.number = number
+        self.count = count
+        self.left_thousandths = left_thousandths
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.number = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.count = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.left_thousandths = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('QuotaGrant')
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I64, 1)
+            oprot.writeI64(self.number)
+            oprot.writeFieldEnd()
+        if self.count is not None:
+            oprot.writeFieldBegin('count', TType.I32, 2)
+            oprot.writeI32(self.count)
+            oprot.writeFieldEnd()
+        if self.left_thousandths is not None:
+            oprot.writeFieldBegin('left_thousandths', TType.I32, 3)
+            oprot.writeI32(self.left_thousandths)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class QuotaDatagram(object):
+    """
+    Attributes:
+     - ask
+     - grant
+
+    """
+
+    __slots__ = (
+        'ask',
+        'grant',
+    )
+
+
+    def __init__(self, ask=None, grant=None,):
+        self.ask = ask
+        self.grant = grant
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.ask = QuotaAsk()
+                    self.ask.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRUCT:
+                    self.grant = QuotaGrant()
+                    self.grant.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('QuotaDatagram')
+        if self.ask is not None:
+            oprot.writeFieldBegin('ask', TType.STRUCT, 1)
+            self.ask.write(oprot)
+            oprot.writeFieldEnd()
+        if self.grant is not None:
+            oprot.writeFieldBegin('grant', TType.STRUCT, 2)
+            self.grant.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 all_structs.append(MemberState)
 MemberState.thrift_spec = (
     None,  # 0
@@ -2118,5 +2384,25 @@
     (7, TType.STRUCT, 'document_request', [DocumentRequest, None], None, ),  # 7
     (8, TType.STRUCT, 'document_answer', [DocumentAnswer, None], None, ),  # 8
 )
+all_structs.append(QuotaAsk)
+QuotaAsk.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'number', None, None, ),  # 1
+    (2, TType.STRING, 'tenant', 'UTF8', None, ),  # 2
+    (3, TType.I32, 'count', None, None, ),  # 3
+)
+all_structs.append(QuotaGrant)
+QuotaGrant.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'number', None, None, ),  # 1
+    (2, TType.I32, 'count', None, None, ),  # 2
+    (3, TType.I32, 'left_thousandths', None, None, ),  # 3
+)
+all_structs.append(QuotaDatagram)
+QuotaDatagram.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'ask', [QuotaAsk, None], None, ),  # 1
+    (2, TType.STRUCT, 'grant', [QuotaGrant, None], None, ),  # 2
+)
 fix_spec(all_structs)
 del all_structs
--- a/src/sesamevale/forwarding/attempt_runner.py
+++ b/src/sesamevale/forwarding/attempt_runner.py
@@ -13,6 +13,7 @@
     from collections.abc import Callable
 
     from sesamevale import event_log
+    from sesamevale.forwarding import permits
     from sesamevale.policy.balancing import load_sampling
     from sesamevale.policy.balancing import upstream_state
     from sesamevale.upstreams import link_pool
@@ -33,6 +34,7 @@
         balancer: Learns the durations of attempts.
         events: Log of decisions.
         send: Called with the message that an attempt or a stream has ended.
+        permits: Permits that attempts need.
     """
 
     def __init__(
@@ -41,20 +43,25 @@
         balancer: load_sampling.LoadBalancer,
         events: event_log.EventLog,
         send: Callable[[messages.Message], None],
+        permits: permits.Permits,
     ) -> None:
         self._pool = pool
         self._balancer = balancer
         self._events = events
         self._send = send
+        self._permits = permits
 
     def start(
         self,
         active_request: messages.ActiveRequest,
         best: upstream_state.RankedCandidate,
     ) -> None:
-        """Sends a request to an upstream."""
+        """Sends a request to an upstream, or asks for the permit to do so."""
         request = active_request.request
         now = time.monotonic()
+        if not self._permits.covers(active_request, now):
+            return
+        self._permits.spend(active_request)
         candidate = best.candidate
         record = candidate.record
         active_request.attempts += 1
@@ -101,6 +108,7 @@
         """
         candidate, link = active_request.candidate, active_request.link
         assert candidate is not None and link is not None
+        self._permits.attempt_ended(active_request, result)
         name = candidate.record.upstream_id
         active_request.tried |= {name}
         if isinstance(result, forwarding.Answered) and result.rest is not None:
@@ -118,6 +126,10 @@
                 now,
             )
 
+    def release_permit(self, active_request: messages.ActiveRequest) -> None:
+        """Returns the permit of a request that has ended."""
+        self._permits.give_back(active_request)
+
     def stop(self, active_request: messages.ActiveRequest) -> bool:
         """Cancels the current attempt; True if it may have been sent."""
         candidate, link = active_request.candidate, active_request.link
--- a/src/sesamevale/forwarding/messages.py
+++ b/src/sesamevale/forwarding/messages.py
@@ -15,6 +15,7 @@
     from sesamevale import routes
     from sesamevale.forwarding import requests
     from sesamevale.policy.admission import drain_schedule
+    from sesamevale.policy.admission import quota_types
     from sesamevale.policy.membership import registered_peers
     from sesamevale.upstreams import http_link
     from sesamevale.upstreams import link_messages
@@ -27,6 +28,7 @@
     "DeadlineExpired",
     "EndRequests",
     "Message",
+    "PermitDecided",
     "RoundTimeout",
     "SampleEnded",
     "SetEntryCount",
@@ -137,6 +139,19 @@
     result: forwarding.Result
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PermitDecided:
+    """Whether an attempt of a tenant's request may begin has been decided.
+
+    Attributes:
+        request: The request.
+        verdict: The verdict.
+    """
+
+    request: requests.Request
+    verdict: quota_types.Verdict
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class StreamEnded:
     """The upstream has ended an answer that is streamed to the caller.
@@ -207,6 +222,7 @@
     | SetRegisteredEntries
     | SampleEnded
     | AttemptEnded
+    | PermitDecided
     | StreamEnded
     | RoundTimeout
     | DeadlineExpired
@@ -241,6 +257,9 @@
         is_abandoned: Whether the caller no longer waits for the answer.
         is_streaming: Whether the current attempt streams its answer.
         timer: Timer of the deadline.
+        permit: Permit for the next attempt of a tenant's request.
+        used_permit: Permit of the current attempt.
+        awaits_permit: Whether a permit has been asked for.
     """
 
     request: requests.Request
@@ -258,3 +277,6 @@
     is_abandoned: bool = False
     is_streaming: bool = False
     timer: asyncio.TimerHandle | None = None
+    permit: quota_types.Granted | None = None
+    used_permit: quota_types.Granted | None = None
+    awaits_permit: bool = False
--- a/src/sesamevale/forwarding/request_flow.py
+++ b/src/sesamevale/forwarding/request_flow.py
@@ -239,6 +239,7 @@
     def finish(self, active_request: messages.ActiveRequest) -> None:
         """Forgets a request that has ended."""
         self._active_requests.pop(active_request.request.number, None)
+        self._runner.release_permit(active_request)
         if active_request.timer is not None:
             active_request.timer.cancel()
 
--- a/src/sesamevale/forwarding/service_task.py
+++ b/src/sesamevale/forwarding/service_task.py
@@ -12,6 +12,8 @@
 from sesamevale import outcomes
 from sesamevale.forwarding import attempt_runner
 from sesamevale.forwarding import messages
+from sesamevale.forwarding import permit_verdicts
+from sesamevale.forwarding import permits
 from sesamevale.forwarding import request_flow
 from sesamevale.forwarding import sampling
 from sesamevale.forwarding import signal_recorder
@@ -48,6 +50,8 @@
         recorder: Records metrics.
         on_misplaced: Called with the identifier of an upstream at whose
             address another upstream answers.
+        ask_permit: Sends a message to the task that gives out permits for
+            the requests of tenants; None if they need none.
     """
 
     def __init__(
@@ -59,6 +63,7 @@
         events: event_log.EventLog,
         recorder: metrics.MetricsRecorder,
         on_misplaced: Callable[[str], None],
+        ask_permit: Callable[[permits.Message], None] | None = None,
     ) -> None:
         super().__init__(f"service-{service.name}")
         self._balancer = balancer
@@ -71,12 +76,13 @@
         self._sampler = sampling.Sampler(
             service.health_path, self._pool, recorder, self.send
         )
+        self._permits = permits.Permits(ask_permit, self.send)
         self._flow = request_flow.RequestFlow(
             balancer,
             budget,
             self._sampler,
             attempt_runner.AttemptRunner(
-                self._pool, balancer, events, self.send
+                self._pool, balancer, events, self.send, self._permits
             ),
             self._signal_recorder,
             recorder,
@@ -152,7 +158,18 @@
     )
     task._flow.active_requests[request.number] = active_request
     task._flow.set_deadline_timer(active_request)
-    task._flow.start_search(active_request)
+    if task._permits.covers(active_request, time.monotonic()):
+        task._flow.start_search(active_request)
+
+
+@_receive.register
+def _(message: messages.PermitDecided, task: ServiceTask) -> None:
+    active_request = task._flow.active_requests.get(message.request.number)
+    if active_request is None:
+        task._permits.give_back_late(message)
+        return
+    active_request.awaits_permit = False
+    permit_verdicts.apply_verdict(message.verdict, task._flow, active_request)
 
 
 @_receive.register
--- a/src/sesamevale/gateway.py
+++ b/src/sesamevale/gateway.py
@@ -12,11 +12,12 @@
 
 from sesamevale import draining
 from sesamevale import gateway_messages
-from sesamevale import incarnations
+from sesamevale import gateway_parts
 from sesamevale import messaging
 from sesamevale import metrics
 from sesamevale.callers import gateway_server
 from sesamevale.entries import gossip
+from sesamevale.entries import quota_exchange
 from sesamevale.forwarding import messages
 from sesamevale.forwarding import router as routers
 from sesamevale.forwarding import service_task
@@ -27,8 +28,6 @@
 from sesamevale.policy.admission import retry_budget
 from sesamevale.policy.balancing import load_sampling
 from sesamevale.policy.configuration import active_configuration
-from sesamevale.policy.membership import membership
-from sesamevale.policy.membership import membership_types
 from sesamevale.policy.membership import registered_peers
 from sesamevale.policy.signals import discovered_upstreams
 from sesamevale.policy.signals import upstream_signals
@@ -76,16 +75,7 @@
         self._peers = registered_peers.RegisteredPeers(
             settings.entry_id, settings.data_center
         )
-        self._own_member = membership_types.Member(
-            entry_id=settings.entry_id,
-            incarnation=incarnations.new(self._rng),
-            refutation=0,
-            status=membership_types.Status.JOINING,
-            data_center=settings.data_center,
-            host=settings.callers.host,
-            caller_port=settings.callers.port,
-            peer_port=settings.entry_port,
-        )
+        self._own_member = gateway_parts.new_member(settings, self._rng)
         self._server = gateway_server.GatewayServer(
             settings.callers.host,
             settings.callers.port,
@@ -94,20 +84,16 @@
             events,
             recorder,
         )
-        self._gossip = gossip.Gossip(
-            membership.Membership(
-                self._own_member,
-                settings.environment,
-                membership.Timing(),
-                self._rng,
-            ),
-            settings.callers.host,
-            settings.entry_port,
+        self._gossip = gateway_parts.new_gossip(
+            settings,
+            self._own_member,
+            self._rng,
             lambda: self.send(gateway_messages.MembersChanged()),
-            lambda: None,
             recorder,
         )
-
+        self._quotas = gateway_parts.new_quota_exchange(
+            settings, self._rng, recorder
+        )
         self._pages = gateway_pages.GatewayPages(
             settings.entry_id,
             self._router,
@@ -147,6 +133,7 @@
 
     async def __aenter__(self) -> Self:
         await self._stack.enter_async_context(self._gossip)
+        await self._stack.enter_async_context(self._quotas)
         await self._stack.enter_async_context(self._server)
         await self._stack.enter_async_context(
             admin_server.AdminServer(
@@ -241,6 +228,7 @@
                 lambda upstream_id: self.send(
                     gateway_messages.UpstreamIdMismatch(upstream_id)
                 ),
+                self._quotas.send,
             )
             task.start()
             self._router.add_task(name, task)
@@ -279,6 +267,9 @@
         )
         for task in self._router.tasks.values():
             task.send(registered)
+        self._quotas.send(
+            quota_exchange.SetPeers(self._peers.registered, read_at)
+        )
 
     def _log_changes(
         self, changes: list[discovered_upstreams.UpstreamChange]
@@ -344,6 +335,7 @@
             previous=previous,
             age_s=_age_s(message.read_at),
         )
+        gateway._quotas.send(quota_exchange.SetConfiguration(found))
         gateway._apply_services(found)
 
 
--- a/src/sesamevale/gateway_messages.py
+++ b/src/sesamevale/gateway_messages.py
@@ -39,6 +39,8 @@
         callers: Address on which callers are accepted.
         entry_port: UDP port for gossip; other entries fetch the contents of
             the store from the TCP port with the same number.
+        quota_port: UDP port for messages on quotas; the distance from
+            ``entry_port`` is the same at all entries.
         metrics_port: TCP port for metrics and status.
         retry_budget: Limits on the retries of all entries together.
         directory_lifetime_s: Lifetime of a directory answer at callers, in
@@ -63,6 +65,7 @@
     environment: str
     callers: checked_settings.Endpoint
     entry_port: int
+    quota_port: int
     metrics_port: int
     retry_budget: retry_budget.RetryBudgetLimits
     directory_lifetime_s: float
--- a/src/sesamevale/outcomes.py
+++ b/src/sesamevale/outcomes.py
@@ -26,8 +26,11 @@
         ISSUER_GONE: The process that issued the identity has ended or cannot
             be reached.
         NOT_RETAINED: The action has run, but its answer was not kept.
+        OVER_QUOTA: The tenant has used up its quota.
         OVERLOADED: There is no capacity for the call in time.
         PEER_LOST: The connection to another entry failed.
+        QUOTA_UNREACHABLE: The entries that share the tenant's quota cannot be
+            reached.
         RATE_LIMITED: The limits that the upstreams name leave no room in time.
         SHED: An upstream rejected the call without running it.
         UNKNOWN_KEY: The request carries no key of a tenant.
@@ -51,8 +54,10 @@
     NO_RULE = "no_rule"
     NO_UPSTREAM = "no_upstream"
     NOT_RETAINED = "not_retained"
+    OVER_QUOTA = "over_quota"
     OVERLOADED = "overloaded"
     PEER_LOST = "peer_lost"
+    QUOTA_UNREACHABLE = "quota_unreachable"
     RATE_LIMITED = "rate_limited"
     REGISTER_FULL = "register_full"
     SHED = "shed"
--- a/src/sesamevale/platform/settings.py
+++ b/src/sesamevale/platform/settings.py
@@ -164,6 +164,7 @@
             environment=ENVIRONMENT,
             callers=self.callers,
             entry_port=self.entry_ports[0],
+            quota_port=self.entry_ports[1],
             metrics_port=_metrics_port(),
             retry_budget=retry_budget.RetryBudgetLimits(
                 bounds.retry_ratio, bounds.retry_extra, bounds.retry_window_s
