Give out what a window allows beyond the rate steadily, too

Change: up to burst / window is added to the rate of the buckets, as far as 0.4 of the spare room allows. An entry whose registration is not among those of its first read uses no share for 2.5 s, since it may know too few others.

--- a/src/sesamevale/policy/admission/quota_allocator.py
+++ b/src/sesamevale/policy/admission/quota_allocator.py
@@ -185,7 +185,8 @@
         assert self._bounds is not None
         tenant = self._tenants[use.tenant.name]
         is_stale = self._members.is_stale(now)
-        basis = (self._members.version, is_stale)
+        has_joined = self._members.has_joined(now)
+        basis = (self._members.version, is_stale, has_joined)
         if use.basis == basis and use.tenant is tenant:
             return
         entry_ids = self._members.entry_ids
@@ -197,7 +198,7 @@
         use.set_share(
             tenant,
             share,
-            is_holder=self._entry_id in use.holders,
+            is_holder=has_joined and self._entry_id in use.holders,
             is_stale=is_stale,
             now=now,
         )
--- a/src/sesamevale/policy/admission/quota_members.py
+++ b/src/sesamevale/policy/admission/quota_members.py
@@ -15,6 +15,10 @@
 # Time for which an entry that is no longer registered keeps its share. It may
 # be cut off from the store and still let requests through.
 DEPARTED_S = 30.0
+# Time after the first read of the registrations for which an entry that was not
+# among them uses no share. Those it read may be incomplete, and others have not
+# read of it yet.
+JOIN_S = 2.5
 # Age of the registrations from which others may have replaced this entry.
 STALE_S = 20.0
 
@@ -33,6 +37,7 @@
         self._registered: dict[str, registered_peers.Peer] = {}
         self._last_seen: dict[str, float] = {entry_id: math.inf}
         self._read_at = -math.inf
+        self._joins_at = math.inf
         self._version = 0
 
     @property
@@ -59,6 +64,9 @@
             now: Monotonic time in seconds.
         """
         self._registered = {each.entry_id: each for each in peers}
+        if self._read_at == -math.inf:
+            is_known = self._entry_id in self._registered
+            self._joins_at = now if is_known else now + JOIN_S
         self._read_at = read_at
         before = self.entry_ids
         for entry_id in self._registered:
@@ -72,6 +80,10 @@
         if self.entry_ids != before:
             self._version += 1
 
+    def has_joined(self, now: float) -> bool:
+        """Whether this entry may use shares of its own."""
+        return now >= self._joins_at
+
     def is_stale(self, now: float) -> bool:
         """Whether this entry may no longer be registered."""
         return now - self._read_at > STALE_S
--- a/src/sesamevale/policy/admission/quota_shares.py
+++ b/src/sesamevale/policy/admission/quota_shares.py
@@ -32,6 +32,9 @@
 CAPACITY_MIN = 2.0
 
 
+# Largest part of what the bound allows beyond the rate that is given out
+# steadily, in place of a burst in each window. The rest can be used at once.
+STEADY_PART = 0.4
 # Part of a bucket that is full when a process starts. The process before it may
 # have emptied its own bucket within the same window.
 START_PART = 0.5
@@ -72,12 +75,16 @@
         entry_count: Number of entries that may be holders; 1 or more.
     """
     assert tenant.rate_per_s is not None
-    rate = tenant.rate_per_s
-    usual = rate * bounds.window_s + tenant.burst
+    usual = tenant.rate_per_s * bounds.window_s + tenant.burst
     allowed = USED_PART * (usual * (1.0 + bounds.overage) + bounds.tolerance)
     span_s = bounds.window_s + PERMIT_S
-    at_once = max(allowed - rate * span_s, CAPACITY_MIN * (1.0 + START_PART))
-    rate = min(rate, max(0.0, allowed - at_once) / span_s)
+    spare = allowed - tenant.rate_per_s * span_s
+    rate = tenant.rate_per_s + min(
+        tenant.burst / bounds.window_s, STEADY_PART * spare / span_s
+    )
+    least = min(allowed, CAPACITY_MIN * (1.0 + START_PART))
+    at_once = max(allowed - rate * span_s, least)
+    rate = min(rate, (allowed - at_once) / span_s)
     capacity = at_once / (1.0 + START_PART)
     count = max(1, min(entry_count, int(capacity / CAPACITY_MIN)))
     return Share(count, rate / count, capacity / count)
