--- a/src/sesamevale/gateway.py
+++ b/src/sesamevale/gateway.py
@@ -28,6 +28,7 @@
 from sesamevale.policy.admission import retry_budget
 from sesamevale.policy.balancing import load_sampling
 from sesamevale.policy.configuration import active_configuration
+from sesamevale.policy.membership import entry_count
 from sesamevale.policy.membership import registered_peers
 from sesamevale.policy.signals import discovered_upstreams
 from sesamevale.policy.signals import upstream_signals
@@ -75,6 +76,7 @@
         self._peers = registered_peers.RegisteredPeers(
             settings.entry_id, settings.data_center
         )
+        self._is_registration_old = False
         self._own_member = gateway_parts.new_member(settings, self._rng)
         self._server = gateway_server.GatewayServer(
             settings.callers.host,
@@ -253,8 +255,11 @@
             task.send(messages.SetUpstreams(records))
 
     def _apply_entry_count(self) -> None:
-        same_data_center = self._gossip.view.reachable
-        count = len(same_data_center) + len(self._peers.other_data_centers)
+        count = entry_count.sharing(
+            len(self._gossip.view.reachable),
+            len(self._peers.other_data_centers),
+            self._is_registration_old or not self._peers.is_registered,
+        )
         for task in self._router.tasks.values():
             task.send(messages.SetEntryCount(count))
 
@@ -284,16 +289,7 @@
 
     def _update_members(self) -> None:
         """Updates the entries that callers may be sent to."""
-        alive = [
-            registered_peers.Peer(
-                each.entry_id,
-                each.data_center,
-                each.host,
-                each.caller_port,
-                each.peer_port,
-            )
-            for each in self._gossip.view.usable
-        ]
+        alive = map(registered_peers.Peer.of, self._gossip.view.usable)
         members = (*alive, *self._peers.other_data_centers)
         self._apply_entry_count()
         if members == self._router.view.members:
@@ -341,7 +337,9 @@
 
 @_receive.register
 def _(message: gateway_messages.UpstreamsRead, gateway: Gateway) -> None:
-    changes = gateway._upstreams.record_read(message.upstreams, message.read_at)
+    changes = gateway._upstreams.record_read(
+        message.upstreams, message.read_at, message.grace_until
+    )
     gateway._apply_upstreams()
     if gateway._router.view.upstreams_loaded:
         gateway._log_changes(changes)
@@ -354,7 +352,9 @@
 
 @_receive.register
 def _(message: gateway_messages.PeersRead, gateway: Gateway) -> None:
-    gateway._peers.record_read(message.peers, message.read_at)
+    gateway._peers.record_read(
+        message.peers, message.read_at, message.grace_until
+    )
     for peer in gateway._peers.same_data_center:
         gateway._gossip.send(gossip.Seed(peer.host, peer.entry_port))
     gateway._apply_registered_entries()
@@ -371,6 +371,25 @@
     )
 
 
+@_receive.register
+def _(message: gateway_messages.GraceEnded, gateway: Gateway) -> None:
+    gateway._log_changes(gateway._upstreams.drop_missing(time.monotonic()))
+    gateway._peers.drop_missing()
+    gateway._apply_upstreams()
+    gateway._apply_registered_entries()
+    gateway._update_members()
+
+
+@_receive.register
+def _(message: gateway_messages.StoreViewChanged, gateway: Gateway) -> None:
+    view = message.view
+    gateway._is_registration_old = view.registration_doubtful
+    gateway._apply_entry_count()
+    gateway._events.state(
+        "store_view", state=view.contact.value, absent=view.absent.value
+    )
+
+
 @_receive.register
 def _(message: gateway_messages.MembersChanged, gateway: Gateway) -> None:
     gateway._update_members()
--- a/src/sesamevale/platform/store_client.py
+++ b/src/sesamevale/platform/store_client.py
@@ -22,7 +22,13 @@
     from sesamevale import metrics
     from sesamevale import settings as checked_settings
 
-__all__ = ["CallFailure", "LeaseLost", "StoreClient", "Unchanged"]
+__all__ = [
+    "CallFailure",
+    "Contents",
+    "LeaseLost",
+    "StoreClient",
+    "Unchanged",
+]
 
 Model = TypeVar("Model", bound=pydantic.BaseModel)
 
@@ -63,6 +69,19 @@
     """A key still has the known revision."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Contents:
+    """Items of one read.
+
+    Attributes:
+        items: The items by key.
+        revision: Revision of the store before the read; items may be newer.
+    """
+
+    items: list[models.Item]
+    revision: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Reply:
     status: int
@@ -97,20 +116,25 @@
         self._stream: sockets.ByteStream | None = None
         self._http = h11.Connection(h11.CLIENT)
         self._read_timeout_s = READ_TIMEOUT_S
+        self._era = 0
+
+    @property
+    def era(self) -> int:
+        """Latest era that the store has named; 0 if it has named none."""
+        return self._era
 
     async def __aexit__(self, *exc_info: object) -> None:
         await super().__aexit__(*exc_info)
         self._close()
 
-    async def read_all(
-        self, after: str = ""
-    ) -> list[models.Item] | CallFailure:
+    async def read_all(self, after: str = "") -> Contents | CallFailure:
         """Reads all keys page by page, with reads that are never stale.
 
         Args:
             after: Key after which the read starts; empty for all keys.
         """
         items: list[models.Item] = []
+        revision = 0
         while True:
             query = {"prefix": ""} | ({"after": after} if after else {})
             reply = await self._call("GET", "/api/kv-range", query)
@@ -118,8 +142,9 @@
             if isinstance(page, CallFailure):
                 return page
             items += page.items
+            revision = revision or page.revision
             if not page.more or not page.items:
-                return items
+                return Contents(items, revision)
             after = page.items[-1].key
 
     async def read_if_changed(
@@ -172,30 +197,27 @@
         return reply if isinstance(reply, CallFailure) else None
 
     async def write(
-        self, key: str, value: str, lease: int
-    ) -> LeaseLost | CallFailure | None:
-        """Writes one key without a condition.
+        self, key: str, value: str, lease: int, revision: int
+    ) -> models.Written | models.Conflict | LeaseLost | CallFailure:
+        """Writes one key if it has a revision.
 
         Args:
             key: The key.
             value: The value in base64.
             lease: Lease with whose end the key is removed.
+            revision: Revision that the key must have; 0 if it must not exist.
         """
         body = {
-            "precondition": [],
+            "precondition": [{"key": key, "revision": revision}],
             "writes": [{"key": key, "value": value, "lease": lease}],
             "remove": [],
         }
         reply = await self._call("POST", "/api/kv-txn", body=body)
-        if isinstance(reply, CallFailure):
-            return reply
-        if reply.status == NOT_FOUND:
+        if isinstance(reply, _Reply) and reply.status == NOT_FOUND:
             return LeaseLost()
-        if reply.status != OK:
-            return CallFailure(
-                f"unexpected status {reply.status}", outcome_unknown=False
-            )
-        return None
+        if isinstance(reply, _Reply) and reply.status == CONFLICT:
+            return _parse_reply(reply, models.Conflict, expected=CONFLICT)
+        return _parse_reply(reply, models.Written)
 
     async def _call(
         self,
