Keep the refusal of a stopping entry beside the check of the key

Cause: the merge left one name for two refusals, and the one of the key's check replaced that of the entry's stop.

Change: a name of its own; the plan of a drain moves to gateway_parts.

Measured: tests/callers and tests/system/test_stopping.py pass.

--- a/src/sesamevale/callers/gateway_exchange.py
+++ b/src/sesamevale/callers/gateway_exchange.py
@@ -137,9 +137,9 @@
             self._refused = self._unrouted(Reason.NO_ROUTE)
             return
         identity = self._identify(self._route)
-        refusal = caller_keys.refusal_reason(identity)
-        if refusal is not None:
-            self._refused = self._unrouted(refusal)
+        denied = caller_keys.refusal_reason(identity)
+        if denied is not None:
+            self._refused = self._unrouted(denied)
             return
         assert isinstance(identity, credentials.Identified)
         self._span = tracing.start_span(
--- a/src/sesamevale/gateway.py
+++ b/src/sesamevale/gateway.py
@@ -172,7 +172,7 @@
 
     async def drain(self) -> None:
         """Leaves the directory and waits until callers use other entries."""
-        schedule = self._plan_drain()
+        schedule = gateway_parts.plan_drain(self._settings)
         self.send(gateway_messages.Stopping(schedule))
         await self._new_drain(schedule).run()
 
@@ -182,13 +182,7 @@
         The task of the gateway may have ended, so it is not asked to stop.
         """
         self._update_view(stopping=True)
-        await self._new_drain(self._plan_drain()).abort()
-
-    def _plan_drain(self) -> drain_schedule.DrainSchedule:
-        settings = self._settings
-        return drain_schedule.DrainSchedule.plan(
-            time.monotonic(), settings.grace_s, settings.directory_lifetime_s
-        )
+        await self._new_drain(gateway_parts.plan_drain(self._settings)).abort()
 
     def _new_drain(
         self, schedule: drain_schedule.DrainSchedule
--- a/src/sesamevale/gateway_parts.py
+++ b/src/sesamevale/gateway_parts.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import time
 from typing import TYPE_CHECKING
 
 from sesamevale import incarnations
 from sesamevale.entries import gossip
 from sesamevale.entries import quota_exchange
+from sesamevale.policy.admission import drain_schedule
 from sesamevale.policy.membership import membership
 from sesamevale.policy.membership import membership_types
 
@@ -17,7 +19,7 @@
     from sesamevale import gateway_messages
     from sesamevale import metrics
 
-__all__ = ["new_gossip", "new_member", "new_quota_exchange"]
+__all__ = ["new_gossip", "new_member", "new_quota_exchange", "plan_drain"]
 
 
 def new_member(
@@ -57,6 +59,15 @@
     )
 
 
+def plan_drain(
+    settings: gateway_messages.GatewaySettings,
+) -> drain_schedule.DrainSchedule:
+    """Returns the times of a drain that begins now."""
+    return drain_schedule.DrainSchedule.plan(
+        time.monotonic(), settings.grace_s, settings.directory_lifetime_s
+    )
+
+
 def new_quota_exchange(
     settings: gateway_messages.GatewaySettings,
     rng: random.Random,
