--- a/src/sesamevale/entries/quota_exchange.py
+++ b/src/sesamevale/entries/quota_exchange.py
@@ -12,6 +12,7 @@
 
 from sesamevale import messaging
 from sesamevale.entries import quota_codec
+from sesamevale.forwarding import messages
 from sesamevale.forwarding import permits
 from sesamevale.policy.admission import quota_allocator
 from sesamevale.policy.admission import quota_types as types
@@ -24,9 +25,8 @@
     from sesamevale import metrics
     from sesamevale import resources
     from sesamevale import routes
-    from sesamevale.policy.membership import registered_peers
 
-__all__ = ["Message", "QuotaExchange", "SetConfiguration", "SetPeers"]
+__all__ = ["Message", "QuotaExchange", "SetConfiguration"]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -36,19 +36,6 @@
     configuration: routes.Configuration
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class SetPeers:
-    """Sets the entries that share the quotas.
-
-    Attributes:
-        peers: All registered entries.
-        read_at: When they were read, in monotonic seconds.
-    """
-
-    peers: tuple[registered_peers.Peer, ...]
-    read_at: float
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Received:
     """Event: a datagram has arrived."""
@@ -63,7 +50,13 @@
     """Event: a question has not been answered in time."""
 
 
-Message = SetConfiguration | SetPeers | permits.Message | _Received | _Tick
+Message = (
+    SetConfiguration
+    | messages.SetRegisteredEntries
+    | permits.Message
+    | _Received
+    | _Tick
+)
 
 
 class _DatagramReceiver(asyncio.DatagramProtocol):
@@ -172,7 +165,9 @@
 
 
 @_receive.register
-def _(message: SetPeers, task: QuotaExchange) -> list[types.Effect]:
+def _(
+    message: messages.SetRegisteredEntries, task: QuotaExchange
+) -> list[types.Effect]:
     peers = [
         dataclasses.replace(
             each, entry_port=each.entry_port + task._port_offset
--- a/src/sesamevale/gateway.py
+++ b/src/sesamevale/gateway.py
@@ -264,11 +264,8 @@
         registered = messages.SetRegisteredEntries(
             self._peers.registered, read_at
         )
-        for task in self._router.tasks.values():
+        for task in (self._quotas, *self._router.tasks.values()):
             task.send(registered)
-        self._quotas.send(
-            quota_exchange.SetPeers(self._peers.registered, read_at)
-        )
 
     def _log_changes(
         self, changes: list[discovered_upstreams.UpstreamChange]
