--- a/tests/policy/admission/test_quota_loads.py
+++ b/tests/policy/admission/test_quota_loads.py
@@ -81,3 +81,53 @@
 def test_hot_tenants_stay_within_the_bound_in_trouble(trouble):
     """Entries that lose touch, or their memory, while a tenant is hot."""
     play(quota_load.hot_and(trouble), seconds=25.0)
+
+
+def press(fleet, names, tenant, seconds):
+    """Has many callers of a tenant call the same entries all the time."""
+    until = fleet.now + seconds
+    while fleet.now < until:
+        for name in names:
+            for _ in range(3):
+                fleet.call(name, tenant)
+        fleet.advance(0.25)
+    return max(fleet.log.excess().values())
+
+
+def small_fleet():
+    tenant = quotas.limited_tenant("t-0", 1.0, 1.0)
+    return quota_fleet.QuotaFleet(40, {"t-0": tenant})
+
+
+def test_entries_that_start_together_do_not_each_take_the_whole_quota():
+    """Each read the registrations before the others were among them."""
+    fleet = small_fleet()
+    fleet.advance(0.2)
+    assert press(fleet, list(fleet.entries), "t-0", 8.0) <= 0.0
+
+
+def test_holders_that_are_cut_off_from_the_store_are_not_replaced_soon():
+    """The others would give out the room that these still use."""
+    fleet = small_fleet()
+    fleet.advance(6.0)
+    fleet.call("e-0", "t-0")
+    holders = fleet.entries["e-0"].allocator.uses["t-0"].holders
+    for name in holders:
+        fleet.entries[name].reaches_store = False
+    fleet.advance(10.0)
+    assert press(fleet, list(fleet.entries), "t-0", 15.0) <= 0.0
+
+
+def test_requests_that_wait_for_an_upstream_are_not_let_through_in_a_burst():
+    """They would be sent together with those that were admitted later."""
+    tenant = quotas.limited_tenant("t-0", 40.0, 40.0)
+    fleet = quota_fleet.QuotaFleet(4, {"t-0": tenant})
+    fleet.advance(6.0)
+    until = fleet.now + 12.0
+    while fleet.now < until:
+        waits_s = 4.0 if fleet.now < until - 6.0 else 0.004
+        for name in list(fleet.entries):
+            for _ in range(10):
+                fleet.call(name, "t-0", waits_s)
+        fleet.advance(0.25)
+    assert max(fleet.log.excess().values()) <= 0.0
--- a/tests/standins/gateway_entry.py
+++ b/tests/standins/gateway_entry.py
@@ -65,9 +65,16 @@
     Args:
       upstreams: Stand-ins, which are opened and closed with the entry.
       server_type: Class of the server for callers.
+      ask_permit: Receives the requests for permits; None if none are needed.
     """
 
-    def __init__(self, *upstreams, server_type=gateway_server.GatewayServer):
+    def __init__(
+        self,
+        *upstreams,
+        server_type=gateway_server.GatewayServer,
+        ask_permit=None,
+    ):
+        self._ask_permit = ask_permit
         self.upstreams = upstreams
         self._server_type = server_type
         self.recorder = metrics.MetricsRecorder()
@@ -88,6 +95,7 @@
             events,
             self.recorder,
             lambda upstream_id: None,
+            ask_permit=self._ask_permit,
         )
         await self._stack.enter_async_context(self.task)
         self.task.send(messages.SetUpstreams(self._records()))
--- a/tests/test_tenants_mutants.py
+++ b/tests/test_tenants_mutants.py
@@ -2,13 +2,25 @@
 
 from __future__ import annotations
 
+import math
+
 import pytest
 
 from sesamevale.callers import caller_keys
+from sesamevale.forwarding import permits
 from sesamevale.forwarding import router
+from sesamevale.policy.admission import quota_allocator
+from sesamevale.policy.admission import quota_members
+from sesamevale.policy.admission import quota_shares
+from sesamevale.policy.admission import tenant_use
 from sesamevale.policy.configuration import credentials
 from tests import test_gateway_mutants
 from tests.callers import test_tenants
+from tests.entries import test_quota_exchange
+from tests.forwarding import test_permits
+from tests.policy.admission import test_quota_loads
+from tests.policy.admission import test_quota_shares
+from tests.policy.admission import test_quotas_machine
 from tests.policy.configuration import test_credentials
 
 
@@ -65,7 +77,146 @@
     )
 
 
+def run_quotas_machine() -> None:
+    test_gateway_mutants.run_machine(test_quotas_machine.QuotasMachine)
+
+
+def start_with_full_buckets(monkeypatch) -> None:
+    monkeypatch.setattr(
+        quota_shares.Share,
+        "start_tokens",
+        property(lambda self: 2.0 * self.capacity),
+    )
+
+
+def use_room_without_withdrawing_it(monkeypatch) -> None:
+    monkeypatch.setattr(
+        tenant_use.TenantUse, "withdraw", lambda self, count, now: count
+    )
+
+
+def let_all_entries_hold_a_full_share(monkeypatch) -> None:
+    monkeypatch.setattr(
+        quota_shares,
+        "choose_holders",
+        lambda name, entry_ids, count: tuple(entry_ids),
+    )
+
+
+def replace_departed_holders_at_once(monkeypatch) -> None:
+    monkeypatch.setattr(quota_members, "DEPARTED_S", 0.0)
+
+
+def join_before_others_know(monkeypatch) -> None:
+    monkeypatch.setattr(quota_members, "JOIN_S", 0.0)
+
+
+def use_permits_of_any_age(monkeypatch) -> None:
+    take = tenant_use.TenantUse.take
+
+    def take_for_ever(self, now):
+        taken = take(self, now)
+        return None if taken is None else (math.inf, taken[1])
+
+    monkeypatch.setattr(tenant_use.TenantUse, "take", take_for_ever)
+
+
+def call_all_back_at_the_same_time(monkeypatch) -> None:
+    monkeypatch.setattr(
+        tenant_use.TenantUse, "next_return_s", lambda self, window_s, now: 1.0
+    )
+    monkeypatch.setattr(quota_allocator, "RETURN_SPREAD", 0.0)
+
+
+def wait_for_lost_answers(monkeypatch) -> None:
+    monkeypatch.setattr(quota_allocator, "ASK_TIMEOUT_S", 10.0)
+
+
+def ask_no_other_entries(monkeypatch) -> None:
+    monkeypatch.setattr(quota_allocator, "ASK_TRIES_MAX", 0)
+
+
+def send_without_permits(monkeypatch) -> None:
+    monkeypatch.setattr(
+        permits.Permits, "covers", lambda self, active_request, now: True
+    )
+
+
+def use_a_permit_for_all_attempts(monkeypatch) -> None:
+    monkeypatch.setattr(
+        permits.Permits, "spend", lambda self, active_request: None
+    )
+
+
+def use_up_permits_of_rejected_attempts(monkeypatch) -> None:
+    monkeypatch.setattr(
+        permits.Permits,
+        "attempt_ended",
+        lambda self, active_request, result: None,
+    )
+
+
+def keep_unused_permits(monkeypatch) -> None:
+    monkeypatch.setattr(
+        permits.Permits, "give_back", lambda self, active_request: None
+    )
+
+
 MUTANTS = [
+    (
+        start_with_full_buckets,
+        test_quota_shares.test_all_buckets_together_stay_within_the_bound,
+    ),
+    (use_room_without_withdrawing_it, run_quotas_machine),
+    (
+        let_all_entries_hold_a_full_share,
+        test_quota_loads.test_holders_that_are_cut_off_from_the_store_are_not_replaced_soon,
+    ),
+    (
+        replace_departed_holders_at_once,
+        test_quota_loads.test_holders_that_are_cut_off_from_the_store_are_not_replaced_soon,
+    ),
+    (
+        join_before_others_know,
+        test_quota_loads.test_entries_that_start_together_do_not_each_take_the_whole_quota,
+    ),
+    (
+        use_permits_of_any_age,
+        test_quota_loads.test_requests_that_wait_for_an_upstream_are_not_let_through_in_a_burst,
+    ),
+    (
+        call_all_back_at_the_same_time,
+        test_quota_loads.test_refused_callers_return_one_after_the_other,
+    ),
+    (wait_for_lost_answers, run_quotas_machine),
+    (
+        ask_no_other_entries,
+        test_quota_loads.test_many_small_tenants_over_many_entries_are_let_through,
+    ),
+    (
+        send_without_permits,
+        test_permits.test_a_request_over_the_quota_is_refused_at_once,
+    ),
+    (
+        use_a_permit_for_all_attempts,
+        test_permits.test_each_attempt_needs_a_permit,
+    ),
+    (
+        use_up_permits_of_rejected_attempts,
+        lambda: (
+            test_permits.test_an_attempt_that_no_upstream_ran_uses_up_no_permit(
+                "/read/1"
+            )
+        ),
+    ),
+    (
+        keep_unused_permits,
+        test_permits.test_permits_of_requests_that_are_not_sent_are_returned,
+    ),
+    (
+        keep_withdrawn_keys,
+        test_quota_exchange.test_a_withdrawn_key_gets_no_permit,
+    ),
     (accept_any_key, run_credentials_machine),
     (keep_withdrawn_keys, run_credentials_machine),
     (
