Use up a quota when a request is sent, not when it is admitted

A request took its permit when it arrived and gave it back if it had waited too long, which used the room of the whole wait at once.

Change: a request is admitted if room is expected and few of its tenant wait, and takes its permit when an upstream is found. A permit that has expired is not given back; one of an attempt that no upstream ran is kept or given back.

--- a/src/sesamevale/entries/quota_exchange.py
+++ b/src/sesamevale/entries/quota_exchange.py
@@ -178,10 +178,26 @@
     return []
 
 
+@_receive.register
+def _(message: permits.AskAdmission, task: QuotaExchange) -> list[types.Effect]:
+    verdict: types.Verdict = types.KeyWithdrawn()
+    if task._credentials.still_allows(message.key_digest):
+        verdict = task._allocator.admit(message.tenant, task._loop.time())
+    task._recorder.count(_counter_name(verdict))
+    message.reply(verdict)
+    return []
+
+
+@_receive.register
+def _(message: permits.Dismiss, task: QuotaExchange) -> list[types.Effect]:
+    task._allocator.dismiss(message.tenant)
+    return []
+
+
 @_receive.register
 def _(message: permits.AskPermit, task: QuotaExchange) -> list[types.Effect]:
     if not task._credentials.still_allows(message.key_digest):
-        task._recorder.count("permits_key_withdrawn")
+        task._recorder.count(_counter_name(types.KeyWithdrawn()))
         message.reply(types.KeyWithdrawn())
         return []
     ticket = next(task._tickets)
@@ -192,7 +208,7 @@
 @_receive.register
 def _(message: permits.ReturnPermit, task: QuotaExchange) -> list[types.Effect]:
     task._recorder.count("permits_returned")
-    task._allocator.give_back(message.tenant, task._loop.time())
+    task._allocator.give_back(message.tenant, message.until, task._loop.time())
     return []
 
 
@@ -240,6 +256,16 @@
     raise TypeError(f"no counter for {type(verdict).__name__}")
 
 
+@_counter_name.register
+def _(verdict: types.Admitted) -> str:
+    return "tenants_admitted"
+
+
+@_counter_name.register
+def _(verdict: types.KeyWithdrawn) -> str:
+    return "permits_key_withdrawn"
+
+
 @_counter_name.register
 def _(verdict: types.Granted) -> str:
     return "permits_granted" if verdict.is_own else "permits_borrowed"
--- a/src/sesamevale/forwarding/messages.py
+++ b/src/sesamevale/forwarding/messages.py
@@ -259,6 +259,8 @@
         timer: Timer of the deadline.
         permit: Permit for the next attempt of a tenant's request.
         used_permit: Permit of the current attempt.
+        is_admitted: Whether it counts among the admitted requests of its
+            tenant that wait.
         awaits_permit: Whether a permit has been asked for.
     """
 
@@ -279,4 +281,5 @@
     timer: asyncio.TimerHandle | None = None
     permit: quota_types.Granted | None = None
     used_permit: quota_types.Granted | None = None
+    is_admitted: bool = False
     awaits_permit: bool = False
--- a/src/sesamevale/forwarding/permit_verdicts.py
+++ b/src/sesamevale/forwarding/permit_verdicts.py
@@ -24,6 +24,16 @@
     raise TypeError(f"no handler for {type(verdict).__name__}")
 
 
+@apply_verdict.register
+def _(
+    verdict: types.Admitted,
+    flow: request_flow.RequestFlow,
+    active_request: messages.ActiveRequest,
+) -> None:
+    active_request.is_admitted = True
+    flow.start_search(active_request)
+
+
 @apply_verdict.register
 def _(
     verdict: types.Granted,
@@ -31,10 +41,7 @@
     active_request: messages.ActiveRequest,
 ) -> None:
     active_request.permit = verdict
-    if active_request.search is None:
-        flow.start_search(active_request)
-    else:
-        flow.continue_search(active_request)
+    flow.continue_search(active_request)
 
 
 @apply_verdict.register
--- a/src/sesamevale/forwarding/service_task.py
+++ b/src/sesamevale/forwarding/service_task.py
@@ -158,7 +158,7 @@
     )
     task._flow.active_requests[request.number] = active_request
     task._flow.set_deadline_timer(active_request)
-    if task._permits.covers(active_request, time.monotonic()):
+    if task._permits.admits(active_request):
         task._flow.start_search(active_request)
 
 
--- a/src/sesamevale/gateway.py
+++ b/src/sesamevale/gateway.py
@@ -264,7 +264,8 @@
         registered = messages.SetRegisteredEntries(
             self._peers.registered, read_at
         )
-        for task in (self._quotas, *self._router.tasks.values()):
+        self._quotas.send(registered)
+        for task in self._router.tasks.values():
             task.send(registered)
 
     def _log_changes(
--- a/src/sesamevale/policy/admission/quota_allocator.py
+++ b/src/sesamevale/policy/admission/quota_allocator.py
@@ -112,6 +112,32 @@
             del self._uses[name]
         return effects
 
+    def admit(self, name: str, now: float) -> types.Verdict:
+        """Decides whether a request may wait for an upstream.
+
+        Over the quota, it is refused at once. Room is not used up before the
+        request is sent, so that it is not sent together with others that are
+        admitted while it waits.
+
+        Args:
+            name: Name of the tenant.
+            now: Monotonic time in seconds.
+        """
+        if not self._is_limited(name):
+            return types.Admitted()
+        use = self._use(name, now)
+        if use.may_admit(now) and self._may_find_room(use, now):
+            use.admitted_count += 1
+            return types.Admitted()
+        use.record_verdict(admitted=False, now=now)
+        return self._refusal(use, now)
+
+    def dismiss(self, name: str) -> None:
+        """Forgets an admitted request, since it is sent or has ended."""
+        use = self._uses.get(name)
+        if use is not None:
+            use.admitted_count = max(0, use.admitted_count - 1)
+
     def request(self, ticket: int, name: str, now: float) -> list[types.Effect]:
         """Asks for a permit for one attempt of a request.
 
@@ -130,10 +156,16 @@
         use.waiting.append(ticket)
         return self._serve(use, 0, now)
 
-    def give_back(self, name: str, now: float) -> None:
-        """Takes back a permit that this entry granted and did not use."""
+    def give_back(self, name: str, until: float, now: float) -> None:
+        """Takes back a permit that this entry granted and did not use.
+
+        Args:
+            name: Name of the tenant.
+            until: When the permit expires.
+            now: Monotonic time in seconds.
+        """
         if self._is_limited(name):
-            self._use(name, now).give_back(now)
+            self._use(name, now).give_back(until, now)
 
     def receive(
         self, message: types.Message, host: str, port: int, now: float
@@ -230,6 +262,13 @@
             return effects + self._refuse_all(use, now)
         return [*effects, self._ask(use, holder, tries, now)]
 
+    def _may_find_room(self, use: tenant_use.TenantUse, now: float) -> bool:
+        """Whether this entry or another may have room for a request."""
+        if use.left(now) >= 1.0:
+            return True
+        holder = self._choose_holder(use, now)
+        return holder is not None and not use.is_paused(now)
+
     def _choose_holder(
         self, use: tenant_use.TenantUse, now: float
     ) -> registered_peers.Peer | None:
--- a/src/sesamevale/policy/admission/quota_types.py
+++ b/src/sesamevale/policy/admission/quota_types.py
@@ -5,6 +5,7 @@
 import dataclasses
 
 __all__ = [
+    "Admitted",
     "Ask",
     "Decided",
     "Effect",
@@ -52,6 +53,14 @@
 Message = Ask | Grant
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Admitted:
+    """Verdict: room is expected once the request can be sent.
+
+    It counts among the requests that wait until it is sent or dismissed.
+    """
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Granted:
     """Verdict: the request may be sent to an upstream.
@@ -87,7 +96,7 @@
     """Verdict: the key of the request is no longer held by a tenant."""
 
 
-Verdict = Granted | OverQuota | Unreachable | KeyWithdrawn
+Verdict = Admitted | Granted | OverQuota | Unreachable | KeyWithdrawn
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/sesamevale/policy/admission/tenant_use.py
+++ b/src/sesamevale/policy/admission/tenant_use.py
@@ -24,6 +24,8 @@
 SILENCE_S = 2.0
 # Largest number of requests that one message asks for.
 ASK_COUNT_MAX = 16
+# Time within which an admitted request is expected to be sent.
+ADMISSION_S = 2.0
 # Part of its rate that a holder is expected to have left over.
 UNUSED_PART = 0.3
 # Part of the quota's bounds that is used while others may have replaced this
@@ -82,6 +84,8 @@
         self._borrowed_use: collections.deque[float] = collections.deque()
         self.holders: tuple[str, ...] = ()
         self.basis: tuple[object, ...] = ()
+        # Requests that are admitted and not sent yet.
+        self.admitted_count = 0
         self.waiting: collections.deque[int] = collections.deque()
         self.pending: PendingAsk | None = None
 
@@ -150,12 +154,28 @@
         self._tokens -= taken
         return taken
 
-    def give_back(self, now: float) -> None:
-        """Returns the room of a permit that was not used."""
+    def give_back(self, until: float, now: float) -> None:
+        """Returns the room of a permit that was not used.
+
+        An expired permit is lost: the room would be used in a burst with the
+        one that has come since.
+
+        Args:
+            until: When the permit expires.
+            now: Monotonic time in seconds.
+        """
+        if until <= now:
+            return
         self._refill(now)
         if self._is_holder:
             self._tokens = min(self.share.capacity, self._tokens + 1.0)
 
+    def may_admit(self, now: float) -> bool:
+        """Whether room is expected for one more request that waits."""
+        expected = self.share.rate_per_s * ADMISSION_S
+        expected += self.left(now) if self._is_holder else self.share.capacity
+        return self.admitted_count < max(1.0, expected)
+
     def left(self, now: float) -> float:
         """Returns the requests for which the own share has room."""
         self._refill(now)
--- a/tests/policy/configuration/test_credentials.py
+++ b/tests/policy/configuration/test_credentials.py
@@ -69,6 +69,8 @@
         elif not is_current:
             assert isinstance(identity, credentials.Stale)
         else:
+            assert isinstance(identity, credentials.Identified)
+            assert identity.tenant is not None
             assert identity.tenant.name == owner
 
     @stateful.rule(key=strategies.sampled_from(KEYS))
