--- a/src/sesamevale/gateway.py
+++ b/src/sesamevale/gateway.py
@@ -93,9 +93,7 @@
             lambda: self.send(gateway_messages.MembersChanged()),
             recorder,
         )
-        self._quotas = gateway_parts.new_quota_exchange(
-            settings, self._rng, recorder
-        )
+        self._quotas = gateway_parts.new_quotas(settings, self._rng, recorder)
         self._pages = gateway_pages.GatewayPages(
             settings.entry_id,
             self._router,
@@ -103,6 +101,7 @@
             self._upstreams,
             events,
             recorder,
+            self._quotas.allocator,
         )
 
     @property
--- a/src/sesamevale/gateway_parts.py
+++ b/src/sesamevale/gateway_parts.py
@@ -19,7 +19,7 @@
     from sesamevale import gateway_messages
     from sesamevale import metrics
 
-__all__ = ["new_gossip", "new_member", "new_quota_exchange", "plan_drain"]
+__all__ = ["new_gossip", "new_member", "new_quotas", "plan_drain"]
 
 
 def new_member(
@@ -68,7 +68,7 @@
     )
 
 
-def new_quota_exchange(
+def new_quotas(
     settings: gateway_messages.GatewaySettings,
     rng: random.Random,
     recorder: metrics.MetricsRecorder,
--- a/src/sesamevale/operators/command_line.py
+++ b/src/sesamevale/operators/command_line.py
@@ -14,6 +14,7 @@
 from sesamevale.operators.commands import schema
 from sesamevale.operators.commands import status
 from sesamevale.operators.commands import submit
+from sesamevale.operators.commands import tenants
 from sesamevale.operators.commands import upstreams
 
 __all__ = ["main"]
@@ -36,6 +37,7 @@
     entries.entries,
     upstreams.upstreams,
     gateway.gateway,
+    tenants.tenants,
     explain.explain,
 ):
     app.command()(_command)
--- a/src/sesamevale/operators/gateway_pages.py
+++ b/src/sesamevale/operators/gateway_pages.py
@@ -17,6 +17,7 @@
     from sesamevale import event_log
     from sesamevale.forwarding import router as routers
     from sesamevale.forwarding import service_task
+    from sesamevale.policy.admission import quota_allocator
     from sesamevale.policy.configuration import active_configuration
     from sesamevale.policy.signals import discovered_upstreams
 
@@ -33,6 +34,7 @@
         upstreams: Upstreams that are known.
         events: Log whose dropped lines are counted.
         recorder: Recorder of the metrics.
+        quotas: Use of the quotas of tenants; None if there are none.
     """
 
     def __init__(
@@ -43,6 +45,7 @@
         upstreams: discovered_upstreams.DiscoveredUpstreams,
         events: event_log.EventLog,
         recorder: metrics.MetricsRecorder,
+        quotas: quota_allocator.QuotaAllocator | None = None,
     ) -> None:
         self._entry_id = entry_id
         self._router = router
@@ -50,6 +53,7 @@
         self._upstreams = upstreams
         self._events = events
         self._recorder = recorder
+        self._quotas = quotas
         recorder.add_source(self._gauges)
 
     @property
@@ -71,8 +75,36 @@
             gauge("members", "Entries in use", len(view.members)),
             gauge("log_lines_dropped", "Not written", self._events.dropped),
             *self._signal_gauges(),
+            *self._tenant_gauges(),
         ]
 
+    def _tenant_gauges(self) -> list[metrics.MetricSample]:
+        return [
+            metrics.MetricSample(
+                "sesamevale_tenant_requests",
+                f"In the last {use['window_s']:g} s",
+                {"tenant": name, "verdict": verdict},
+                use[verdict],
+            )
+            for name, use in self._tenant_uses().items()
+            for verdict in ("admitted", "refused")
+        ]
+
+    def _tenant_uses(self) -> dict[str, dict[str, float]]:
+        """Returns the use of the quotas that this entry has met."""
+        now = time.monotonic()
+        uses = {} if self._quotas is None else self._quotas.uses
+        return {
+            name: dataclasses.asdict(use.usage(now))
+            | {
+                "rate_per_s": use.tenant.rate_per_s or 0.0,
+                "burst": use.tenant.burst,
+                "holders": len(use.holders),
+                "left": use.left(now),
+            }
+            for name, use in uses.items()
+        }
+
     def _signal_gauges(self) -> list[metrics.MetricSample]:
         now = time.monotonic()
         counts: collections.Counter[tuple[str, str]] = collections.Counter()
@@ -110,6 +142,7 @@
             "config_age_s": self._configuration.age_s(now),
             "upstreams_age_s": None if last_read is None else now - last_read,
             "members": [each.entry_id for each in view.members],
+            "tenants": self._tenant_uses(),
             "services": {
                 name: _service_status(task, now)
                 for name, task in self._router.tasks.items()
--- a/src/sesamevale/platform/settings.py
+++ b/src/sesamevale/platform/settings.py
@@ -130,6 +130,13 @@
         alias="seeds", default=None
     )
 
+    @pydantic.model_validator(mode="after")
+    def _check_ports(self) -> DeploymentSettings:
+        first, last = self.entry_ports
+        if self.bounds.quota_window_s is not None and first == last:
+            raise ValueError("quotas need a second port in entry_ports")
+        return self
+
     @property
     def seeds(self) -> tuple[tuple[str, int], ...]:
         """Addresses of entries that may have state that this entry lacks.
--- a/src/sesamevale/policy/admission/quota_allocator.py
+++ b/src/sesamevale/policy/admission/quota_allocator.py
@@ -231,6 +231,7 @@
             tenant,
             share,
             is_holder=has_joined and self._entry_id in use.holders,
+            has_joined=has_joined,
             is_stale=is_stale,
             now=now,
         )
--- a/src/sesamevale/policy/admission/tenant_use.py
+++ b/src/sesamevale/policy/admission/tenant_use.py
@@ -12,7 +12,7 @@
 if TYPE_CHECKING:
     from sesamevale import routes
 
-__all__ = ["PendingAsk", "TenantUse"]
+__all__ = ["PendingAsk", "TenantUse", "Usage"]
 
 # Time over which the use of a quota is reported and demand is estimated.
 USE_WINDOW_S = 5.0
@@ -59,6 +59,21 @@
     silent_until: float = -math.inf
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Usage:
+    """Requests of one tenant at one entry.
+
+    Attributes:
+        admitted: Number of attempts that were let through.
+        refused: Number of requests that were refused.
+        window_s: Time in seconds over which they are counted.
+    """
+
+    admitted: int
+    refused: int
+    window_s: float = USE_WINDOW_S
+
+
 class TenantUse:
     """Room of one tenant at one entry.
 
@@ -72,6 +87,7 @@
         self._tenant = tenant
         self._share: quota_shares.Share | None = None
         self._is_holder = False
+        self._has_joined = False
         self._tokens = 0.0
         self._refilled_at = since
         self._borrowed: collections.deque[float] = collections.deque()
@@ -111,6 +127,7 @@
         share: quota_shares.Share,
         *,
         is_holder: bool,
+        has_joined: bool,
         is_stale: bool,
         now: float,
     ) -> None:
@@ -121,13 +138,19 @@
                 rate_per_s=share.rate_per_s * STALE_PART,
                 capacity=share.capacity * STALE_PART,
             )
-        if self._share is None:
+        if has_joined and not self._has_joined:
+            self._has_joined = True
             self._tokens = share.start_tokens
         else:
             self._refill(now)
             if not self._is_holder:
                 self._tokens = 0.0
         self._tenant, self._share = tenant, share
+        self._hints = {
+            holder: hint
+            for holder, hint in self._hints.items()
+            if holder in self.holders
+        }
         self._is_holder = is_holder
         self._refill(now)
 
@@ -144,6 +167,7 @@
             until = self._borrowed.popleft()
             if until > now:
                 self._borrowed_use.append(now)
+                _drop_before(self._borrowed_use, now - quota_shares.PERMIT_S)
                 return until, False
         return None
 
@@ -250,12 +274,13 @@
         """Counts a verdict."""
         log = self._admitted if admitted else self._refused
         log.append(now)
+        _drop_before(log, now - USE_WINDOW_S)
 
-    def usage(self, now: float) -> tuple[int, int]:
-        """Returns the requests of the last window, admitted and refused."""
+    def usage(self, now: float) -> Usage:
+        """Returns what became of the requests of the last seconds."""
         for log in (self._admitted, self._refused):
             _drop_before(log, now - USE_WINDOW_S)
-        return len(self._admitted), len(self._refused)
+        return Usage(len(self._admitted), len(self._refused))
 
     def _refill(self, now: float) -> None:
         elapsed_s = max(0.0, now - self._refilled_at)
--- a/tests/operators/test_gateway_pages.py
+++ b/tests/operators/test_gateway_pages.py
@@ -82,3 +82,22 @@
     assert "share here 0.6, 0% used" in result.output
     assert "u-2: pause for" in result.output
     assert "u-3: leaving for" in result.output
+
+
+def test_the_command_adds_up_the_use_of_quotas(monkeypatch):
+    use = {"admitted": 3, "refused": 1, "window_s": 5.0}
+    use |= {"rate_per_s": 2.4, "burst": 2.4, "holders": 6, "left": 0.5}
+    content = {"1:1": {"acme": use}, "1:2": {"acme": use, "bolt": use}}
+    monkeypatch.setattr(
+        common, "read_status", lambda admin: {"tenants": content[admin]}
+    )
+    runner = typer.testing.CliRunner()
+    arguments = ["tenants", "--admin", "1:1", "--admin", "1:2"]
+    result = runner.invoke(command_line.app, arguments)
+    assert result.exit_code == 0, result.output
+    assert result.output.splitlines() == [
+        "acme: 6 admitted and 2 refused in 5 s at 2 entries; "
+        "quota 2.4 a second and 2.4 at once",
+        "bolt: 3 admitted and 1 refused in 5 s at 1 entries; "
+        "quota 2.4 a second and 2.4 at once",
+    ]
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -116,3 +116,13 @@
     bounds = content()["bounds"] | {"strict_revoke": strict, "revoke_ms": 4000}
     result = load(content(bounds=bounds)).gateway_settings()
     assert result.key_lifetime_s == seconds
+
+
+def test_quotas_have_a_port_of_their_own(load):
+    bounds = content()["bounds"] | {"quota_window_s": 5, "quota_overage": 0.2}
+    settings_with_quotas = content(bounds=bounds)
+    result = load(settings_with_quotas).gateway_settings()
+    assert (result.entry_port, result.quota_port) == (7200, 7215)
+    assert result.quota.overage == 0.2
+    with pytest.raises(settings.SettingsError, match="second port"):
+        load(settings_with_quotas | {"entry_ports": [7200, 7200]})
--- a/tests/standins/quota_fleet.py
+++ b/tests/standins/quota_fleet.py
@@ -242,8 +242,10 @@
             entry.delayed.append((self._tick, (entry,)))
             return
         clock = self._clock(entry) + 1e-9
+        effects = []
         if entry.allocator.next_tick_at <= clock:
-            self._perform(entry, entry.allocator.tick(clock))
+            effects = entry.allocator.tick(clock)
+        self._perform(entry, effects)
 
     def _transmit(self, entry, transmit):
         self.message_count += 1
--- a/tests/system/entry_process.py
+++ b/tests/system/entry_process.py
@@ -50,7 +50,7 @@
         self.stack = contextlib.AsyncExitStack()
         await self.stack.enter_async_context(self.store)
         await self.stack.enter_async_context(self.upstream)
-        self.ports = loopback.free_ports(5)
+        self.ports = loopback.free_ports(6)
         self.put_heartbeat()
         if self.config:
             self.put_configuration(self.config)
@@ -80,7 +80,7 @@
         self.store.put(store_items.item("servers/i-1", heartbeat))
 
     async def start(self):
-        callers, readiness, directory, entry, metrics = self.ports
+        callers, readiness, directory, entry, metrics, last = self.ports
         settings = {
             "entry_id": "e-1",
             "data_center": "here",
@@ -88,7 +88,7 @@
             "callers": f"{HOST}:{callers}",
             "readiness": f"{HOST}:{readiness}",
             "directory": f"{HOST}:{directory}",
-            "entry_ports": [entry, entry],
+            "entry_ports": [entry, last],
             "bounds": self.bounds,
             "store": {"address": f"{HOST}:{self.store.port}"},
         }
@@ -132,11 +132,17 @@
             writer.close()
 
     async def call(
-        self, target, attempt="attempt-1", method="GET", deadline_ms=3000
+        self,
+        target,
+        attempt="attempt-1",
+        method="GET",
+        deadline_ms=3000,
+        headers=(),
     ):
         headers = [
             ("X-Attempt-Id", attempt),
             ("X-Deadline-Ms", str(deadline_ms)),
+            *headers,
         ]
         return await self.get(
             self.ports[0], target, method=method, headers=headers
