--- a/src/sesamevale/gateway_messages.py
+++ b/src/sesamevale/gateway_messages.py
@@ -17,6 +17,7 @@
 
 __all__ = [
     "ConfigurationRead",
+    "EvacuationsRead",
     "GatewaySettings",
     "GraceEnded",
     "MembersChanged",
@@ -58,8 +59,6 @@
             deployment has none.
         key_lifetime_s: Time in seconds after the last confirmation of the
             configuration for which its keys are accepted.
-        evacuation_bound_s: Longest time until an evacuation must be in force,
-            in seconds.
         machine: Resources of the machine.
     """
 
@@ -77,7 +76,6 @@
     quota: resources.QuotaBounds | None = None
     warmup: resources.WarmupBounds | None = None
     key_lifetime_s: float = 900.0
-    evacuation_bound_s: float = 5.0
     machine: resources.Machine = dataclasses.field(
         default_factory=resources.Machine
     )
@@ -105,11 +103,26 @@
         read_at: When the read was sent, in monotonic seconds.
         grace_until: Until when missing upstreams may be used, in monotonic
             seconds.
+        era: Era of the store; 0 if it names none.
     """
 
     upstreams: tuple[routes.UpstreamRecord, ...]
     read_at: float
     grace_until: float = float("-inf")
+    era: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EvacuationsRead:
+    """The list of evacuated data centres was read from the store.
+
+    Attributes:
+        data_centers: Data centres whose upstreams are to get nothing more.
+        read_at: When the read was sent, in monotonic seconds.
+    """
+
+    data_centers: frozenset[str]
+    read_at: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -121,11 +134,13 @@
         read_at: When the read was sent, in monotonic seconds.
         grace_until: Until when missing entries are kept, in monotonic
             seconds.
+        era: Era of the store; 0 if it names none.
     """
 
     peers: tuple[peers.Peer, ...]
     read_at: float
     grace_until: float = float("-inf")
+    era: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -187,6 +202,7 @@
 Message = (
     ConfigurationRead
     | UpstreamsRead
+    | EvacuationsRead
     | PeersRead
     | GraceEnded
     | StoreViewChanged
--- a/src/sesamevale/operators/commands/gateway.py
+++ b/src/sesamevale/operators/commands/gateway.py
@@ -30,6 +30,8 @@
     typer.echo(
         f"  upstreams read {_format_age(content['upstreams_age_s'])} ago"
     )
+    for data_center, age_s in content["evacuated"].items():
+        typer.echo(f"  {data_center} is evacuated for {_format_age(age_s)}")
     typer.echo(f"  callers are sent to {', '.join(content['members'])}")
     for name, service in content["services"].items():
         usable = service["upstreams"]
@@ -49,6 +51,10 @@
     since = f"for {content['age_s']:.1f} s"
     if content["signal"] == "pause":
         return f"{begin} {since}, {content['value']:.1f} s left"
+    if content["signal"] in ("warmup", "doubtful"):
+        left = f"{begin} {since}, {content['value']:.1f} s left"
+        share = content.get("share")
+        return f"{left}, share here {share:.2g} a second" if share else left
     if content["signal"] == "leaving":
         return f"{begin} {since}"
     begin += f" {content['value']:g} a second {since}"
--- a/src/sesamevale/operators/gateway_pages.py
+++ b/src/sesamevale/operators/gateway_pages.py
@@ -19,7 +19,9 @@
     from sesamevale.forwarding import service_task
     from sesamevale.policy.admission import quota_allocator
     from sesamevale.policy.configuration import active_configuration
+    from sesamevale.policy.membership import evacuations as evacuation_states
     from sesamevale.policy.signals import discovered_upstreams
+    from sesamevale.policy.signals import upstream_signals
 
 __all__ = ["GatewayPages"]
 
@@ -32,6 +34,7 @@
         router: Router with the tasks of all services.
         configuration: Configuration in force.
         upstreams: Upstreams that are known.
+        evacuations: Evacuations in force.
         events: Log whose dropped lines are counted.
         recorder: Recorder of the metrics.
         quotas: Use of the quotas of tenants; None if there are none.
@@ -43,6 +46,7 @@
         router: routers.RequestRouter,
         configuration: active_configuration.ActiveConfiguration,
         upstreams: discovered_upstreams.DiscoveredUpstreams,
+        evacuations: evacuation_states.Evacuations,
         events: event_log.EventLog,
         recorder: metrics.MetricsRecorder,
         quotas: quota_allocator.QuotaAllocator | None = None,
@@ -51,6 +55,7 @@
         self._router = router
         self._configuration = configuration
         self._upstreams = upstreams
+        self._evacuations = evacuations
         self._events = events
         self._recorder = recorder
         self._quotas = quotas
@@ -73,6 +78,11 @@
             gauge("config_age_seconds", "Since confirmed", age_s),
             gauge("requests_active", "Requests now", self._router.active_count),
             gauge("members", "Entries in use", len(view.members)),
+            gauge(
+                "evacuated_data_centers",
+                "Whose upstreams get nothing",
+                len(self._evacuations.data_centers),
+            ),
             gauge("log_lines_dropped", "Not written", self._events.dropped),
             *self._signal_gauges(),
             *self._tenant_gauges(),
@@ -109,7 +119,7 @@
         now = time.monotonic()
         counts: collections.Counter[tuple[str, str]] = collections.Counter()
         for name, task in self._router.tasks.items():
-            for each in task.balancer.signals.list_in_force(now):
+            for each in _list_in_force(task, now):
                 counts[name, each.signal] += 1
         return [
             metrics.MetricSample(
@@ -141,6 +151,7 @@
             "config": self._configuration.version,
             "config_age_s": self._configuration.age_s(now),
             "upstreams_age_s": None if last_read is None else now - last_read,
+            "evacuated": self._evacuations.ages_s(now),
             "members": [each.entry_id for each in view.members],
             "tenants": self._tenant_uses(),
             "services": {
@@ -152,13 +163,24 @@
         return admin_server.Page(200, "application/json", body)
 
 
+def _list_in_force(
+    task: service_task.ServiceTask, now: float
+) -> list[upstream_signals.SignalStatus]:
+    """Returns the signals in force at a service and its cold upstreams."""
+    balancer = task.balancer
+    return [
+        *balancer.signals.list_in_force(now),
+        *balancer.warmups.list_in_force(now),
+    ]
+
+
 def _signals(
     task: service_task.ServiceTask, now: float
 ) -> list[dict[str, object]]:
     """Returns what the upstreams of a service say of themselves."""
     found = []
     candidates, shares = task.balancer.candidates, task.balancer.shares
-    for each in task.balancer.signals.list_in_force(now):
+    for each in _list_in_force(task, now):
         status: dict[str, object] = dataclasses.asdict(each)
         candidate = candidates.get(each.upstream_id)
         used = None
@@ -167,6 +189,10 @@
         if candidate is not None and used is not None:
             status["share"] = shares.rate_of(candidate.record, now)
             status["used"] = used
+        if candidate is not None and each.signal in ("warmup", "doubtful"):
+            status["share"] = task.balancer.warmups.rate_of(
+                candidate.record, now
+            )
         found.append(status)
     return found
 
--- a/tests/operators/test_gateway_pages.py
+++ b/tests/operators/test_gateway_pages.py
@@ -12,6 +12,7 @@
 from sesamevale.operators import gateway_pages
 from sesamevale.operators.commands import common
 from sesamevale.policy.configuration import active_configuration
+from sesamevale.policy.membership import evacuations
 from sesamevale.policy.signals import discovered_upstreams
 from sesamevale.policy.signals import upstream_signals
 from tests.builders import gateway
@@ -22,6 +23,7 @@
     "u-1": upstream_signals.RateLimit(1.5),
     "u-2": upstream_signals.Pause(30.0),
     "u-3": upstream_signals.Leaving(),
+    "u-4": upstream_signals.Warming(2.5),
 }
 
 
@@ -30,14 +32,19 @@
     upstreams = [scripted_upstream.ScriptedUpstream(name) for name in SIGNALS]
     async with gateway_entry.GatewayEntry(*upstreams) as entry:
         await asyncio.sleep(0.05)
+        evacuated = evacuations.Evacuations()
+        evacuated.record_read({"there"}, time.monotonic() - 3.0)
         pages = gateway_pages.GatewayPages(
             "e-1",
             entry.router,
             active_configuration.ActiveConfiguration(),
             discovered_upstreams.DiscoveredUpstreams(),
+            evacuated,
             entry.events,
             entry.recorder,
         )
+        warmups = entry.task.balancer.warmups
+        warmups.set_rate(2.0, time.monotonic())
         for each in upstreams:
             record = gateway.upstream(each.upstream_id, port=each.port)
             entry.task.balancer.signals.record_answer(
@@ -45,6 +52,12 @@
                 (SIGNALS[each.upstream_id],),
                 time.monotonic(),
             )
+            warmups.record_answer(
+                upstream_signals.instance_of(record),
+                (SIGNALS[each.upstream_id],),
+                time.monotonic(),
+                is_sample=True,
+            )
         content = json.loads(pages.handlers["/status"]("").body)
         gauges = {
             each.labels["signal"]: each.value
@@ -54,6 +67,11 @@
         return content, gauges
 
 
+def test_evacuations_in_force_are_in_the_status():
+    content, _ = asyncio.run(read_status())
+    assert 3.0 <= content["evacuated"]["there"] < 4.0
+
+
 def test_signals_in_force_are_in_the_status_and_the_gauges():
     content, gauges = asyncio.run(read_status())
     found = {
@@ -66,7 +84,10 @@
     assert found["u-1"]["used"] == 0.0
     assert 29 < found["u-2"]["value"] <= 30
     assert found["u-3"]["signal"] == "leaving"
-    assert gauges == {"limit": 1, "pause": 1, "leaving": 1}
+    assert found["u-4"]["signal"] == "warmup"
+    assert 2 < found["u-4"]["value"] <= 2.5
+    assert 0 < found["u-4"]["share"] <= 2.0
+    assert gauges == {"limit": 1, "pause": 1, "leaving": 1, "warmup": 1}
 
 
 def test_the_command_shows_the_signals(monkeypatch):
@@ -82,6 +103,9 @@
     assert "share here 0.6, 0% used" in result.output
     assert "u-2: pause for" in result.output
     assert "u-3: leaving for" in result.output
+    assert "u-4: warmup for" in result.output
+    assert "s left, share here 0.8 a second" in result.output
+    assert "there is evacuated for 3" in result.output
 
 
 def test_the_command_adds_up_the_use_of_quotas(monkeypatch):
--- a/tests/policy/membership/test_shared_state_machine.py
+++ b/tests/policy/membership/test_shared_state_machine.py
@@ -13,9 +13,9 @@
 PEER = registered_peers.Peer("e-2", "there", "10.0.0.2", 80, 90)
 
 
-def contents(*upstreams, version=1, peers=()):
+def contents(*upstreams, version=1, peers=(), era=0):
     return shared_state.StoreContents(
-        gateway.configuration(version), tuple(upstreams), tuple(peers)
+        gateway.configuration(version), tuple(upstreams), tuple(peers), era=era
     )
 
 
@@ -30,6 +30,24 @@
     assert state.changes_since(0, 0, 6.0).configuration.version == 2
 
 
+# Guards against judging by time alone: the store may come back older.
+def test_a_read_of_an_earlier_era_that_arrives_late_is_ignored():
+    state = shared_state.SharedState(1)
+    assert state.record_read(contents(era=4), 5.0)
+    assert not state.record_read(contents(era=3), 6.0)
+    assert state.record_read(contents(era=5), 4.9)
+    assert state.changes_since(0, 0, 6.0).era == 5
+
+
+def test_a_configuration_does_not_go_back_with_the_store():
+    state = shared_state.SharedState(1)
+    state.record_read(contents(version=7, era=4), 5.0)
+    state.record_read(contents(version=6, era=5), 6.0)
+    assert state.changes_since(0, 0, 6.0).configuration.version == 7
+    state.record_read(contents(version=8, era=5), 7.0)
+    assert state.changes_since(0, 0, 7.0).configuration.version == 8
+
+
 def test_heartbeats_alone_are_not_passed_on():
     state = shared_state.SharedState(1)
     state.record_read(contents(gateway.upstream(sequence=1)), 1.0)
@@ -49,6 +67,27 @@
     assert changed.draining
 
 
+# Entries that ask another one used upstreams that had turned cold.
+def test_coldness_is_passed_on_and_its_decline_is_not():
+    state = shared_state.SharedState(1)
+    passed_on = []
+    for sequence, warmup_s in enumerate([0.0, 3.0, 2.0, 1.0, 2.5, 1.5, 0.0]):
+        record = gateway.upstream(sequence=sequence, warmup_s=warmup_s)
+        state.record_read(contents(record), float(sequence + 1))
+        update = state.changes_since(1, sequence, 9.0)
+        passed_on += [each.warmup_s for each in update.changed if sequence > 0]
+    assert passed_on == [3.0, 2.5]
+
+
+def test_a_newcomer_gets_the_newest_rest_of_a_warm_up():
+    state = shared_state.SharedState(1)
+    for sequence, warmup_s in ((1, 3.0), (2, 1.0)):
+        record = gateway.upstream(sequence=sequence, warmup_s=warmup_s)
+        state.record_read(contents(record), float(sequence))
+    (found,) = state.changes_since(0, 0, 3.0).changed
+    assert (found.sequence, found.warmup_s) == (2, 1.0)
+
+
 def test_changes_of_another_process_are_not_applied():
     mirror = shared_state.Mirror()
     first, second = shared_state.SharedState(1), shared_state.SharedState(2)
