--- a/bench/quotas.py
+++ b/bench/quotas.py
@@ -4,7 +4,7 @@
 load by how much the fullest window exceeds its bound (negative: room left),
 the part of what is owed that was let through, and the messages a request.
 
-Run: ``python -m bench.quotas``.
+Run: ``make bench-quotas``.
 """
 
 from __future__ import annotations
--- a/src/sesamevale/callers/request_reader.py
+++ b/src/sesamevale/callers/request_reader.py
@@ -89,7 +89,7 @@
     @contextlib.contextmanager
     def reading_body(self) -> Iterator[None]:
         """Applies the idle time-out to the body while the context is open."""
-        self._expires_at = time.monotonic() + self._limits.idle_timeout_s
+        self.restart_body_timeout()
         self._reading_body = True
         try:
             yield
@@ -97,6 +97,10 @@
             self._reading_body = False
             self._expires_at = math.inf
 
+    def restart_body_timeout(self) -> None:
+        """Starts the idle time-out anew, since the body makes progress."""
+        self._expires_at = time.monotonic() + self._limits.idle_timeout_s
+
     async def next_body_event(self) -> object:
         """Returns the next event of h11; asks for a body that is held back.
 
@@ -107,12 +111,28 @@
             event = self._http.next_event()
             if event is not h11.NEED_DATA:
                 return event
-            if self._http.they_are_waiting_for_100_continue:
-                proceed = h11.InformationalResponse(
-                    status_code=100, headers=[], reason=b"Continue"
-                )
-                self._stream.write(self._http.send(proceed) or b"")
-            self._http.receive_data(await self._stream.read())
+            await self.receive_body()
+
+    def received_body_event(self) -> object:
+        """Returns the next event of h11 without waiting for it.
+
+        Raises:
+            h11.RemoteProtocolError: The body is malformed.
+        """
+        return self._http.next_event()
+
+    async def receive_body(self) -> None:
+        """Reads more bytes of a body; asks for one that is held back.
+
+        Raises:
+            h11.RemoteProtocolError: The body ends early.
+        """
+        if self._http.they_are_waiting_for_100_continue:
+            proceed = h11.InformationalResponse(
+                status_code=100, headers=[], reason=b"Continue"
+            )
+            self._stream.write(self._http.send(proceed) or b"")
+        self._http.receive_data(await self._stream.read())
 
     def skip_received_body(self) -> None:
         """Discards the received part of a body that was not read."""
--- a/src/sesamevale/entries/state_reader.py
+++ b/src/sesamevale/entries/state_reader.py
@@ -38,9 +38,11 @@
 
     Attributes:
         reason: Cause of the failure.
+        answered: Whether the store answered that it is away.
     """
 
     reason: str
+    answered: bool = False
 
 
 class StoreReader(Protocol):
@@ -146,7 +148,9 @@
         found = await self._store_reader.read()
         if isinstance(found, StoreUnavailable):
             self._failures += 1
-            self._view.record_failure(started_at)
+            self._view.record_failure(
+                time.monotonic() if found.answered else started_at
+            )
             self._report_view()
             self._report_reachability(True, found.reason)
             if not self._has_configuration:
@@ -250,12 +254,18 @@
         self._view.record_read(
             read_at,
             contents.era,
-            contents.store_revision,
-            frozenset(each.upstream_id for each in contents.upstreams),
+            {
+                each.upstream_id: store_view.Origin(
+                    each.started_ms, each.created
+                )
+                for each in contents.upstreams
+            },
         )
         self._report_view()
         if self._view.grace_until == before:
             return
+        if self._view.grace_until > before:
+            self._recorder.count("store_absences")
         if self._grace_timer is not None:
             self._grace_timer.cancel()
         self._grace_timer = asyncio.get_running_loop().call_later(
@@ -268,8 +278,10 @@
 
     def _report_view(self) -> None:
         view = self._view.summary(time.monotonic())
-        if view != self._reported_view:
+        known = self._reported_view
+        if view != known:
             self._reported_view = view
+            self._recorder.count("store_eras", view.era != known.era)
             self._gateway.send(gateway_messages.StoreViewChanged(view))
 
     def _report_reachability(self, unreachable: bool, reason: str) -> None:
--- a/src/sesamevale/forwarding/messages.py
+++ b/src/sesamevale/forwarding/messages.py
@@ -16,6 +16,7 @@
     from sesamevale.forwarding import requests
     from sesamevale.policy.admission import drain_schedule
     from sesamevale.policy.admission import quota_types
+    from sesamevale.policy.admission import suspects
     from sesamevale.policy.membership import registered_peers
     from sesamevale.upstreams import http_link
     from sesamevale.upstreams import link_messages
@@ -27,6 +28,7 @@
     "CloseExpiredConnections",
     "DeadlineExpired",
     "EndRequests",
+    "InquiryEnded",
     "Message",
     "PermitDecided",
     "RoundTimeout",
@@ -38,6 +40,7 @@
     "StartDrain",
     "StreamEnded",
     "Submit",
+    "SuspicionsHeard",
 ]
 
 
@@ -192,6 +195,30 @@
     number: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class InquiryEnded:
+    """It is known whether an upstream that cut off attempts still listens.
+
+    Attributes:
+        candidate: The upstream.
+        is_listening: Whether it listens.
+    """
+
+    candidate: upstream_state.Candidate
+    is_listening: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SuspicionsHeard:
+    """Other entries have seen upstreams end under requests.
+
+    Attributes:
+        suspicions: What they have seen.
+    """
+
+    suspicions: tuple[suspects.Suspicion, ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class StartDrain:
     """Starts no attempt that is expected to outlast the drain of the entry.
@@ -226,6 +253,8 @@
     | StreamEnded
     | RoundTimeout
     | DeadlineExpired
+    | InquiryEnded
+    | SuspicionsHeard
     | StartDrain
     | EndRequests
     | CloseExpiredConnections
--- a/src/sesamevale/forwarding/requests.py
+++ b/src/sesamevale/forwarding/requests.py
@@ -6,7 +6,9 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from sesamevale import bodies
     from sesamevale import calls
+    from sesamevale import memory_room
     from sesamevale import routes
 
 __all__ = ["Request"]
@@ -38,6 +40,7 @@
             urgent.
         tenant: Tenant whose key it carried; None without one.
         key_digest: Digest of that key.
+        claim: Memory that it holds; None if it isn't counted.
     """
 
     number: int
@@ -48,7 +51,7 @@
     method: bytes
     target: bytes
     headers: calls.Headers
-    body: bytes | None
+    body: bodies.BodyBuffer | None
     arrived: float
     deadline: float
     caller_deadline: float
@@ -58,3 +61,4 @@
     priority: int = 0
     tenant: routes.Tenant | None = None
     key_digest: str | None = dataclasses.field(default=None, repr=False)
+    claim: memory_room.Claim | None = None
--- a/src/sesamevale/forwarding/task_building.py
+++ b/src/sesamevale/forwarding/task_building.py
@@ -8,6 +8,7 @@
 from sesamevale.forwarding import service_task
 from sesamevale.policy.admission import rate_shares
 from sesamevale.policy.admission import retry_budget
+from sesamevale.policy.admission import service_order
 from sesamevale.policy.balancing import load_sampling
 from sesamevale.policy.balancing import warmup_shares
 from sesamevale.policy.signals import upstream_signals
@@ -22,6 +23,7 @@
     from sesamevale import metrics
     from sesamevale import routes
     from sesamevale.forwarding import permits
+    from sesamevale.policy.admission import suspects
 
 __all__ = ["build_task"]
 
@@ -34,6 +36,7 @@
     recorder: metrics.MetricsRecorder,
     rng: random.Random,
     on_misplaced: Callable[[str], None],
+    on_suspicions: Callable[[tuple[suspects.Suspicion, ...]], None],
     ask_permit: Callable[[permits.Message], None],
 ) -> service_task.ServiceTask:
     """Builds the task of one service with the decisions that it drives.
@@ -47,6 +50,7 @@
         rng: Source of randomness.
         on_misplaced: Called with the identifier of an upstream at whose
             address another upstream answers.
+        on_suspicions: Called with requests under which upstreams have ended.
         ask_permit: Sends a message to the task that gives out permits.
     """
     shares = rate_shares.RateShares(
@@ -60,11 +64,19 @@
     warmups.set_rate(service.warmup_rate_per_s, time.monotonic())
     return service_task.ServiceTask(
         service,
-        load_sampling.LoadBalancer(settings.data_center, rng, shares, warmups),
+        load_sampling.LoadBalancer(
+            settings.data_center,
+            rng,
+            shares,
+            warmups,
+            service_order.ServiceOrder() if settings.orders_service else None,
+        ),
         retry_budget.RetryBudget(settings.retry_budget),
         dialect,
         events,
         recorder,
         on_misplaced,
+        on_suspicions,
+        settings.environment.encode(),
         ask_permit,
     )
--- a/src/sesamevale/gateway.py
+++ b/src/sesamevale/gateway.py
@@ -14,17 +14,20 @@
 from sesamevale import gateway_events
 from sesamevale import gateway_messages
 from sesamevale import gateway_parts
+from sesamevale import memory_room
 from sesamevale import messaging
 from sesamevale import metrics
 from sesamevale.callers import gateway_server
 from sesamevale.entries import gossip
 from sesamevale.entries import quota_exchange
+from sesamevale.entries import suspicion_exchange
 from sesamevale.forwarding import messages
 from sesamevale.forwarding import router as routers
 from sesamevale.forwarding import task_building
 from sesamevale.operators import admin_server
 from sesamevale.operators import gateway_pages
 from sesamevale.policy.admission import drain_schedule
+from sesamevale.policy.admission import memory_limits
 from sesamevale.policy.configuration import active_configuration
 from sesamevale.policy.membership import entry_count
 from sesamevale.policy.membership import evacuations
@@ -77,6 +80,9 @@
         )
         self._is_registration_old = False
         self._own_member = gateway_parts.new_member(settings, self._rng)
+        self._room = memory_room.MemoryRoom(
+            memory_limits.MemoryLimits.plan(settings.machine)
+        )
         self._server = gateway_server.GatewayServer(
             settings.callers.host,
             settings.callers.port,
@@ -84,6 +90,7 @@
             settings.entry_id,
             events,
             recorder,
+            self._room,
         )
         self._gossip = gateway_parts.new_gossip(
             settings,
@@ -91,6 +98,10 @@
             self._rng,
             lambda: self.send(gateway_messages.MembersChanged()),
             recorder,
+            lambda heard: self._suspicions.hear(heard),
+        )
+        self._suspicions = suspicion_exchange.SuspicionExchange(
+            self._gossip, self._peers, self._router, self._rng
         )
         self._quotas = gateway_parts.new_quotas(settings, self._rng, recorder)
         self._pages = gateway_pages.GatewayPages(
@@ -101,6 +112,7 @@
             self._evacuations,
             events,
             recorder,
+            self._room.account,
             self._quotas.allocator,
         )
 
@@ -134,6 +146,7 @@
 
     async def __aenter__(self) -> Self:
         await self._stack.enter_async_context(self._gossip)
+        await self._stack.enter_async_context(self._suspicions)
         await self._stack.enter_async_context(self._quotas)
         await self._stack.enter_async_context(self._server)
         await self._stack.enter_async_context(
@@ -156,18 +169,8 @@
         _receive(message, self)
 
     def directory_addresses(self, data_center: str) -> list[str]:
-        """Returns the addresses for callers in a data centre.
-
-        These are the entries of the data centre, or all if it has none.
-        """
-        members = self._router.view.members
-        same_data_center = [
-            each for each in members if each.data_center == data_center
-        ]
-        return [
-            f"{each.host}:{each.caller_port}"
-            for each in same_data_center or members
-        ]
+        """Returns the addresses for callers in a data centre."""
+        return self._router.view.addresses_for(data_center)
 
     async def drain(self) -> None:
         """Leaves the directory and waits until callers use other entries."""
@@ -223,6 +226,7 @@
                 lambda upstream_id: self.send(
                     gateway_messages.UpstreamIdMismatch(upstream_id)
                 ),
+                self._suspicions.find,
                 self._quotas.send,
             )
             task.start()
@@ -355,15 +359,9 @@
 
 @_receive.register
 def _(message: gateway_messages.StoreViewChanged, gateway: Gateway) -> None:
-    view = message.view
-    gateway._is_registration_old = view.registration_doubtful
+    gateway._is_registration_old = message.view.registration_doubtful
     gateway._apply_entry_count()
-    gateway._events.state(
-        "store_view",
-        state=view.contact.value,
-        absent=view.absent.value,
-        era=view.era,
-    )
+    gateway_events.log_store_view(gateway._events, message.view)
 
 
 @_receive.register
--- a/src/sesamevale/gateway_messages.py
+++ b/src/sesamevale/gateway_messages.py
@@ -60,6 +60,8 @@
         key_lifetime_s: Time in seconds after the last confirmation of the
             configuration for which its keys are accepted.
         machine: Resources of the machine.
+        orders_service: Whether requests that cost their callers less to be
+            turned away leave scarce room to others.
     """
 
     entry_id: str
@@ -79,6 +81,7 @@
     machine: resources.Machine = dataclasses.field(
         default_factory=resources.Machine
     )
+    orders_service: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/sesamevale/gateway_parts.py
+++ b/src/sesamevale/gateway_parts.py
@@ -18,6 +18,7 @@
 
     from sesamevale import gateway_messages
     from sesamevale import metrics
+    from sesamevale.policy.admission import suspects
 
 __all__ = ["new_gossip", "new_member", "new_quotas", "plan_drain"]
 
@@ -44,6 +45,7 @@
     rng: random.Random,
     on_change: Callable[[], None],
     recorder: metrics.MetricsRecorder,
+    on_suspicions: Callable[[tuple[suspects.Suspicion, ...]], None],
 ) -> gossip.Gossip:
     """Returns the task that gossips with the entries of the data centre."""
     view = membership.Membership(
@@ -56,6 +58,7 @@
         on_change,
         lambda: None,
         recorder,
+        on_suspicions,
     )
 
 
--- a/src/sesamevale/operators/gateway_pages.py
+++ b/src/sesamevale/operators/gateway_pages.py
@@ -10,6 +10,7 @@
 
 from sesamevale import metrics
 from sesamevale.operators import admin_server
+from sesamevale.operators import memory_samples
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -17,6 +18,7 @@
     from sesamevale import event_log
     from sesamevale.forwarding import router as routers
     from sesamevale.forwarding import service_task
+    from sesamevale.policy.admission import memory_account
     from sesamevale.policy.admission import quota_allocator
     from sesamevale.policy.configuration import active_configuration
     from sesamevale.policy.membership import evacuations as evacuation_states
@@ -37,6 +39,7 @@
         evacuations: Evacuations in force.
         events: Log whose dropped lines are counted.
         recorder: Recorder of the metrics.
+        account: Memory of the entry, if it is counted.
         quotas: Use of the quotas of tenants; None if there are none.
     """
 
@@ -49,6 +52,7 @@
         evacuations: evacuation_states.Evacuations,
         events: event_log.EventLog,
         recorder: metrics.MetricsRecorder,
+        account: memory_account.MemoryAccount | None = None,
         quotas: quota_allocator.QuotaAllocator | None = None,
     ) -> None:
         self._entry_id = entry_id
@@ -60,6 +64,8 @@
         self._recorder = recorder
         self._quotas = quotas
         recorder.add_source(self._gauges)
+        if account is not None:
+            recorder.add_source(lambda: memory_samples.samples(account))
 
     @property
     def handlers(self) -> dict[str, Callable[[str], admin_server.Page]]:
@@ -197,6 +203,20 @@
     return found
 
 
+def _order_status(
+    task: service_task.ServiceTask, now: float
+) -> dict[str, object] | None:
+    """Returns whether requests yield for lack of room; None without order."""
+    order = task.balancer.order
+    if order is None:
+        return None
+    return {
+        "pressure": order.pressure.level,
+        "short": order.pressure.is_short(now),
+        "served_share": order.served_shares(now),
+    }
+
+
 def _service_status(
     task: service_task.ServiceTask, now: float
 ) -> dict[str, object]:
@@ -205,6 +225,7 @@
         "active": task.active_count,
         "average_slowdown": average.slowdown,
         "average_utilization": average.utilization,
+        "order_of_service": _order_status(task, now),
         "signals": _signals(task, now),
         "upstreams": {
             upstream_id: {
--- a/src/sesamevale/outcomes.py
+++ b/src/sesamevale/outcomes.py
@@ -25,6 +25,7 @@
         CUT: The connection to the upstream ended before the whole answer.
         ISSUER_GONE: The process that issued the identity has ended or cannot
             be reached.
+        MEMORY: This entry has no memory for the call.
         NOT_RETAINED: The action has run, but its answer was not kept.
         OVER_QUOTA: The tenant has used up its quota.
         OVERLOADED: There is no capacity for the call in time.
@@ -35,6 +36,7 @@
         SHED: An upstream rejected the call without running it.
         UNKNOWN_KEY: The request carries no key of a tenant.
         SPOILT: The answer was malformed, unsigned or for another request.
+        SUSPECT: Upstreams have ended under requests like this one.
     """
 
     BAD_REQUEST = "bad_request"
@@ -53,6 +55,7 @@
     NO_ROUTE = "no_route"
     NO_RULE = "no_rule"
     NO_UPSTREAM = "no_upstream"
+    MEMORY = "memory"
     NOT_RETAINED = "not_retained"
     OVER_QUOTA = "over_quota"
     OVERLOADED = "overloaded"
@@ -63,6 +66,7 @@
     SHED = "shed"
     SPOILT = "spoilt"
     STOPPING = "stopping"
+    SUSPECT = "suspect"
     TOO_LARGE = "too_large"
     UNKNOWN_KEY = "unknown_key"
 
--- a/src/sesamevale/policy/admission/quota_allocator.py
+++ b/src/sesamevale/policy/admission/quota_allocator.py
@@ -224,8 +224,10 @@
         entry_ids = self._members.entry_ids
         share = quota_shares.divide(tenant, self._bounds, len(entry_ids))
         use.basis = basis
-        use.holders = quota_shares.choose_holders(
-            tenant.name, entry_ids, share.holder_count
+        use.holders = self._by_preference(
+            quota_shares.choose_holders(
+                tenant.name, entry_ids, share.holder_count
+            )
         )
         use.set_share(
             tenant,
@@ -276,20 +278,28 @@
         """Returns the holder to ask; None if none may have room.
 
         It is the one with the most room, by what the holders said last, and
-        of two such ones that of this data centre.
+        of several such ones the first by preference.
         """
-        best, best_rank = None, (0.0, False, 0.0)
+        best, best_left = None, -math.inf
         for entry_id in use.holders:
             peer = self._members.peer(entry_id)
             if peer is None or use.most_left(entry_id, now) < 1.0:
                 continue
             left = use.expected_left(entry_id, now)
-            score = rendezvous.score(self._entry_id, entry_id)
-            rank = (left, self._members.is_near(peer), score)
-            if best is None or rank > best_rank:
-                best, best_rank = peer, rank
+            if left > best_left:
+                best, best_left = peer, left
         return best
 
+    def _by_preference(self, holders: tuple[str, ...]) -> tuple[str, ...]:
+        """Orders holders: near ones first, and differently at each entry."""
+
+        def rank(entry_id: str) -> tuple[bool, float]:
+            peer = self._members.peer(entry_id)
+            is_near = peer is not None and self._members.is_near(peer)
+            return is_near, rendezvous.score(self._entry_id, entry_id)
+
+        return tuple(sorted(holders, key=rank, reverse=True))
+
     def _ask(
         self,
         use: tenant_use.TenantUse,
--- a/src/sesamevale/policy/admission/tenant_use.py
+++ b/src/sesamevale/policy/admission/tenant_use.py
@@ -81,6 +81,14 @@
         tenant: The tenant, with a rate limit.
         since: Monotonic time in seconds since which this process has known
             the limit.
+
+    Attributes:
+        holders: Entries that have a share, in the order in which this entry
+            prefers to ask them.
+        basis: What the share follows from.
+        admitted_count: Number of requests that are admitted and not sent yet.
+        waiting: Tickets of the requests for permits that wait for an answer.
+        pending: Question to a holder, if there is one.
     """
 
     def __init__(self, tenant: routes.Tenant, since: float) -> None:
@@ -100,7 +108,6 @@
         self._borrowed_use: collections.deque[float] = collections.deque()
         self.holders: tuple[str, ...] = ()
         self.basis: tuple[object, ...] = ()
-        # Requests that are admitted and not sent yet.
         self.admitted_count = 0
         self.waiting: collections.deque[int] = collections.deque()
         self.pending: PendingAsk | None = None
--- a/src/sesamevale/upstreams/http_link.py
+++ b/src/sesamevale/upstreams/http_link.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import functools
 import math
 import re
@@ -11,16 +12,19 @@
 
 import h11
 
+from sesamevale import bodies
 from sesamevale import calls
 from sesamevale import http1
 from sesamevale import messaging
 from sesamevale import outcomes
 from sesamevale import sockets
 from sesamevale import tracing
+from sesamevale.policy.admission import memory_account
 from sesamevale.policy.calls import forwarding
 from sesamevale.upstreams import link_messages
 
 if TYPE_CHECKING:
+    from sesamevale import memory_room
     from sesamevale import routes
     from sesamevale.forwarding import requests
     from sesamevale.policy.balancing import upstream_state
@@ -39,14 +43,19 @@
 # Largest number of answers that are read to find the one to the request.
 # Answers to other requests are skipped.
 ANSWERS_READ_MAX = 3
+# Bytes of an answer that the memory of each request includes.
+INCLUDED_BYTES = 16 * 1024
+# Steps in which an answer takes more memory. Without room for the next one, it
+# is passed on as it arrives.
+HOLD_STEP_BYTES = 64 * 1024
+# Memory of an answer that is passed on as it arrives, besides its first part.
+STREAM_BYTES = calls.HIGH_WATER_BYTES + sockets.READ_BYTES_MAX
 # Largest number of body parts that are read of an answer whose body is not
 # used. Parsing costs the same for chunks of any size.
 SKIPPED_PARTS_MAX = 4096
 # Number of parsed events after which other tasks get a turn, so that an answer
 # in tiny chunks does not hold them up.
 EVENTS_PER_TURN = 256
-# Largest number of interim answers (1xx) before an answer.
-INTERIM_ANSWERS_MAX = 16
 # Idle timeout assumed for an upstream that does not announce its own.
 DEFAULT_KEEP_ALIVE_S = 5.0
 # Time before the idle timeout of the upstream at which a connection is no
@@ -87,6 +96,8 @@
         self._has_sent = False
         self._exchanging = False
         self._event_count = 0
+        self._claim: memory_room.Claim | None = None
+        self._writing: asyncio.Task[None] | None = None
         self._task = asyncio.create_task(self._run())
 
     @property
@@ -125,22 +136,23 @@
 
     def close(self) -> None:
         """Closes the connection without a report of a running exchange."""
-        self._ended = True
         self._task.cancel()
-        if self._stream is not None:
-            self._stream.abort()
+        self._abort()
 
     async def _run(self) -> None:
         while not self._ended:
-            message = await self._inbox.get()
-            try:
-                await _perform(message, self)
-            except Exception:
-                # The exception ends this task and reaches the event loop.
-                self._abort()
-                _report_failure(message, self)
-                self._exchanging = False
-                raise
+            await self._exchange(await self._inbox.get())
+
+    async def _exchange(self, message: link_messages.Message) -> None:
+        """Performs one exchange, whose message is not kept."""
+        try:
+            await _perform(message, self)
+        except Exception:
+            # The exception ends this task and reaches the event loop.
+            self._abort()
+            _report_failure(message, self)
+            self._exchanging = False
+            raise
 
     async def _connect(self) -> sockets.ByteStream | None:
         """Returns the open connection; None if it cannot be opened."""
@@ -163,6 +175,8 @@
 
     def _abort(self) -> None:
         self._ended = True
+        if self._writing is not None:
+            self._writing.cancel()
         if self._stream is not None:
             self._stream.abort()
 
@@ -170,6 +184,9 @@
         stream = await self._connect()
         if stream is None:
             return forwarding.NotSent()
+        if request.body is not None and request.body.is_released:
+            return forwarding.NotSent()
+        self._claim = request.claim
         head = self._request_head(request)
         self._has_sent = True
         self._write(stream, head, request.body)
@@ -177,10 +194,9 @@
             return await self._read_answer(request)
         except h11.ProtocolError:
             self._abort()
-            reason = (
-                outcomes.Reason.CUT if stream.closed else outcomes.Reason.SPOILT
-            )
-            return forwarding.Lost(reason)
+            if stream.closed:
+                return self._cut()
+            return forwarding.Lost(outcomes.Reason.SPOILT)
         finally:
             self._last_used = time.monotonic()
 
@@ -203,14 +219,41 @@
         self,
         stream: sockets.ByteStream,
         head: h11.Request,
-        body: bytes | None,
+        body: bodies.BodyBuffer | None,
     ) -> None:
+        """Writes a request.
+
+        A task of its own writes a long body, so that an early answer is read.
+        """
         data = self._http.send(head) or b""
+        if body is not None and body.is_long:
+            stream.write(data)
+            self._writing = asyncio.create_task(
+                self._write_parts(stream, body.parts())
+            )
+            return
         if body:
-            data += self._http.send(h11.Data(data=body)) or b""
+            data += self._http.send(h11.Data(data=body.to_bytes())) or b""
         data += self._http.send(h11.EndOfMessage()) or b""
         stream.write(data)
 
+    async def _write_parts(
+        self, stream: sockets.ByteStream, parts: list[memoryview]
+    ) -> None:
+        """Writes a body no faster than the upstream reads it."""
+        http = self._http
+        while parts:
+            await stream.drain()
+            event = h11.Data(data=parts.pop(0))  # type: ignore[arg-type]
+            try:
+                pieces = http.send_with_data_passthrough(event) or ()
+            except h11.LocalProtocolError:
+                return
+            for piece in pieces:
+                stream.write(piece)
+        with contextlib.suppress(h11.LocalProtocolError):
+            http.send(h11.EndOfMessage())
+
     async def _read_answer(
         self, request: requests.Request
     ) -> forwarding.Result:
@@ -237,7 +280,15 @@
         self._abort()
         if was_reset:
             return forwarding.Reset()
-        return forwarding.Lost(outcomes.Reason.CUT)
+        return self._cut()
+
+    def _cut(self) -> forwarding.Lost:
+        """Returns the result of a connection that ended within an answer."""
+        stream = self._stream
+        closed_by_upstream = stream is not None and (
+            stream.was_reset or (stream.closed and not stream.broken)
+        )
+        return forwarding.Lost(outcomes.Reason.CUT, closed_by_upstream)
 
     async def _skip_body(self, response: h11.Response, method: bytes) -> bool:
         """Reads the body of an answer to another request.
@@ -300,7 +351,7 @@
         body = await self._read_body()
         if body is None:
             self._abort()
-            return forwarding.Lost(outcomes.Reason.CUT)
+            return self._cut()
         self._update_keep_alive(headers)
         load = self._parse_load(headers)
         signals = self._read_signals(status, headers)
@@ -331,6 +382,10 @@
         """
         complete = False
         try:
+            if self._claim is not None and not await self._claim.grow(
+                memory_account.Kind.ANSWER, STREAM_BYTES, None
+            ):
+                return False
             event = await self._next_event()
             while isinstance(event, h11.Data):
                 rest.put(calls.AnswerData(bytes(event.data)))
@@ -345,6 +400,12 @@
             rest.put(calls.AnswerEnd() if complete else calls.AnswerFailed(cut))
         return complete
 
+    def _may_hold(self, count: int) -> bool:
+        """Whether more bytes of an answer may be held."""
+        if self._claim is None:
+            return True
+        return self._claim.try_grow(memory_account.Kind.ANSWER, count)
+
     def _parse_rejection(
         self,
         status: int,
@@ -410,6 +471,7 @@
                 reached=False, was_reset=stream.was_reset
             )
         headers = tuple(response.headers)
+        self._claim = None
         body = await self._read_body(SKIPPED_PARTS_MAX)
         if body is None or self._http.their_state is h11.SEND_BODY:
             self._abort()
@@ -449,26 +511,34 @@
             h11.RemoteProtocolError: An answer is malformed, or there are too
                 many interim answers.
         """
-        for _ in range(INTERIM_ANSWERS_MAX + 1):
+        for _ in range(http1.INTERIM_ANSWERS_MAX + 1):
             event = await self._next_event()
+            if isinstance(event, h11.Response):
+                http1.check_status(event)
+                return event
             if not isinstance(event, h11.InformationalResponse):
-                return event if isinstance(event, h11.Response) else None
+                return None
         raise h11.RemoteProtocolError("too many interim answers")
 
     async def _read_body(self, parts_max: float = math.inf) -> bytes | None:
         """Reads the body, or its first part if it is long; None if cut."""
-        body = bytearray()
+        body = bodies.BodyBuffer()
         part_count = 0
+        held_bytes = INCLUDED_BYTES
         while len(body) <= BUFFERED_ANSWER_BYTES and part_count < parts_max:
             event = await self._next_event()
             if isinstance(event, h11.Data):
-                body += event.data
+                body.append(event.data)
                 part_count += 1
+                if len(body) > held_bytes:
+                    if not self._may_hold(HOLD_STEP_BYTES):
+                        break
+                    held_bytes += HOLD_STEP_BYTES
             elif isinstance(event, h11.EndOfMessage):
                 break
             else:
                 return None
-        return bytes(body)
+        return body.to_bytes()
 
     async def _next_event(self) -> object:
         assert self._stream is not None
@@ -512,8 +582,11 @@
     request.upstream_seconds += time.monotonic() - started
     link._exchanging = False
     message.report(result)
-    if isinstance(result, forwarding.Answered) and result.rest is not None:
-        message.stream_ended(await link._stream_rest(result.rest))
+    rest = result.rest if isinstance(result, forwarding.Answered) else None
+    # The first part of the answer is not kept while the rest is streamed.
+    del result
+    if rest is not None:
+        message.stream_ended(await link._stream_rest(rest))
 
 
 @_perform.register
