--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 export PYTHONPATH := $(CURDIR)/src:$(CURDIR)
 export PYTHONHASHSEED := 0
 
-.PHONY: setup demo test format lint types unit features bench bench-routing bench-control bench-recovery bench-limits report soak wire clean
+.PHONY: setup demo test format lint types unit features bench bench-routing bench-control bench-recovery bench-limits bench-quotas report soak wire clean
 
 setup: $(STAMP)
 
@@ -56,6 +56,9 @@
 bench-limits: setup
 	$(BIN)/python -m bench.limits
 
+bench-quotas: setup
+	$(BIN)/python -m bench.quotas
+
 report: setup
 	$(BIN)/python -m bench.report journal --draw build/report
 
--- a/src/sesamevale/forwarding/messages.py
+++ b/src/sesamevale/forwarding/messages.py
@@ -15,6 +15,7 @@
     from sesamevale import routes
     from sesamevale.forwarding import requests
     from sesamevale.policy.admission import drain_schedule
+    from sesamevale.policy.admission import quota_types
     from sesamevale.policy.admission import suspects
     from sesamevale.policy.membership import registered_peers
     from sesamevale.upstreams import http_link
@@ -29,6 +30,7 @@
     "EndRequests",
     "InquiryEnded",
     "Message",
+    "PermitDecided",
     "RoundTimeout",
     "SampleEnded",
     "SetEntryCount",
@@ -140,6 +142,19 @@
     result: forwarding.Result
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PermitDecided:
+    """Whether an attempt of a tenant's request may begin has been decided.
+
+    Attributes:
+        request: The request.
+        verdict: The verdict.
+    """
+
+    request: requests.Request
+    verdict: quota_types.Verdict
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class StreamEnded:
     """The upstream has ended an answer that is streamed to the caller.
@@ -234,6 +249,7 @@
     | SetRegisteredEntries
     | SampleEnded
     | AttemptEnded
+    | PermitDecided
     | StreamEnded
     | RoundTimeout
     | DeadlineExpired
@@ -270,6 +286,11 @@
         is_abandoned: Whether the caller no longer waits for the answer.
         is_streaming: Whether the current attempt streams its answer.
         timer: Timer of the deadline.
+        permit: Permit for the next attempt of a tenant's request.
+        used_permit: Permit of the current attempt.
+        is_admitted: Whether it counts among the admitted requests of its
+            tenant that wait.
+        awaits_permit: Whether a permit has been asked for.
     """
 
     request: requests.Request
@@ -287,3 +308,7 @@
     is_abandoned: bool = False
     is_streaming: bool = False
     timer: asyncio.TimerHandle | None = None
+    permit: quota_types.Granted | None = None
+    used_permit: quota_types.Granted | None = None
+    is_admitted: bool = False
+    awaits_permit: bool = False
--- a/src/sesamevale/forwarding/requests.py
+++ b/src/sesamevale/forwarding/requests.py
@@ -39,6 +39,7 @@
         priority: Priority of its tenant or else of its route; 0 is the most
             urgent.
         tenant: Tenant whose key it carried; None without one.
+        key_digest: Digest of that key.
         claim: Memory that it holds; None if it isn't counted.
     """
 
@@ -59,4 +60,5 @@
     upstream_seconds: float = 0.0
     priority: int = 0
     tenant: routes.Tenant | None = None
+    key_digest: str | None = dataclasses.field(default=None, repr=False)
     claim: memory_room.Claim | None = None
--- a/src/sesamevale/forwarding/task_building.py
+++ b/src/sesamevale/forwarding/task_building.py
@@ -22,6 +22,7 @@
     from sesamevale import http1
     from sesamevale import metrics
     from sesamevale import routes
+    from sesamevale.forwarding import permits
     from sesamevale.policy.admission import suspects
 
 __all__ = ["build_task"]
@@ -36,6 +37,7 @@
     rng: random.Random,
     on_misplaced: Callable[[str], None],
     on_suspicions: Callable[[tuple[suspects.Suspicion, ...]], None],
+    ask_permit: Callable[[permits.Message], None],
 ) -> service_task.ServiceTask:
     """Builds the task of one service with the decisions that it drives.
 
@@ -49,6 +51,7 @@
         on_misplaced: Called with the identifier of an upstream at whose
             address another upstream answers.
         on_suspicions: Called with requests under which upstreams have ended.
+        ask_permit: Sends a message to the task that gives out permits.
     """
     shares = rate_shares.RateShares(
         settings.entry_id,
@@ -75,4 +78,5 @@
         on_misplaced,
         on_suspicions,
         settings.environment.encode(),
+        ask_permit,
     )
