--- a/src/sesamevale/forwarding/service_task.py
+++ b/src/sesamevale/forwarding/service_task.py
@@ -13,6 +13,8 @@
 from sesamevale.forwarding import attempt_runner
 from sesamevale.forwarding import inquiries
 from sesamevale.forwarding import messages
+from sesamevale.forwarding import permit_verdicts
+from sesamevale.forwarding import permits
 from sesamevale.forwarding import request_flow
 from sesamevale.forwarding import sampling
 from sesamevale.forwarding import signal_recorder
@@ -54,6 +56,8 @@
             for the other entries.
         suspect_key: Key of the fingerprints of requests, the same at all
             entries.
+        ask_permit: Sends a message to the task that gives out permits for
+            the requests of tenants; None if they need none.
     """
 
     def __init__(
@@ -69,6 +73,7 @@
             [tuple[suspects.Suspicion, ...]], None
         ] = lambda suspicions: None,
         suspect_key: bytes = b"",
+        ask_permit: Callable[[permits.Message], None] | None = None,
     ) -> None:
         super().__init__(f"service-{service.name}")
         self._balancer = balancer
@@ -81,12 +86,13 @@
         self._sampler = sampling.Sampler(
             service.health_path, self._pool, recorder, self.send
         )
+        self._permits = permits.Permits(ask_permit, self.send)
         self._flow = request_flow.RequestFlow(
             balancer,
             budget,
             self._sampler,
             attempt_runner.AttemptRunner(
-                self._pool, balancer, events, self.send
+                self._pool, balancer, events, self.send, self._permits
             ),
             self._signal_recorder,
             recorder,
@@ -177,7 +183,18 @@
         task._flow.fail(active_request, refused)
         return
     task._flow.set_deadline_timer(active_request)
-    task._flow.start_search(active_request)
+    if task._permits.admits(active_request):
+        task._flow.start_search(active_request)
+
+
+@_receive.register
+def _(message: messages.PermitDecided, task: ServiceTask) -> None:
+    active_request = task._flow.active_requests.get(message.request.number)
+    if active_request is None:
+        task._permits.give_back_late(message)
+        return
+    active_request.awaits_permit = False
+    permit_verdicts.apply_verdict(message.verdict, task._flow, active_request)
 
 
 @_receive.register
--- a/src/sesamevale/gateway.py
+++ b/src/sesamevale/gateway.py
@@ -13,12 +13,13 @@
 from sesamevale import draining
 from sesamevale import gateway_events
 from sesamevale import gateway_messages
-from sesamevale import incarnations
+from sesamevale import gateway_parts
 from sesamevale import memory_room
 from sesamevale import messaging
 from sesamevale import metrics
 from sesamevale.callers import gateway_server
 from sesamevale.entries import gossip
+from sesamevale.entries import quota_exchange
 from sesamevale.entries import suspicion_exchange
 from sesamevale.forwarding import messages
 from sesamevale.forwarding import router as routers
@@ -30,8 +31,6 @@
 from sesamevale.policy.configuration import active_configuration
 from sesamevale.policy.membership import entry_count
 from sesamevale.policy.membership import evacuations
-from sesamevale.policy.membership import membership
-from sesamevale.policy.membership import membership_types
 from sesamevale.policy.membership import registered_peers
 from sesamevale.policy.signals import discovered_upstreams
 
@@ -70,7 +69,9 @@
         self._rng = random.Random()
         self._stack = contextlib.AsyncExitStack()
         self._readiness_callbacks: list[Callable[[], None]] = []
-        self._router = routers.RequestRouter(dialect, settings.config_bound_s)
+        self._router = routers.RequestRouter(
+            dialect, settings.config_bound_s, settings.key_lifetime_s
+        )
         self._active_configuration = active_configuration.ActiveConfiguration()
         self._upstreams = discovered_upstreams.DiscoveredUpstreams()
         self._evacuations = evacuations.Evacuations()
@@ -78,16 +79,7 @@
             settings.entry_id, settings.data_center
         )
         self._is_registration_old = False
-        self._own_member = membership_types.Member(
-            entry_id=settings.entry_id,
-            incarnation=incarnations.new(self._rng),
-            refutation=0,
-            status=membership_types.Status.JOINING,
-            data_center=settings.data_center,
-            host=settings.callers.host,
-            caller_port=settings.callers.port,
-            peer_port=settings.entry_port,
-        )
+        self._own_member = gateway_parts.new_member(settings, self._rng)
         self._room = memory_room.MemoryRoom(
             memory_limits.MemoryLimits.plan(settings.machine)
         )
@@ -100,23 +92,18 @@
             recorder,
             self._room,
         )
-        self._gossip = gossip.Gossip(
-            membership.Membership(
-                self._own_member,
-                settings.environment,
-                membership.Timing(),
-                self._rng,
-            ),
-            settings.callers.host,
-            settings.entry_port,
+        self._gossip = gateway_parts.new_gossip(
+            settings,
+            self._own_member,
+            self._rng,
             lambda: self.send(gateway_messages.MembersChanged()),
-            lambda: None,
             recorder,
             lambda heard: self._suspicions.hear(heard),
         )
         self._suspicions = suspicion_exchange.SuspicionExchange(
             self._gossip, self._peers, self._router, self._rng
         )
+        self._quotas = gateway_parts.new_quotas(settings, self._rng, recorder)
         self._pages = gateway_pages.GatewayPages(
             settings.entry_id,
             self._router,
@@ -126,6 +113,7 @@
             events,
             recorder,
             self._room.account,
+            self._quotas.allocator,
         )
 
     @property
@@ -159,6 +147,7 @@
     async def __aenter__(self) -> Self:
         await self._stack.enter_async_context(self._gossip)
         await self._stack.enter_async_context(self._suspicions)
+        await self._stack.enter_async_context(self._quotas)
         await self._stack.enter_async_context(self._server)
         await self._stack.enter_async_context(
             admin_server.AdminServer(
@@ -185,7 +174,7 @@
 
     async def drain(self) -> None:
         """Leaves the directory and waits until callers use other entries."""
-        schedule = self._plan_drain()
+        schedule = gateway_parts.plan_drain(self._settings)
         self.send(gateway_messages.Stopping(schedule))
         await self._new_drain(schedule).run()
 
@@ -195,13 +184,7 @@
         The task of the gateway may have ended, so it is not asked to stop.
         """
         self._update_view(stopping=True)
-        await self._new_drain(self._plan_drain()).abort()
-
-    def _plan_drain(self) -> drain_schedule.DrainSchedule:
-        settings = self._settings
-        return drain_schedule.DrainSchedule.plan(
-            time.monotonic(), settings.grace_s, settings.directory_lifetime_s
-        )
+        await self._new_drain(gateway_parts.plan_drain(self._settings)).abort()
 
     def _new_drain(
         self, schedule: drain_schedule.DrainSchedule
@@ -244,6 +227,7 @@
                     gateway_messages.UpstreamIdMismatch(upstream_id)
                 ),
                 self._suspicions.find,
+                self._quotas.send,
             )
             task.start()
             self._router.add_task(name, task)
@@ -274,6 +258,7 @@
         registered = messages.SetRegisteredEntries(
             self._peers.registered, read_at
         )
+        self._quotas.send(registered)
         for task in self._router.tasks.values():
             task.send(registered)
 
@@ -313,6 +298,7 @@
         gateway_events.log_configuration(
             gateway._events, found.version, previous, message.read_at
         )
+        gateway._quotas.send(quota_exchange.SetConfiguration(found))
         gateway._apply_services(found)
 
 
--- a/src/sesamevale/gateway_messages.py
+++ b/src/sesamevale/gateway_messages.py
@@ -43,6 +43,8 @@
         callers: Address on which callers are accepted.
         entry_port: UDP port for gossip; other entries fetch the contents of
             the store from the TCP port with the same number.
+        quota_port: UDP port for messages on quotas; the distance from
+            ``entry_port`` is the same at all entries.
         metrics_port: TCP port for metrics and status.
         retry_budget: Limits on the retries of all entries together.
         directory_lifetime_s: Lifetime of a directory answer at callers, in
@@ -55,6 +57,8 @@
             the deployment has none.
         warmup: Bounds on the requests to cold upstreams; None if the
             deployment has none.
+        key_lifetime_s: Time in seconds after the last confirmation of the
+            configuration for which its keys are accepted.
         machine: Resources of the machine.
         orders_service: Whether requests that cost their callers less to be
             turned away leave scarce room to others.
@@ -65,6 +69,7 @@
     environment: str
     callers: checked_settings.Endpoint
     entry_port: int
+    quota_port: int
     metrics_port: int
     retry_budget: retry_budget.RetryBudgetLimits
     directory_lifetime_s: float
@@ -72,6 +77,7 @@
     grace_s: float
     quota: resources.QuotaBounds | None = None
     warmup: resources.WarmupBounds | None = None
+    key_lifetime_s: float = 900.0
     machine: resources.Machine = dataclasses.field(
         default_factory=resources.Machine
     )
--- a/src/sesamevale/operators/gateway_pages.py
+++ b/src/sesamevale/operators/gateway_pages.py
@@ -19,6 +19,7 @@
     from sesamevale.forwarding import router as routers
     from sesamevale.forwarding import service_task
     from sesamevale.policy.admission import memory_account
+    from sesamevale.policy.admission import quota_allocator
     from sesamevale.policy.configuration import active_configuration
     from sesamevale.policy.membership import evacuations as evacuation_states
     from sesamevale.policy.signals import discovered_upstreams
@@ -39,6 +40,7 @@
         events: Log whose dropped lines are counted.
         recorder: Recorder of the metrics.
         account: Memory of the entry, if it is counted.
+        quotas: Use of the quotas of tenants; None if there are none.
     """
 
     def __init__(
@@ -51,6 +53,7 @@
         events: event_log.EventLog,
         recorder: metrics.MetricsRecorder,
         account: memory_account.MemoryAccount | None = None,
+        quotas: quota_allocator.QuotaAllocator | None = None,
     ) -> None:
         self._entry_id = entry_id
         self._router = router
@@ -59,6 +62,7 @@
         self._evacuations = evacuations
         self._events = events
         self._recorder = recorder
+        self._quotas = quotas
         recorder.add_source(self._gauges)
         if account is not None:
             recorder.add_source(lambda: memory_samples.samples(account))
@@ -87,8 +91,36 @@
             ),
             gauge("log_lines_dropped", "Not written", self._events.dropped),
             *self._signal_gauges(),
+            *self._tenant_gauges(),
         ]
 
+    def _tenant_gauges(self) -> list[metrics.MetricSample]:
+        return [
+            metrics.MetricSample(
+                "sesamevale_tenant_requests",
+                f"In the last {use['window_s']:g} s",
+                {"tenant": name, "verdict": verdict},
+                use[verdict],
+            )
+            for name, use in self._tenant_uses().items()
+            for verdict in ("admitted", "refused")
+        ]
+
+    def _tenant_uses(self) -> dict[str, dict[str, float]]:
+        """Returns the use of the quotas that this entry has met."""
+        now = time.monotonic()
+        uses = {} if self._quotas is None else self._quotas.uses
+        return {
+            name: dataclasses.asdict(use.usage(now))
+            | {
+                "rate_per_s": use.tenant.rate_per_s or 0.0,
+                "burst": use.tenant.burst,
+                "holders": len(use.holders),
+                "left": use.left(now),
+            }
+            for name, use in uses.items()
+        }
+
     def _signal_gauges(self) -> list[metrics.MetricSample]:
         now = time.monotonic()
         counts: collections.Counter[tuple[str, str]] = collections.Counter()
@@ -127,6 +159,7 @@
             "upstreams_age_s": None if last_read is None else now - last_read,
             "evacuated": self._evacuations.ages_s(now),
             "members": [each.entry_id for each in view.members],
+            "tenants": self._tenant_uses(),
             "services": {
                 name: _service_status(task, now)
                 for name, task in self._router.tasks.items()
--- a/src/sesamevale/outcomes.py
+++ b/src/sesamevale/outcomes.py
@@ -27,10 +27,14 @@
             be reached.
         MEMORY: This entry has no memory for the call.
         NOT_RETAINED: The action has run, but its answer was not kept.
+        OVER_QUOTA: The tenant has used up its quota.
         OVERLOADED: There is no capacity for the call in time.
         PEER_LOST: The connection to another entry failed.
+        QUOTA_UNREACHABLE: The entries that share the tenant's quota cannot be
+            reached.
         RATE_LIMITED: The limits that the upstreams name leave no room in time.
         SHED: An upstream rejected the call without running it.
+        UNKNOWN_KEY: The request carries no key of a tenant.
         SPOILT: The answer was malformed, unsigned or for another request.
         SUSPECT: Upstreams have ended under requests like this one.
     """
@@ -53,8 +57,10 @@
     NO_UPSTREAM = "no_upstream"
     MEMORY = "memory"
     NOT_RETAINED = "not_retained"
+    OVER_QUOTA = "over_quota"
     OVERLOADED = "overloaded"
     PEER_LOST = "peer_lost"
+    QUOTA_UNREACHABLE = "quota_unreachable"
     RATE_LIMITED = "rate_limited"
     REGISTER_FULL = "register_full"
     SHED = "shed"
@@ -62,6 +68,7 @@
     STOPPING = "stopping"
     SUSPECT = "suspect"
     TOO_LARGE = "too_large"
+    UNKNOWN_KEY = "unknown_key"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/sesamevale/platform/settings.py
+++ b/src/sesamevale/platform/settings.py
@@ -27,6 +27,9 @@
 DIRECTORY_LIFETIME_S = 1.0
 # Bound on drains and changes if the platform sets none.
 DEFAULT_BOUND_MS = 2000.0
+# Withdrawn keys work no longer than this at a machine that is cut off from the
+# store. An outage of the store that is shorter turns no caller away.
+KEY_LIFETIME_S = 900.0
 
 
 class SettingsError(Exception):
@@ -60,6 +63,14 @@
     warmup_overage: float | None = None
     warmup_tolerance: float = 8.0
     evacuate_ms: float | None = None
+    # Whether machines that cannot read the store drop withdrawn keys in time.
+    strict_revoke: bool = False
+    revoke_ms: float = 5000.0
+
+    @property
+    def key_lifetime_s(self) -> float:
+        """Time for which keys are accepted without a read of the store."""
+        return self.revoke_ms / 1000 if self.strict_revoke else KEY_LIFETIME_S
 
     @pydantic.model_validator(mode="before")
     @classmethod
@@ -121,6 +132,13 @@
         alias="seeds", default=None
     )
 
+    @pydantic.model_validator(mode="after")
+    def _check_ports(self) -> DeploymentSettings:
+        first, last = self.entry_ports
+        if self.bounds.quota_window_s is not None and first == last:
+            raise ValueError("quotas need a second port in entry_ports")
+        return self
+
     @property
     def seeds(self) -> tuple[tuple[str, int], ...]:
         """Addresses of entries that may have state that this entry lacks.
@@ -158,6 +176,7 @@
             environment=ENVIRONMENT,
             callers=self.callers,
             entry_port=self.entry_ports[0],
+            quota_port=self.entry_ports[1],
             metrics_port=_metrics_port(),
             retry_budget=retry_budget.RetryBudgetLimits(
                 bounds.retry_ratio, bounds.retry_extra, bounds.retry_window_s
@@ -167,6 +186,7 @@
             grace_s=bounds.grace_s,
             quota=_quota(bounds),
             warmup=_warmup(bounds),
+            key_lifetime_s=bounds.key_lifetime_s,
             machine=self.machine.to_machine(),
             orders_service=self.order_of_service,
         )
