Split the building of requests and the decisions on them into modules

The memory account took the priority of the route where a tenant has one of its own.

Change: moves, and the priority of the tenant before that of the route.

--- a/src/sesamevale/callers/gateway_exchange.py
+++ b/src/sesamevale/callers/gateway_exchange.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import dataclasses
-import math
 import time
 from typing import TYPE_CHECKING
 
@@ -17,6 +16,7 @@
 from sesamevale.callers import answer_encoder
 from sesamevale.callers import answers
 from sesamevale.callers import caller_keys
+from sesamevale.callers import request_building
 from sesamevale.forwarding import requests
 from sesamevale.policy.admission import memory_account
 from sesamevale.policy.configuration import credentials
@@ -117,10 +117,12 @@
 
     @property
     def priority(self) -> int:
-        """Priority by the route; 0 is the most urgent."""
+        """Priority of its tenant or else of its route; 0 is the most urgent."""
         if self._route is None:
             return memory_account.LEAST_URGENT
-        return self._route.priority
+        return request_building.priority_of(
+            self._route, self._identify(self._route)
+        )
 
     @property
     def held_bytes(self) -> int:
@@ -166,7 +168,15 @@
             "request",
             http1.get_header(self._headers, http1.HeaderName.TRACEPARENT),
         )
-        request = self._new_request(self._route, identity, body)
+        assert self._head is not None
+        request = request_building.build_request(
+            self._context.router,
+            self._head,
+            self._route,
+            identity,
+            body,
+            self._arrived,
+        )
         request.traceparent = self._span.traceparent
         request.claim = self._claim
         self._request = request
@@ -270,63 +280,6 @@
         self._context.recorder.count(f"refused_{reason}")
         return outcomes.NotRun(reason, UNROUTED_RETRY_AFTER_MS)
 
-    def _new_request(
-        self,
-        route: routes.Route,
-        identity: credentials.Identified,
-        body: bodies.BodyBuffer,
-    ) -> requests.Request:
-        assert self._head is not None
-        router = self._context.router
-        dialect = router.dialect
-        requested_ms = http1.get_integer_header(
-            self._headers, dialect.deadline_ms
-        )
-        caller_deadline = math.inf
-        if requested_ms is not None:
-            caller_deadline = self._arrived + requested_ms / 1000
-        has_body = any(
-            name
-            in (
-                http1.HeaderName.CONTENT_LENGTH,
-                http1.HeaderName.TRANSFER_ENCODING,
-            )
-            for name, _ in self._headers
-        )
-        dropped = frozenset(
-            (
-                dialect.deadline_ms,
-                dialect.expected_upstream,
-                http1.HeaderName.CONTENT_LENGTH,
-            )
-        )
-        headers = http1.strip_hop_by_hop(self._headers, dropped)
-        if router.credentials.has_tenants:
-            headers = caller_keys.forwarded_fields(headers, dialect, identity)
-        configuration = router.view.configuration
-        assert configuration is not None
-        tenant = identity.tenant
-        priority = None if tenant is None else tenant.priority
-        return requests.Request(
-            number=router.next_request_number(),
-            request_id=http1.get_header(self._headers, dialect.request_id)
-            or b"",
-            route=route,
-            service=router.choose_service(route),
-            version=configuration.version,
-            method=bytes(self._head.method),
-            target=bytes(self._head.target),
-            headers=headers,
-            body=body if has_body else None,
-            arrived=self._arrived,
-            deadline=min(self._arrived + route.timeout_s, caller_deadline),
-            caller_deadline=caller_deadline,
-            answer=calls.AnswerChannel(),
-            priority=route.priority if priority is None else priority,
-            tenant=tenant,
-            key_digest=identity.key_digest,
-        )
-
     async def _send_answer(self) -> _Result:
         if self._refused is not None:
             self._encoder.send_failure(self._refused, self._refused_status)
--- a/src/sesamevale/forwarding/request_flow.py
+++ b/src/sesamevale/forwarding/request_flow.py
@@ -10,6 +10,7 @@
 
 from sesamevale import calls
 from sesamevale import outcomes
+from sesamevale.forwarding import decisions
 from sesamevale.forwarding import messages
 from sesamevale.forwarding import signal_recorder
 from sesamevale.forwarding import upstream_health
@@ -34,8 +35,6 @@
 # Timeout of the samples of one round. A sample takes a round trip and a few
 # milliseconds at the upstream.
 SAMPLE_ROUND_TIMEOUT_S = 0.025
-# Shortest time to the deadline with which another attempt is made.
-RETRY_TIME_MIN_S = 0.05
 # Share of the latency objective that must have passed before a request counts
 # as one that its caller sends again.
 RETURN_SHARE = 0.1
@@ -89,6 +88,11 @@
         """Requests that have not ended, by number."""
         return self._active_requests
 
+    @property
+    def recorder(self) -> metrics.MetricsRecorder:
+        """Records metrics."""
+        return self._recorder
+
     @property
     def runner(self) -> attempt_runner.AttemptRunner:
         """Runs the attempts."""
@@ -158,7 +162,7 @@
         duration_s = self._balancer.expected_duration_s(route, best)
         return self._drain_schedule.allows_attempt(time.monotonic(), duration_s)
 
-    def _may_spend(
+    def may_spend(
         self, active_request: messages.ActiveRequest, now: float
     ) -> bool:
         """Spends a retry of the budget if the request may have one."""
@@ -245,7 +249,7 @@
         decision: forwarding.Decision,
     ) -> None:
         """Does what has been decided on a request."""
-        _apply(decision, self, active_request)
+        decisions.apply(decision, self, active_request)
 
     def fail(
         self,
@@ -362,69 +366,3 @@
     active_request: messages.ActiveRequest,
 ) -> None:
     flow.apply(active_request, active_request.progress.give_up())
-
-
-@functools.singledispatch
-def _apply(
-    decision: forwarding.Decision,
-    flow: RequestFlow,
-    active_request: messages.ActiveRequest,
-) -> None:
-    raise TypeError(f"no handler for {type(decision).__name__}")
-
-
-@_apply.register
-def _(
-    decision: forwarding.Retry,
-    flow: RequestFlow,
-    active_request: messages.ActiveRequest,
-) -> None:
-    now = time.monotonic()
-    progress = active_request.progress
-    if active_request.request.deadline - now < RETRY_TIME_MIN_S:
-        flow.apply(active_request, progress.give_up())
-    elif decision.uses_budget and not flow._may_spend(active_request, now):
-        flow._recorder.count("retries_over_budget")
-        flow.apply(active_request, progress.give_up())
-    else:
-        flow._recorder.count("retries")
-        flow.start_search(active_request)
-
-
-@_apply.register
-def _(
-    decision: forwarding.Deliver,
-    flow: RequestFlow,
-    active_request: messages.ActiveRequest,
-) -> None:
-    answer = decision.answer
-    channel = active_request.request.answer
-    channel.put(calls.AnswerHead(answer.status, answer.headers))
-    if answer.body:
-        channel.put(calls.AnswerData(answer.body))
-    if answer.rest is None:
-        channel.put(calls.AnswerEnd())
-        flow.finish(active_request)
-        return
-    channel.continue_with(answer.rest)
-    # The timer may have expired while the result was in the inbox.
-    flow.set_deadline_timer(active_request)
-
-
-@_apply.register
-def _(
-    decision: forwarding.Refuse,
-    flow: RequestFlow,
-    active_request: messages.ActiveRequest,
-) -> None:
-    retry_after_ms = math.ceil(decision.retry_after_s * 1000)
-    flow.fail(active_request, outcomes.NotRun(decision.reason, retry_after_ms))
-
-
-@_apply.register
-def _(
-    decision: forwarding.Fail,
-    flow: RequestFlow,
-    active_request: messages.ActiveRequest,
-) -> None:
-    flow.fail(active_request, outcomes.Unknown(decision.reason))
