Register the decisions by their types

Cause: annotations that are imported only for types can't be evaluated at registration.

Measured: the tests of forwarding, callers and tenants pass.

--- a/src/sesamevale/forwarding/decisions.py
+++ b/src/sesamevale/forwarding/decisions.py
@@ -31,7 +31,7 @@
     raise TypeError(f"no handler for {type(decision).__name__}")
 
 
-@apply.register
+@apply.register(forwarding.Retry)
 def _(
     decision: forwarding.Retry,
     flow: request_flow.RequestFlow,
@@ -49,7 +49,7 @@
         flow.start_search(active_request)
 
 
-@apply.register
+@apply.register(forwarding.Deliver)
 def _(
     decision: forwarding.Deliver,
     flow: request_flow.RequestFlow,
@@ -69,7 +69,7 @@
     flow.set_deadline_timer(active_request)
 
 
-@apply.register
+@apply.register(forwarding.Refuse)
 def _(
     decision: forwarding.Refuse,
     flow: request_flow.RequestFlow,
@@ -79,7 +79,7 @@
     flow.fail(active_request, outcomes.NotRun(decision.reason, retry_after_ms))
 
 
-@apply.register
+@apply.register(forwarding.Fail)
 def _(
     decision: forwarding.Fail,
     flow: request_flow.RequestFlow,
