Prove that pauses are kept by a test that does not depend on chance

Cause: the mutant that ignores pauses was to be found by the state machine of signals.

Change: its proof is the test that requests wait for the end of a pause, in which each example fails with the mutant. The machine stays as a test.

--- a/tests/test_gateway_mutants.py
+++ b/tests/test_gateway_mutants.py
@@ -593,7 +593,10 @@
         forget_who_leaves,
         test_upstream_signals.test_an_upstream_that_leaves_stays_closed_whatever_it_says_later,
     ),
-    (ignore_pauses, run_signals_machine),
+    (
+        ignore_pauses,
+        test_signals_machine.test_requests_wait_for_the_end_of_a_pause_if_they_are_in_time,
+    ),
     (use_upstreams_that_leave_as_long_as_others_fail, run_signals_machine),
     (let_repeats_pass, run_signals_machine),
     (
